--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Everything that a fresh machine with Python 3.11 needs: `make demo` and `make test`.
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := core node ctl bench
+
+.PHONY: install demo test check format
+
+install: .venv/installed
+
+.venv/installed: requirements.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(foreach p,$(PACKAGES),--editable packages/$(p))
+	touch .venv/installed
+
+demo: install
+	$(BIN)/python -m endivewick_bench.demo
+
+test: check
+	$(BIN)/python -m pytest
+
+check: install
+	$(BIN)/black --quiet --check packages tests
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/mypy packages/core/src packages/node/src packages/ctl/src packages/bench/src
+
+format: install
+	$(BIN)/black packages tests
+	$(BIN)/ruff check --fix packages tests
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and slopes for measuring endivewick."""
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that endivewick meets."""
--- /dev/null
+++ b/packages/core/src/endivewick_core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of endivewick: pure reducers without I/O."""
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/effects.py
@@ -0,0 +1,63 @@
+"""The effects of a control process.
+
+The shell carries them out in order, and makes ``SaveVote``, ``AppendEntries``, ``TruncateLog`` and
+``SaveSnapshot`` durable before it carries out any effect that follows them.
+"""
+
+from typing import Any, NamedTuple
+
+from ..messages import LogEntry
+
+
+class SaveVote(NamedTuple):
+    """Make the term and the vote durable."""
+
+    term: int
+    voted_for: str
+
+
+class AppendEntries(NamedTuple):
+    """Append entries to the durable log."""
+
+    entries: list[LogEntry]
+
+
+class TruncateLog(NamedTuple):
+    """Remove the durable entries from ``from_index`` on."""
+
+    from_index: int
+
+
+class SaveSnapshot(NamedTuple):
+    """Replace the durable entries up to ``last_index`` by a snapshot."""
+
+    last_index: int
+    last_term: int
+    membership: bytes
+    machine: bytes
+
+
+class Send(NamedTuple):
+    """Send a message to the process at ``address``."""
+
+    address: str
+    message: Any
+
+
+class AnswerOperator(NamedTuple):
+    """Answer an operator's request."""
+
+    number: int
+    status: int
+    body: dict[str, object]
+
+
+class Note(NamedTuple):
+    """Write a log line and count ``name``; ``text`` says what happened."""
+
+    level: str
+    name: str
+    text: str
+
+
+Effect = SaveVote | AppendEntries | TruncateLog | SaveSnapshot | Send | AnswerOperator | Note
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/election.py
@@ -0,0 +1,149 @@
+"""Elections: pre-vote, votes and the end of a leadership.
+
+A member that heard a leader lately gives neither a vote nor a pre-vote, so a member that returns
+from a network partition disturbs nobody. The term and the vote are durable before they are sent.
+"""
+
+from ..codec import encode
+from ..commands import StartTerm
+from ..messages import VoteReply, VoteRequest
+from . import operators, replication
+from .effects import Effect, Note, SaveVote, Send
+from .state import (
+    ControlState,
+    Leading,
+    Progress,
+    Role,
+    is_voter,
+    peers,
+    quorum_size,
+)
+
+
+def set_election_due(state: ControlState, now_ms: int, random: float) -> None:
+    """Draw the time of the next election."""
+    timeout_ms = state.settings.election_timeout_ms
+    state.election_due_ms = now_ms + timeout_ms + int(random * timeout_ms)
+
+
+def check_election(state: ControlState, now_ms: int, random: float) -> list[Effect]:
+    """Start a pre-vote where no leader was heard in time."""
+    if state.role in (Role.EMPTY, Role.LEADER) or not is_voter(state):
+        return []
+    if now_ms < state.election_due_ms:
+        return []
+    set_election_due(state, now_ms, random)
+    state.role = Role.PRE_CANDIDATE
+    state.leader = ""
+    state.votes = {state.me.member_id}
+    effects = _ask_for_votes(state, state.term + 1, pre_vote=True)
+    return effects + _count_votes(state, now_ms)
+
+
+def become_follower(state: ControlState, term: int, leader: str) -> list[Effect]:
+    """Follow ``leader`` in ``term``; a newer term clears the vote."""
+    effects: list[Effect] = []
+    if state.role is Role.LEADER:
+        effects += operators.fail_waiting(state)
+        effects.append(Note("info", "leadership_ended", f"leadership of term {state.term} ended"))
+    if term > state.term:
+        state.term = term
+        state.voted_for = ""
+        effects.append(SaveVote(term, ""))
+    if state.role is not Role.EMPTY:
+        state.role = Role.FOLLOWER
+    state.leading = None
+    state.leader = leader
+    return effects
+
+
+def handle_vote_request(state: ControlState, now_ms: int, request: VoteRequest) -> list[Effect]:
+    """Answer a request for a vote or a pre-vote.
+
+    The candidate, and this member itself, may be voters by an entry that this log lacks, so neither
+    is looked up in the membership; the candidate counts only votes of its own voters.
+    """
+    address = replication.member_address(state, request.candidate)
+    if not address or state.role is Role.EMPTY:
+        return []
+    effects: list[Effect] = []
+    grant = _would_vote(state, now_ms, request)
+    if grant and not request.pre_vote:
+        if request.term > state.term:
+            effects += become_follower(state, request.term, "")
+        state.voted_for = request.candidate
+        state.election_due_ms = max(
+            state.election_due_ms, now_ms + state.settings.election_timeout_ms
+        )
+        effects.append(SaveVote(state.term, state.voted_for))
+    reply = VoteReply(
+        request.term if grant else state.term, state.me.member_id, grant, request.pre_vote
+    )
+    effects.append(Send(address, reply))
+    return effects
+
+
+def handle_vote_reply(state: ControlState, now_ms: int, reply: VoteReply) -> list[Effect]:
+    """Count a vote; a newer term ends the candidacy."""
+    if not reply.granted:
+        return become_follower(state, reply.term, "") if reply.term > state.term else []
+    if reply.pre_vote:
+        counts = state.role is Role.PRE_CANDIDATE and reply.term == state.term + 1
+    else:
+        counts = state.role is Role.CANDIDATE and reply.term == state.term
+    if not counts or not _is_voter_id(state, reply.voter):
+        return []
+    state.votes.add(reply.voter)
+    return _count_votes(state, now_ms)
+
+
+def _is_voter_id(state: ControlState, member_id: str) -> bool:
+    return any(member.member_id == member_id for member in state.membership.voters)
+
+
+def _would_vote(state: ControlState, now_ms: int, request: VoteRequest) -> bool:
+    if request.term < state.term or (request.pre_vote and request.term <= state.term):
+        return False
+    heard_lately = now_ms - state.leader_heard_ms < state.settings.election_timeout_ms
+    if state.role is Role.LEADER or (state.leader and heard_lately):
+        return False
+    if (request.last_term, request.last_index) < (state.log.last_term, state.log.last_index):
+        return False
+    if request.pre_vote or request.term > state.term:
+        return True
+    return state.voted_for in ("", request.candidate)
+
+
+def _ask_for_votes(state: ControlState, term: int, pre_vote: bool) -> list[Effect]:
+    request = VoteRequest(
+        term, state.me.member_id, state.log.last_index, state.log.last_term, pre_vote
+    )
+    voters = [m for m in state.membership.voters if m.member_id != state.me.member_id]
+    return [Send(member.address, request) for member in voters]
+
+
+def _count_votes(state: ControlState, now_ms: int) -> list[Effect]:
+    if len(state.votes) < quorum_size(state):
+        return []
+    if state.role is Role.CANDIDATE:
+        return _become_leader(state, now_ms)
+    state.role = Role.CANDIDATE
+    state.term += 1
+    state.voted_for = state.me.member_id
+    state.votes = {state.me.member_id}
+    effects: list[Effect] = [SaveVote(state.term, state.voted_for)]
+    effects += _ask_for_votes(state, state.term, pre_vote=False)
+    return effects + _count_votes(state, now_ms)
+
+
+def _become_leader(state: ControlState, now_ms: int) -> list[Effect]:
+    state.role = Role.LEADER
+    state.leader = state.me.member_id
+    state.leading = Leading(since_ms=now_ms, start_index=state.log.last_index + 1)
+    next_index = state.log.last_index + 1
+    for member in peers(state):
+        state.leading.progress[member.member_id] = Progress(next_index, 0, 0, now_ms, 0)
+    note = Note("info", "leadership_started", f"leads term {state.term}")
+    effects: list[Effect] = [note]
+    effects += replication.propose(state, encode(StartTerm(state.me.member_id)))
+    return effects + replication.start_round(state, now_ms)
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/leases.py
@@ -0,0 +1,144 @@
+"""Leases of proxies, and the spreading of the configuration to them.
+
+A proxy's heartbeat waits for a leadership round that begins after its arrival. The reply brings the
+proxy to the commit index and renews its lease, which counts from the moment the heartbeat was sent.
+A new leader waits one whole lease before it takes a home from a proxy it has not heard.
+"""
+
+from ..codec import CodecFault, decode
+from ..commands import COMMANDS, PROXY_COMMANDS
+from ..machine import encode_machine
+from ..messages import HeartbeatReply, LeaderHint, LogEntry, ProxyHeartbeat
+from . import replication
+from .effects import Effect, Note, Send
+from .state import ControlState, ProxyLease, Role, WaitingHeartbeat
+
+ENTRIES_PER_REPLY = 2_000
+FORGET_LEASES = 20
+
+
+def handle_heartbeat(state: ControlState, now_ms: int, heartbeat: ProxyHeartbeat) -> list[Effect]:
+    """Take a proxy's heartbeat and its proposals."""
+    if state.role is not Role.LEADER or state.leading is None:
+        leader = state.leader.partition("#")[0]
+        address = state.settings.members.get(leader, "")
+        return [Send(heartbeat.address, LeaderHint(heartbeat.sequence, address))]
+    state.leading.heartbeats.append(WaitingHeartbeat(state.leading.round_number + 1, heartbeat))
+    state.leading.round_wanted = True
+    effects: list[Effect] = []
+    for proposal in heartbeat.proposals:
+        effects += _take_proposal(state, heartbeat, proposal)
+    if effects:
+        effects += replication.start_round(state, now_ms)
+    return effects
+
+
+def answer_heartbeats(state: ControlState, now_ms: int, confirmed: int) -> list[Effect]:
+    """Answer the heartbeats whose round has a quorum."""
+    leading = state.leading
+    if leading is None or state.commit_index < leading.start_index:
+        return []
+    waiting = leading.heartbeats
+    leading.heartbeats = [item for item in waiting if item.round_number > confirmed]
+    effects: list[Effect] = []
+    replies: dict[int, list[LogEntry]] = {}
+    for item in waiting:
+        if item.round_number > confirmed:
+            continue
+        effects.append(_reply(state, now_ms, item.heartbeat, replies))
+    return effects
+
+
+def expired(state: ControlState, now_ms: int, lease: ProxyLease) -> bool:
+    """Tell whether a lease has ended on the proxy's own clock, with a margin for drift."""
+    settings = state.settings
+    return now_ms - lease.granted_ms > settings.lease_ms + settings.lease_margin_ms
+
+
+def unknown_leases_over(state: ControlState, now_ms: int) -> bool:
+    """Tell whether leases that an earlier leader granted have all ended."""
+    assert state.leading is not None
+    settings = state.settings
+    return now_ms - state.leading.since_ms > settings.lease_ms + settings.lease_margin_ms
+
+
+def forget_leases(state: ControlState, now_ms: int) -> None:
+    """Drop the records of proxies that have been gone for long."""
+    assert state.leading is not None
+    limit_ms = FORGET_LEASES * state.settings.lease_ms
+    leases = state.leading.leases
+    gone = [key for key, lease in leases.items() if now_ms - lease.granted_ms > limit_ms]
+    for key in gone:
+        del leases[key]
+
+
+def _take_proposal(state: ControlState, heartbeat: ProxyHeartbeat, proposal: bytes) -> list[Effect]:
+    leading = state.leading
+    assert leading is not None
+    if proposal in leading.proposals_in_flight:
+        return []
+    command = decode(COMMANDS, proposal)
+    if isinstance(command, CodecFault) or not isinstance(command, PROXY_COMMANDS):
+        text = f"{heartbeat.proxy} proposed what proxies may not"
+        return [Note("warning", "proposal_refused", text)]
+    effects = replication.propose(state, proposal)
+    leading.proposals_in_flight[proposal] = state.log.last_index
+    return effects
+
+
+def _reply(
+    state: ControlState,
+    now_ms: int,
+    heartbeat: ProxyHeartbeat,
+    replies: dict[int, list[LogEntry]],
+) -> Send:
+    assert state.leading is not None
+    revision = heartbeat.revision
+    key = (heartbeat.proxy, heartbeat.boot)
+    lease_ms = 0 if _loses_home(state, heartbeat) else state.settings.lease_ms
+    lease = ProxyLease(
+        heartbeat.proxy,
+        heartbeat.boot,
+        heartbeat.address,
+        heartbeat.data_centre,
+        now_ms,
+        revision,
+        heartbeat.draining,
+    )
+    if lease_ms:
+        state.leading.leases[key] = lease
+    entries, machine_index, machine = _changes_since(state, revision, replies)
+    reply = HeartbeatReply(
+        heartbeat.sequence, lease_ms, state.commit_index, entries, machine_index, machine
+    )
+    return Send(heartbeat.address, reply)
+
+
+def _loses_home(state: ControlState, heartbeat: ProxyHeartbeat) -> bool:
+    """Tell whether an entry in flight gives a home of this proxy to another."""
+    assert state.leading is not None
+    for name in state.leading.assigning:
+        group = state.machine.groups.get(name)
+        if group is not None and group.home_boot == heartbeat.boot:
+            return True
+    return False
+
+
+def _changes_since(
+    state: ControlState, revision: int, replies: dict[int, list[LogEntry]]
+) -> tuple[list[LogEntry], int, bytes]:
+    if revision > state.commit_index:
+        return [], 0, b""
+    gap = state.commit_index - revision
+    if revision < state.log.start_index or gap > ENTRIES_PER_REPLY:
+        machine = encode_machine(state.machine, with_changes=False)
+        return [], state.commit_index, machine
+    if revision not in replies:
+        entries = state.log.slice(revision, gap)
+        replies[revision] = [_without_refused(state, entry) for entry in entries]
+    return replies[revision], 0, b""
+
+
+def _without_refused(state: ControlState, entry: LogEntry) -> LogEntry:
+    """Return the entry as proxies get it: empty where its command changed nothing."""
+    return entry._replace(command=b"") if entry.log_index in state.refused else entry
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/membership.py
@@ -0,0 +1,109 @@
+"""Membership: how an empty control process joins, and how a lost identity is replaced.
+
+A process whose disk is empty has a new identity. The leader first copies everything to it as a
+learner, then removes the lost identity of the same name, and only then lets the new one vote. Each
+step is one committed change, so two majorities always overlap.
+"""
+
+from ..codec import encode
+from ..commands import ChangeMembership
+from ..messages import JoinReply, JoinRequest, Member
+from . import replication
+from .effects import Effect, Note, Send
+from .state import ControlState, Membership, Progress, Role, is_voter
+
+LOST_IDENTITY_MS = 5_000
+
+
+def check_join(state: ControlState, now_ms: int) -> list[Effect]:
+    """Ask the other control processes for membership while this one has none."""
+    if now_ms < state.join_due_ms or state.role is Role.LEADER:
+        return []
+    state.join_due_ms = now_ms + state.settings.join_interval_ms
+    known = state.membership.voters + state.membership.learners
+    if any(member.member_id == state.me.member_id for member in known):
+        return []
+    request = JoinRequest(state.me)
+    others = [a for name, a in state.settings.members.items() if name != state.me.name]
+    return [Send(address, request) for address in others]
+
+
+def handle_join_request(state: ControlState, now_ms: int, request: JoinRequest) -> list[Effect]:
+    """Say whether this process belongs to a cluster; as leader, start the join."""
+    member = request.member
+    if state.settings.members.get(member.name) != member.address:
+        text = f"{member.name} at {member.address} asked to join but is not in control.members"
+        return [Note("warning", "join_refused", text)]
+    reply = JoinReply(state.me, state.role is not Role.EMPTY)
+    effects: list[Effect] = [Send(member.address, reply)]
+    if state.leading is None or not _may_change(state):
+        return effects
+    known = state.membership.voters + state.membership.learners
+    if any(item.member_id == member.member_id for item in known):
+        return effects
+    learners = [item for item in state.membership.learners if item.name != member.name]
+    state.leading.progress[member.member_id] = Progress(
+        state.log.last_index + 1, 0, 0, now_ms, now_ms
+    )
+    text = f"{member.name} joins as a learner with identity {member.member_id}"
+    effects.append(Note("info", "learner_added", text))
+    return effects + _change(state, now_ms, state.membership.voters, [*learners, member])
+
+
+def handle_join_reply(state: ControlState, now_ms: int, reply: JoinReply) -> list[Effect]:
+    """Remember whether another control process belongs to a cluster."""
+    state.join_replies[reply.member.name] = (now_ms, reply.initialised)
+    return []
+
+
+def check_learners(state: ControlState, now_ms: int) -> list[Effect]:
+    """Make a learner that holds everything a voter, in place of its lost identity."""
+    leading = state.leading
+    if leading is None or not _may_change(state):
+        return []
+    for learner in state.membership.learners:
+        progress = leading.progress.get(learner.member_id)
+        if progress is None or progress.match_index < state.commit_index:
+            continue
+        replaced = [item for item in state.membership.voters if item.name == learner.name]
+        if replaced and not _is_lost(state, now_ms, replaced[0]):
+            continue
+        return _replace_or_add(state, now_ms, learner, replaced)
+    return []
+
+
+def _replace_or_add(
+    state: ControlState, now_ms: int, learner: Member, replaced: list[Member]
+) -> list[Effect]:
+    membership = state.membership
+    if replaced:
+        voters = [item for item in membership.voters if item not in replaced]
+        note = Note("info", "voter_removed", f"removes the lost identity {replaced[0].member_id}")
+        return [note, *_change(state, now_ms, voters, membership.learners)]
+    learners = [item for item in membership.learners if item != learner]
+    note = Note("info", "voter_added", f"{learner.member_id} holds everything and votes now")
+    return [note, *_change(state, now_ms, [*membership.voters, learner], learners)]
+
+
+def _may_change(state: ControlState) -> bool:
+    """Tell whether the last change and this term's first entry are committed."""
+    leading = state.leading
+    if leading is None or state.commit_index < leading.start_index or not is_voter(state):
+        return False
+    return not state.memberships or state.memberships[-1][0] <= state.commit_index
+
+
+def _is_lost(state: ControlState, now_ms: int, member: Member) -> bool:
+    assert state.leading is not None
+    if member.member_id == state.me.member_id:
+        return False
+    progress = state.leading.progress.get(member.member_id)
+    return progress is None or now_ms - progress.heard_ms >= LOST_IDENTITY_MS
+
+
+def _change(
+    state: ControlState, now_ms: int, voters: list[Member], learners: list[Member]
+) -> list[Effect]:
+    membership = Membership(voters, learners)
+    effects = replication.propose(state, encode(ChangeMembership(*membership)))
+    return effects + replication.start_round(state, now_ms)
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -0,0 +1,275 @@
+"""Operators' requests: changes through the log, reads through a leadership round."""
+
+from typing import Any
+
+from returns.result import Failure as Failed
+
+from ..codec import encode
+from ..commands import PutContract, SetUpstream
+from ..contracts import check_contract, contract_text, is_name
+from ..exceptions import (
+    BOOTSTRAP_REFUSED,
+    CHANGE_UNKNOWN,
+    CONTRACT_INVALID,
+    FAILURES_BY_NAME,
+    MALFORMED_REQUEST,
+    NO_QUORUM,
+    NOT_LEADER,
+    UNKNOWN_CUSTOMER,
+    Failure,
+    failure_body,
+)
+from ..machine import ChangeResult, Machine
+from . import replication
+from .effects import AnswerOperator, Effect, Note, SaveSnapshot, SaveVote
+from .events import (
+    BootstrapRequest,
+    GetContracts,
+    GetStatus,
+    GetUpstreams,
+    PutContractRequest,
+    SetUpstreamRequest,
+)
+from .state import (
+    ControlState,
+    Membership,
+    Role,
+    WaitingChange,
+    WaitingRead,
+    encode_membership,
+    quorum_size,
+)
+
+CHANGE_ID_LIMIT = 128
+JOIN_REPLY_LIFE_MS = 3_000
+
+
+def handle_request(state: ControlState, now_ms: int, number: int, request: Any) -> list[Effect]:
+    """Take an operator's request."""
+    if isinstance(request, BootstrapRequest):
+        return _bootstrap(state, now_ms, number)
+    if isinstance(request, GetStatus) and state.role is not Role.LEADER:
+        return [AnswerOperator(number, 200, status_body(state, now_ms))]
+    if state.role is not Role.LEADER or state.leading is None:
+        return [_refuse(number, _not_leader(state))]
+    if isinstance(request, PutContractRequest | SetUpstreamRequest):
+        return _propose_change(state, now_ms, number, request)
+    waiting = WaitingRead(state.leading.round_number + 1, number, request)
+    state.leading.reads.append(waiting)
+    state.leading.round_wanted = True
+    return []
+
+
+def answer_reads(state: ControlState, now_ms: int, confirmed: int) -> list[Effect]:
+    """Answer the reads whose round has a quorum."""
+    leading = state.leading
+    if leading is None or state.commit_index < leading.start_index:
+        return []
+    ready = [read for read in leading.reads if read.round_number <= confirmed]
+    leading.reads = [read for read in leading.reads if read.round_number > confirmed]
+    return [_answer_read(state, now_ms, read) for read in ready]
+
+
+def answer_change(
+    state: ControlState, index: int, command: Any, result: ChangeResult
+) -> list[Effect]:
+    """Answer the change whose entry was committed at ``index``."""
+    assert state.leading is not None
+    waiting = state.leading.changes.pop(index, None)
+    if waiting is None:
+        return []
+    if not result.failure:
+        body: dict[str, object] = {"version": result.version, "revision": result.revision}
+        return [AnswerOperator(waiting.number, 200, body)]
+    failure_type = FAILURES_BY_NAME[result.failure]
+    details = _winner(state.machine, command)
+    message = {
+        "change_conflict": "another change replaced this version first; "
+        "read the winner in details and send a new change against it",
+        "change_id_reused": "this change id was used for other content; use a new change id",
+        "unknown_upstream": "no upstream of this name has announced itself; check the name",
+    }[result.failure]
+    return [_refuse(waiting.number, Failure(failure_type, message, details=details))]
+
+
+def fail_waiting(state: ControlState) -> list[Effect]:
+    """Answer everything that waits on a leadership that ended."""
+    leading = state.leading
+    if leading is None:
+        return []
+    effects: list[Effect] = []
+    message = "leadership ended before the outcome was known; resend with the same change id"
+    for change in leading.changes.values():
+        effects.append(_refuse(change.number, Failure(CHANGE_UNKNOWN, message)))
+    for read in leading.reads:
+        message = "leadership ended before a quorum confirmed it; send the request again"
+        effects.append(_refuse(read.number, Failure(NO_QUORUM, message)))
+    leading.changes = {}
+    leading.reads = []
+    return effects
+
+
+def status_body(state: ControlState, now_ms: int) -> dict[str, object]:
+    """Return what ``endivewickctl status`` shows."""
+    membership = state.membership
+    body: dict[str, object] = {
+        "name": state.me.name,
+        "role": str(state.role),
+        "term": state.term,
+        "leader": state.leader.partition("#")[0],
+        "commit_index": state.commit_index,
+        "revision": state.machine.revision,
+        "voters": [member.name for member in membership.voters],
+        "learners": [member.name for member in membership.learners],
+        "groups": [group._asdict() for group in state.machine.groups.values()],
+    }
+    if state.leading is None:
+        return body
+    body["members"] = [
+        {"name": member_id.partition("#")[0], "match_index": progress.match_index}
+        for member_id, progress in state.leading.progress.items()
+    ]
+    body["proxies"] = [
+        {
+            "name": lease.proxy,
+            "data_centre": lease.data_centre,
+            "revision": lease.revision,
+            "behind": max(0, state.machine.revision - lease.revision),
+            "draining": lease.draining,
+            "lease_age_ms": now_ms - lease.granted_ms,
+            "alive": now_ms - lease.granted_ms <= state.settings.lease_ms,
+        }
+        for lease in state.leading.leases.values()
+    ]
+    return body
+
+
+def _refuse(number: int, failure: Failure) -> AnswerOperator:
+    return AnswerOperator(number, failure.type.status, failure_body(failure))
+
+
+def _not_leader(state: ControlState) -> Failure:
+    leader = state.leader.partition("#")[0]
+    address = state.settings.operator_addresses.get(leader, "")
+    details: dict[str, object] = {"leader": leader, "operator_address": address}
+    message = f"{state.me.name} does not lead; send the request to {leader or 'another member'}"
+    return Failure(NOT_LEADER, message, retry_after_ms=500, details=details)
+
+
+def _propose_change(
+    state: ControlState, now_ms: int, number: int, request: PutContractRequest | SetUpstreamRequest
+) -> list[Effect]:
+    assert state.leading is not None
+    if len(state.membership.voters) < len(state.settings.members) // 2 + 1:
+        message = "too few control members have joined; start the others and send it again"
+        return [_refuse(number, Failure(NO_QUORUM, message))]
+    command = _command(request)
+    if isinstance(command, Failure):
+        return [_refuse(number, command)]
+    effects = replication.propose(state, encode(command))
+    state.leading.changes[state.log.last_index] = WaitingChange(number, state.term)
+    return effects + replication.start_round(state, now_ms)
+
+
+def _command(
+    request: PutContractRequest | SetUpstreamRequest,
+) -> PutContract | SetUpstream | Failure:
+    if not 0 < len(request.change_id) <= CHANGE_ID_LIMIT:
+        return Failure(
+            MALFORMED_REQUEST, f"change_id: give 1 to {CHANGE_ID_LIMIT} characters, new per change"
+        )
+    if isinstance(request, SetUpstreamRequest):
+        return SetUpstream(*request)
+    if not is_name(request.customer):
+        message = "customer: use up to 63 lower-case letters, digits, dots and hyphens"
+        return Failure(CONTRACT_INVALID, message)
+    checked = check_contract(request.text)
+    if isinstance(checked, Failed):
+        return checked.failure()
+    text = checked.unwrap()
+    return PutContract(
+        request.change_id,
+        request.customer,
+        request.replaces_version,
+        text["group"],
+        text["max_staleness_ms"],
+        text["connections"],
+        text["surge_share"],
+        text.get("acknowledge", "primary"),
+    )
+
+
+def _winner(machine: Machine, command: Any) -> dict[str, object]:
+    if isinstance(command, PutContract):
+        known = machine.contracts.get(command.customer)
+        return _contract_body(machine, command.customer) if known else {}
+    if isinstance(command, SetUpstream) and command.upstream in machine.upstreams:
+        return dict(machine.upstreams[command.upstream]._asdict())
+    return {}
+
+
+def _contract_body(machine: Machine, customer: str) -> dict[str, object]:
+    contract = machine.contracts[customer]
+    return {
+        "customer": customer,
+        "version": contract.version,
+        "contract": contract_text(contract),
+    }
+
+
+def _answer_read(state: ControlState, now_ms: int, read: WaitingRead) -> AnswerOperator:
+    request = read.request
+    machine = state.machine
+    if isinstance(request, GetStatus):
+        return AnswerOperator(read.number, 200, status_body(state, now_ms))
+    if isinstance(request, GetUpstreams):
+        upstreams: list[object] = [item._asdict() for item in machine.upstreams.values()]
+        return AnswerOperator(
+            read.number, 200, {"upstreams": upstreams, "revision": machine.revision}
+        )
+    assert isinstance(request, GetContracts)
+    if not request.customer:
+        bodies: list[object] = [_contract_body(machine, name) for name in sorted(machine.contracts)]
+        return AnswerOperator(read.number, 200, {"contracts": bodies, "revision": machine.revision})
+    if request.customer not in machine.contracts:
+        message = f"no contract for customer {request.customer}; put one first"
+        return _refuse(read.number, Failure(UNKNOWN_CUSTOMER, message))
+    body = _contract_body(machine, request.customer)
+    return AnswerOperator(read.number, 200, {**body, "revision": machine.revision})
+
+
+def _bootstrap(state: ControlState, now_ms: int, number: int) -> list[Effect]:
+    reason = _bootstrap_fault(state, now_ms)
+    if reason:
+        return [_refuse(number, Failure(BOOTSTRAP_REFUSED, reason))]
+    membership = Membership([state.me], [])
+    state.snapshot_membership = membership
+    state.role = Role.FOLLOWER
+    state.term = 1
+    state.election_due_ms = now_ms
+    empty = Machine()
+    state.machine = empty
+    return [
+        SaveVote(1, ""),
+        SaveSnapshot(0, 0, encode_membership(membership), replication.encode_full(empty)),
+        Note("info", "bootstrapped", "started a new cluster"),
+        AnswerOperator(number, 200, {"bootstrapped": state.me.name, "quorum": quorum_size(state)}),
+    ]
+
+
+def _bootstrap_fault(state: ControlState, now_ms: int) -> str:
+    """Return why this member must not start a cluster, or an empty text."""
+    if state.role is not Role.EMPTY:
+        return "this member already belongs to a cluster; nothing is to be done"
+    first = min(state.settings.members)
+    if state.me.name != first:
+        return f"only {first} may start the cluster, so that two can't; send it there"
+    for name in state.settings.members:
+        if name == state.me.name:
+            continue
+        heard_ms, initialised = state.join_replies.get(name, (-JOIN_REPLY_LIFE_MS, False))
+        if initialised:
+            return f"{name} belongs to a cluster already; this member joins it by itself"
+        if now_ms - heard_ms >= JOIN_REPLY_LIFE_MS:
+            return f"{name} did not answer; start every control member, then send it again"
+    return ""
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -0,0 +1,72 @@
+"""The one reducer of a control process: every event goes through ``reduce``."""
+
+from typing import Any
+
+from ..messages import (
+    AppendReply,
+    AppendRequest,
+    JoinReply,
+    JoinRequest,
+    ProxyHeartbeat,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from . import election, leases, membership, operators, placement, replication
+from .effects import Effect, Note
+from .events import Event, MessageReceived, OperatorRequested, Tick
+from .state import ControlState, Role
+
+_HANDLERS: dict[type, Any] = {
+    VoteRequest: election.handle_vote_request,
+    VoteReply: election.handle_vote_reply,
+    AppendRequest: replication.handle_append_request,
+    AppendReply: replication.handle_append_reply,
+    SnapshotRequest: replication.handle_snapshot,
+    JoinRequest: membership.handle_join_request,
+    JoinReply: membership.handle_join_reply,
+    ProxyHeartbeat: leases.handle_heartbeat,
+}
+
+
+def reduce(state: ControlState, event: Event) -> list[Effect]:
+    """Change ``state`` by one event and return the effects, in the order to carry out."""
+    if isinstance(event, MessageReceived):
+        return _receive(state, event)
+    if isinstance(event, OperatorRequested):
+        return operators.handle_request(state, event.now_ms, event.number, event.request)
+    return _tick(state, event)
+
+
+def _receive(state: ControlState, event: MessageReceived) -> list[Effect]:
+    handler = _HANDLERS.get(type(event.message))
+    if handler is None:
+        text = f"a control process got a {type(event.message).__name__}"
+        return [Note("warning", "message_unexpected", text)]
+    effects: list[Effect] = handler(state, event.now_ms, event.message)
+    return effects + _answer_confirmed(state, event.now_ms)
+
+
+def _tick(state: ControlState, event: Tick) -> list[Effect]:
+    effects = membership.check_join(state, event.now_ms)
+    if state.leading is None:
+        effects += election.check_election(state, event.now_ms, event.random)
+    if state.role is not Role.LEADER or state.leading is None:
+        return effects
+    if not replication.quorum_heard(state, event.now_ms):
+        election.set_election_due(state, event.now_ms, event.random)
+        return effects + election.become_follower(state, state.term, "")
+    effects += membership.check_learners(state, event.now_ms)
+    effects += placement.check_homes(state, event.now_ms)
+    due = event.now_ms - state.leading.round_started_ms >= state.settings.heartbeat_ms
+    if due or state.leading.round_wanted:
+        effects += replication.start_round(state, event.now_ms)
+    return effects + _answer_confirmed(state, event.now_ms)
+
+
+def _answer_confirmed(state: ControlState, now_ms: int) -> list[Effect]:
+    if state.leading is None:
+        return []
+    confirmed = replication.confirmed_round(state)
+    effects = leases.answer_heartbeats(state, now_ms, confirmed)
+    return effects + operators.answer_reads(state, now_ms, confirmed)
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -0,0 +1,333 @@
+"""Replication of the log, leadership rounds and commitment.
+
+A leader counts an entry as stored by a member when the member says that its disk has synced it. It
+commits only entries of its own term by counting. A round is a number in each AppendRequest; once a
+quorum has echoed it, the leader knows that it still led when the round began, which is what reads
+and lease renewals wait for.
+"""
+
+from typing import Any
+
+from ..codec import CodecFault, decode
+from ..commands import COMMANDS, AssignHomes, ChangeMembership
+from ..machine import ChangeResult, Machine, apply_command, decode_machine, encode_machine
+from ..messages import AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest
+from . import election, operators
+from .effects import AppendEntries, Effect, Note, SaveSnapshot, Send, TruncateLog
+from .state import (
+    ControlState,
+    Membership,
+    Progress,
+    Role,
+    decode_membership,
+    encode_membership,
+    member_by_id,
+    peers,
+    quorum_size,
+)
+
+
+def propose(state: ControlState, command: bytes) -> list[Effect]:
+    """Append a command to the leader's log; the caller sends it on."""
+    assert state.leading is not None
+    entry = LogEntry(state.term, state.log.last_index + 1, command)
+    state.log.entries.append(entry)
+    _note_membership(state, entry)
+    state.leading.round_wanted = True
+    return [AppendEntries([entry])]
+
+
+def start_round(state: ControlState, now_ms: int) -> list[Effect]:
+    """Send a new round with what each member lacks, and advance the commit index."""
+    leading = state.leading
+    assert leading is not None
+    leading.round_number += 1
+    leading.round_started_ms = now_ms
+    leading.round_wanted = False
+    effects: list[Effect] = []
+    for member in peers(state):
+        effects += _send_append(state, now_ms, member)
+    return effects + advance_commit(state, now_ms)
+
+
+def handle_append_request(state: ControlState, now_ms: int, request: AppendRequest) -> list[Effect]:
+    """Store a leader's entries where they follow on from the log."""
+    leader_address = member_address(state, request.leader)
+    if request.term < state.term:
+        return [Send(leader_address, _append_reply(state, False, 0, 0))] if leader_address else []
+    effects = _hear_leader(state, now_ms, request.term, request.leader)
+    fits = state.log.term_at(request.previous_index) == request.previous_term
+    if not fits and request.previous_index >= state.log.start_index:
+        hint = min(state.log.last_index, request.previous_index - 1)
+        reply = _append_reply(state, False, max(hint, state.commit_index), request.round_number)
+        return effects + _reply(state, request.leader, reply)
+    effects += _store_entries(state, request.entries)
+    match_index = max(request.previous_index + len(request.entries), state.commit_index)
+    effects += _apply_up_to(state, now_ms, min(request.commit_index, match_index))
+    reply = _append_reply(state, True, match_index, request.round_number)
+    return effects + _reply(state, request.leader, reply)
+
+
+def handle_append_reply(state: ControlState, now_ms: int, reply: AppendReply) -> list[Effect]:
+    """Record what a member holds; send it what it lacks."""
+    leading = state.leading
+    if reply.term > state.term:
+        return election.become_follower(state, reply.term, "")
+    if leading is None or reply.term < state.term:
+        return []
+    known = leading.progress.get(reply.member)
+    member = member_by_id(state, reply.member)
+    if known is None or member is None:
+        return []
+    progress = known._replace(
+        heard_ms=now_ms, round_number=max(known.round_number, reply.round_number)
+    )
+    if reply.success:
+        match_index = max(progress.match_index, reply.match_index)
+        progress = progress._replace(match_index=match_index, next_index=match_index + 1)
+    else:
+        next_index = max(progress.match_index, min(reply.match_index, progress.next_index - 1)) + 1
+        progress = progress._replace(next_index=next_index)
+    leading.progress[reply.member] = progress
+    effects = advance_commit(state, now_ms)
+    if state.leading is not None and progress.next_index <= state.log.last_index:
+        effects += _send_append(state, now_ms, member)
+    return effects
+
+
+def handle_snapshot(state: ControlState, now_ms: int, request: SnapshotRequest) -> list[Effect]:
+    """Replace the log by the leader's snapshot where it reaches further."""
+    if request.term < state.term:
+        return []
+    effects = _hear_leader(state, now_ms, request.term, request.leader)
+    if request.last_index > state.commit_index:
+        state.log.entries = []
+        state.log.start_index = request.last_index
+        state.log.start_term = request.last_term
+        state.snapshot_membership = decode_membership(request.membership)
+        state.memberships = []
+        state.machine = decode_machine(request.machine)
+        state.refused = set()
+        state.commit_index = request.last_index
+        effects.append(TruncateLog(1))
+        effects.append(
+            SaveSnapshot(request.last_index, request.last_term, request.membership, request.machine)
+        )
+    reply = _append_reply(state, True, state.commit_index, request.round_number)
+    return effects + _reply(state, request.leader, reply)
+
+
+def encode_full(machine: Machine) -> bytes:
+    """Return the snapshot that control members keep, change records included."""
+    return encode_machine(machine, with_changes=True)
+
+
+def confirmed_round(state: ControlState) -> int:
+    """Return the latest round that a quorum has echoed."""
+    assert state.leading is not None
+    rounds = []
+    for voter in state.membership.voters:
+        if voter.member_id == state.me.member_id:
+            rounds.append(state.leading.round_number)
+            continue
+        progress = state.leading.progress.get(voter.member_id)
+        rounds.append(progress.round_number if progress else 0)
+    rounds.sort(reverse=True)
+    return rounds[quorum_size(state) - 1]
+
+
+def advance_commit(state: ControlState, now_ms: int) -> list[Effect]:
+    """Commit what a quorum has synced, and apply it."""
+    leading = state.leading
+    if leading is None:
+        return []
+    synced = []
+    for voter in state.membership.voters:
+        if voter.member_id == state.me.member_id:
+            synced.append(state.log.last_index)
+            continue
+        progress = leading.progress.get(voter.member_id)
+        synced.append(progress.match_index if progress else 0)
+    synced.sort(reverse=True)
+    index = synced[quorum_size(state) - 1]
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return []
+    effects = _apply_up_to(state, now_ms, index)
+    leading.round_wanted = True
+    return effects
+
+
+def quorum_heard(state: ControlState, now_ms: int) -> bool:
+    """Tell whether a leader heard a quorum within the election timeout."""
+    assert state.leading is not None
+    heard = 0
+    for voter in state.membership.voters:
+        if voter.member_id == state.me.member_id:
+            heard += 1
+            continue
+        progress = state.leading.progress.get(voter.member_id)
+        if progress and now_ms - progress.heard_ms < 2 * state.settings.election_timeout_ms:
+            heard += 1
+    return heard >= quorum_size(state)
+
+
+def _hear_leader(state: ControlState, now_ms: int, term: int, leader: str) -> list[Effect]:
+    effects: list[Effect] = []
+    if term > state.term or state.role is not Role.FOLLOWER or state.leader != leader:
+        if state.role is Role.EMPTY:
+            state.role = Role.FOLLOWER
+        effects += election.become_follower(state, term, leader)
+    state.leader_heard_ms = now_ms
+    state.election_due_ms = max(state.election_due_ms, now_ms + state.settings.election_timeout_ms)
+    return effects
+
+
+def _append_reply(
+    state: ControlState, success: bool, match_index: int, round_number: int
+) -> AppendReply:
+    return AppendReply(state.term, state.me.member_id, success, match_index, round_number)
+
+
+def _reply(state: ControlState, leader: str, reply: AppendReply) -> list[Effect]:
+    address = member_address(state, leader)
+    return [Send(address, reply)] if address else []
+
+
+def member_address(state: ControlState, member_id: str) -> str:
+    """Return a member's address; an identity not in the log yet is found by its name."""
+    member = member_by_id(state, member_id)
+    if member is not None:
+        return member.address
+    return state.settings.members.get(member_id.partition("#")[0], "")
+
+
+def _store_entries(state: ControlState, entries: list[LogEntry]) -> list[Effect]:
+    effects: list[Effect] = []
+    fresh: list[LogEntry] = []
+    for entry in entries:
+        if entry.log_index <= state.commit_index or entry.log_index <= state.log.start_index:
+            continue
+        known_term = state.log.term_at(entry.log_index)
+        if known_term == entry.term:
+            continue
+        if known_term is not None:
+            state.log.truncate(entry.log_index)
+            while state.memberships and state.memberships[-1][0] >= entry.log_index:
+                state.memberships.pop()
+            effects.append(TruncateLog(entry.log_index))
+        state.log.entries.append(entry)
+        _note_membership(state, entry)
+        fresh.append(entry)
+    if fresh:
+        effects.append(AppendEntries(fresh))
+    return effects
+
+
+def _note_membership(state: ControlState, entry: LogEntry) -> None:
+    """Put a membership in force as soon as it is in the log."""
+    command = decode(COMMANDS, entry.command)
+    if isinstance(command, ChangeMembership):
+        membership = Membership(command.voters, command.learners)
+        state.memberships.append((entry.log_index, membership))
+
+
+def _send_append(state: ControlState, now_ms: int, member: Member) -> list[Effect]:
+    leading = state.leading
+    assert leading is not None
+    default = Progress(state.log.last_index + 1, 0, 0, now_ms, 0)
+    progress = leading.progress.get(member.member_id, default)
+    leading.progress[member.member_id] = progress._replace(sent_ms=now_ms)
+    previous_index = progress.next_index - 1
+    previous_term = state.log.term_at(previous_index)
+    if previous_term is None:
+        return [Send(member.address, _snapshot_request(state))]
+    request = AppendRequest(
+        state.term,
+        state.me.member_id,
+        previous_index,
+        previous_term,
+        state.log.slice(previous_index, state.settings.batch_entries),
+        state.commit_index,
+        leading.round_number,
+    )
+    return [Send(member.address, request)]
+
+
+def _snapshot_request(state: ControlState) -> SnapshotRequest:
+    assert state.leading is not None
+    last_term = state.log.term_at(state.commit_index)
+    assert last_term is not None
+    return SnapshotRequest(
+        state.term,
+        state.me.member_id,
+        state.commit_index,
+        last_term,
+        encode_membership(_membership_at(state, state.commit_index)),
+        encode_full(state.machine),
+        state.leading.round_number,
+    )
+
+
+def _membership_at(state: ControlState, index: int) -> Membership:
+    found = state.snapshot_membership
+    for entry_index, membership in state.memberships:
+        if entry_index <= index:
+            found = membership
+    return found
+
+
+def _apply_up_to(state: ControlState, now_ms: int, index: int) -> list[Effect]:
+    effects: list[Effect] = []
+    while state.commit_index < index:
+        entry = state.log.entry(state.commit_index + 1)
+        command = decode(COMMANDS, entry.command)
+        result = _apply(state, entry, command, effects)
+        state.commit_index = entry.log_index
+        if result.failure:
+            state.refused.add(entry.log_index)
+        if state.leading is not None:
+            effects += _after_apply(state, entry, command, result)
+    return effects + _compact(state)
+
+
+def _apply(
+    state: ControlState, entry: LogEntry, command: Any, effects: list[Effect]
+) -> ChangeResult:
+    if isinstance(command, CodecFault):
+        text = f"entry {entry.log_index} can't be read: {command.reason}; upgrade this process"
+        effects.append(Note("error", "entry_unreadable", text))
+        state.machine.revision = entry.log_index
+        return ChangeResult("", 0, entry.log_index)
+    return apply_command(state.machine, entry.log_index, command)
+
+
+def _after_apply(
+    state: ControlState, entry: LogEntry, command: Any, result: ChangeResult
+) -> list[Effect]:
+    assert state.leading is not None
+    state.leading.proposals_in_flight.pop(entry.command, None)
+    if isinstance(command, AssignHomes):
+        for name, _ in command.groups:
+            state.leading.assigning.pop(name, None)
+    return operators.answer_change(state, entry.log_index, command, result)
+
+
+def _compact(state: ControlState) -> list[Effect]:
+    held = state.commit_index - state.log.start_index
+    if held < state.settings.snapshot_entries + state.settings.entries_kept:
+        return []
+    last_term = state.log.term_at(state.commit_index)
+    assert last_term is not None
+    membership = _membership_at(state, state.commit_index)
+    effect = SaveSnapshot(
+        state.commit_index,
+        last_term,
+        encode_membership(membership),
+        encode_full(state.machine),
+    )
+    keep_from = state.commit_index - state.settings.entries_kept
+    state.snapshot_membership = _membership_at(state, keep_from)
+    state.memberships = [item for item in state.memberships if item[0] > keep_from]
+    state.log.compact(keep_from)
+    state.refused = {index for index in state.refused if index > keep_from}
+    return [effect]
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -0,0 +1,174 @@
+"""The state of a control process."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+
+from ..machine import Machine
+from ..messages import Member, ProxyHeartbeat
+from .log import Log
+
+
+class ControlSettings(NamedTuple):
+    """The timing of the quorum and the table of control processes by name."""
+
+    members: dict[str, str]
+    operator_addresses: dict[str, str]
+    heartbeat_ms: int = 100
+    election_timeout_ms: int = 600
+    lease_ms: int = 2_000
+    lease_margin_ms: int = 100
+    join_interval_ms: int = 500
+    snapshot_entries: int = 1_000
+    entries_kept: int = 200
+    batch_entries: int = 256
+
+
+class Membership(NamedTuple):
+    """The identities that vote, and those that only copy the log."""
+
+    voters: list[Member]
+    learners: list[Member]
+
+
+class Role(StrEnum):
+    """What a control process is in the present term."""
+
+    EMPTY = "empty"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Progress(NamedTuple):
+    """What a leader knows of one member."""
+
+    next_index: int
+    match_index: int
+    round_number: int
+    heard_ms: int
+    sent_ms: int
+
+
+class ProxyLease(NamedTuple):
+    """The last lease that this leader granted to one proxy process."""
+
+    proxy: str
+    boot: str
+    address: str
+    data_centre: str
+    granted_ms: int
+    revision: int
+    draining: bool
+
+
+class WaitingHeartbeat(NamedTuple):
+    """A proxy's heartbeat that waits until ``round_number`` has a quorum."""
+
+    round_number: int
+    heartbeat: ProxyHeartbeat
+
+
+class WaitingRead(NamedTuple):
+    """An operator's read that waits until ``round_number`` has a quorum."""
+
+    round_number: int
+    number: int
+    request: object
+
+
+class WaitingChange(NamedTuple):
+    """An operator's change that waits for its entry to be committed."""
+
+    number: int
+    term: int
+
+
+@dataclass(slots=True)
+class Leading:
+    """What only a leader holds, from its election to its end."""
+
+    since_ms: int
+    start_index: int
+    round_number: int = 0
+    round_started_ms: int = 0
+    round_wanted: bool = True
+    progress: dict[str, Progress] = field(default_factory=dict)
+    leases: dict[tuple[str, str], ProxyLease] = field(default_factory=dict)
+    heartbeats: list[WaitingHeartbeat] = field(default_factory=list)
+    reads: list[WaitingRead] = field(default_factory=list)
+    changes: dict[int, WaitingChange] = field(default_factory=dict)
+    proposals_in_flight: dict[bytes, int] = field(default_factory=dict)
+    assigning: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ControlState:
+    """The whole state of a control process; ``reduce`` alone changes it.
+
+    ``refused`` holds the indexes of entries in the log whose command changed nothing.
+    """
+
+    settings: ControlSettings
+    me: Member
+    role: Role = Role.EMPTY
+    term: int = 0
+    voted_for: str = ""
+    log: Log = field(default_factory=Log)
+    commit_index: int = 0
+    machine: Machine = field(default_factory=Machine)
+    refused: set[int] = field(default_factory=set)
+    memberships: list[tuple[int, Membership]] = field(default_factory=list)
+    snapshot_membership: Membership = Membership([], [])
+    leader: str = ""
+    leader_heard_ms: int = 0
+    election_due_ms: int = 0
+    votes: set[str] = field(default_factory=set)
+    join_due_ms: int = 0
+    join_replies: dict[str, tuple[int, bool]] = field(default_factory=dict)
+    leading: Leading | None = None
+
+    @property
+    def membership(self) -> Membership:
+        """The latest membership in the log, committed or not."""
+        return self.memberships[-1][1] if self.memberships else self.snapshot_membership
+
+
+def is_voter(state: ControlState) -> bool:
+    """Tell whether this identity votes."""
+    return any(member.member_id == state.me.member_id for member in state.membership.voters)
+
+
+def quorum_size(state: ControlState) -> int:
+    """Return how many voters make a majority."""
+    return len(state.membership.voters) // 2 + 1
+
+
+def peers(state: ControlState) -> list[Member]:
+    """Return the other voters and learners."""
+    everyone = state.membership.voters + state.membership.learners
+    return [member for member in everyone if member.member_id != state.me.member_id]
+
+
+def member_by_id(state: ControlState, member_id: str) -> Member | None:
+    """Return the voter or learner with this identity."""
+    for member in state.membership.voters + state.membership.learners:
+        if member.member_id == member_id:
+            return member
+    return None
+
+
+_membership_decoder = msgspec.msgpack.Decoder(Membership)
+
+
+def encode_membership(membership: Membership) -> bytes:
+    """Return the encoded form that snapshots carry."""
+    return msgspec.msgpack.encode(membership)
+
+
+def decode_membership(data: bytes) -> Membership:
+    """Return the membership of a snapshot."""
+    return _membership_decoder.decode(data)
--- /dev/null
+++ b/packages/core/src/endivewick_core/messages.py
@@ -0,0 +1,246 @@
+"""The messages between endivewick processes.
+
+Each is a NamedTuple whose fields travel in order; ``docs/reference/messages.md`` lists them for
+readers. Times in messages are durations, never clock readings, since no two VMs share a clock. A
+field that only its sender reads back (``sent_at_ms``) is on the sender's own clock.
+"""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from .codec import build_codec
+
+
+class Member(NamedTuple):
+    """One identity of a control process; a lost disk ends the identity."""
+
+    member_id: str
+    name: str
+    address: str
+
+
+class LogEntry(NamedTuple):
+    """One entry of the control log; ``command`` is an encoded command."""
+
+    term: int
+    log_index: int
+    command: bytes
+
+
+# Between control processes.
+
+
+class VoteRequest(NamedTuple):
+    """Ask for a vote, or with ``pre_vote`` whether a vote would be given."""
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre_vote: bool
+
+
+class VoteReply(NamedTuple):
+    """Answer a VoteRequest."""
+
+    term: int
+    voter: str
+    granted: bool
+    pre_vote: bool
+
+
+class AppendRequest(NamedTuple):
+    """Carry log entries, the commit index and a leadership round."""
+
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    entries: list[LogEntry]
+    commit_index: int
+    round_number: int
+
+
+class AppendReply(NamedTuple):
+    """Answer an AppendRequest; ``match_index`` is synced on the member's disk."""
+
+    term: int
+    member: str
+    success: bool
+    match_index: int
+    round_number: int
+
+
+class SnapshotRequest(NamedTuple):
+    """Replace a member's log by the leader's snapshot."""
+
+    term: int
+    leader: str
+    last_index: int
+    last_term: int
+    membership: bytes
+    machine: bytes
+    round_number: int
+
+
+class JoinRequest(NamedTuple):
+    """Ask, from a control process with an empty disk, to become a member."""
+
+    member: Member
+
+
+class JoinReply(NamedTuple):
+    """Answer a JoinRequest: whether the receiver belongs to a cluster."""
+
+    member: Member
+    initialised: bool
+
+
+# Between proxies and control.
+
+
+class ProxyHeartbeat(NamedTuple):
+    """Renew a proxy's lease, confirm its revision and hand in proposals."""
+
+    proxy: str
+    boot: str
+    address: str
+    data_centre: str
+    sequence: int
+    revision: int
+    draining: bool
+    proposals: list[bytes]
+
+
+class HeartbeatReply(NamedTuple):
+    """Renew the lease for ``lease_ms`` from the moment its heartbeat was sent.
+
+    ``entries`` follow the revision of the heartbeat without a gap; ``machine`` replaces the whole
+    configuration at ``machine_index`` where entries no longer reach back.
+    """
+
+    sequence: int
+    lease_ms: int
+    commit_index: int
+    entries: list[LogEntry]
+    machine_index: int
+    machine: bytes
+
+
+class LeaderHint(NamedTuple):
+    """Tell a proxy that the receiver can't answer as leader, and who may."""
+
+    sequence: int
+    leader_address: str
+
+
+# Between proxies.
+
+
+class Announcement(NamedTuple):
+    """The state that an upstream announced, passed on to its group's home."""
+
+    upstream: str
+    group: str
+    address: str
+    data_centre: str
+    state: str
+    role: str
+    term: int
+    offset: int
+    slots: int
+    connection_cap: int
+
+
+class ForwardedRequest(NamedTuple):
+    """A request on its way from its entry proxy to the group's home.
+
+    ``sent_at_ms`` is on the entry's clock and only echoed; ``deadline_ms`` is what is left.
+    """
+
+    number: int
+    operation: str
+    customer: str
+    group: str
+    home_epoch: int
+    statement: Any
+    work_class: str
+    request_id: str
+    transaction: str
+    term: int
+    offset: int
+    deadline_ms: int
+    sent_at_ms: int
+
+
+class ForwardedAnswer(NamedTuple):
+    """The home's answer to a ForwardedRequest.
+
+    ``lease_left_ms`` is what was left of the home's lease when it answered; the entry may
+    acknowledge the answer until ``sent_at_ms + lease_left_ms`` on its own clock.
+    """
+
+    number: int
+    group: str
+    home_epoch: int
+    failure: str
+    message: str
+    retry_after_ms: int
+    value: Any
+    upstream: str
+    role: str
+    term: int
+    offset: int
+    sent_at_ms: int
+    lease_left_ms: int
+    is_write: bool
+
+
+class ForwardBatch(NamedTuple):
+    """Requests and answers that one loop turn produced for one proxy."""
+
+    requests: list[ForwardedRequest]
+    answers: list[ForwardedAnswer]
+
+
+class LeaseQuestion(NamedTuple):
+    """Ask a home what is left of its lease on a group."""
+
+    group: str
+    home_epoch: int
+    sent_at_ms: int
+
+
+class LeaseAnswer(NamedTuple):
+    """Answer a LeaseQuestion; ``lease_left_ms`` is zero where the lease ended."""
+
+    group: str
+    home_epoch: int
+    sent_at_ms: int
+    lease_left_ms: int
+
+
+CODEC = build_codec(
+    (
+        VoteRequest,
+        VoteReply,
+        AppendRequest,
+        AppendReply,
+        SnapshotRequest,
+        JoinRequest,
+        JoinReply,
+        ProxyHeartbeat,
+        HeartbeatReply,
+        LeaderHint,
+        Announcement,
+        ForwardBatch,
+        LeaseQuestion,
+        LeaseAnswer,
+    )
+)
+
+
+def pack(value: object) -> bytes:
+    """Return the msgpack form of a value that a message carries opaquely."""
+    return msgspec.msgpack.encode(value)
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of a proxy: entry of requests, homes of groups, sessions and upstreams."""
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -0,0 +1,139 @@
+"""Admission of work to a home: everything that is refused before it runs is refused here.
+
+A queue is bounded in three ways: by its length, by each customer's share of it from the contract,
+and by the wait that the work ahead makes likely, which must fit the request's deadline.
+"""
+
+from ..contracts import Contract
+from ..exceptions import (
+    OVERLOADED,
+    SESSION_LOST,
+    UNKNOWN_CUSTOMER,
+    Failure,
+)
+from ..messages import ForwardedRequest
+from ..positions import ZERO, Position, survives
+from . import answers, classes, dispatch, once, transactions
+from .effects import Effect
+from .queueing import FairQueue
+from .state import Home, ProxyState, lease_holds
+from .work import Origin, Work
+
+
+def admit(state: ProxyState, now_ms: int, address: str, request: ForwardedRequest) -> list[Effect]:
+    """Take a request for a group that this proxy holds, or refuse it as not run."""
+    origin = Origin(address, request.number, request.sent_at_ms)
+    home = state.homes.get(request.group)
+    contract = state.machine.contracts.get(request.customer)
+    held = home is not None and home.epoch == request.home_epoch and not home.releasing
+    if home is None or not held or not lease_holds(state, now_ms):
+        return [answers.not_home(state, now_ms, origin, request)]
+    if contract is None:
+        failure = Failure(UNKNOWN_CUSTOMER, f"customer {request.customer} has no contract here")
+        return [answers.refuse(state, now_ms, home, origin, failure)]
+    work = _work(state, now_ms, origin, request, contract)
+    if _must_wait(state, work):
+        return [answers.not_home(state, now_ms, origin, request)]
+    if request.operation == "issue_ids":
+        return [once.issue(state, now_ms, home, work)]
+    fault = _session_fault(state, home, work)
+    if fault is not None:
+        return [answers.refuse(state, now_ms, home, origin, fault)]
+    if work.transaction:
+        return transactions.admit(state, now_ms, home, work)
+    return _admit_single(state, now_ms, home, work, contract)
+
+
+def _admit_single(
+    state: ProxyState, now_ms: int, home: Home, work: Work, contract: Contract
+) -> list[Effect]:
+    """Queue work outside transactions, unless its request id or the load forbids it."""
+    seen = once.check(state, now_ms, home, work)
+    if isinstance(seen, answers.Repeated):
+        return [answers.send(state, now_ms, work.origin, seen.answer)]
+    if seen is not None:
+        return [answers.refuse(state, now_ms, home, work.origin, seen)]
+    overload = _overload(state, now_ms, home, work, contract)
+    if overload is not None:
+        once.forget(home, work)
+        return [answers.refuse(state, now_ms, home, work.origin, overload)]
+    queue_for(home, work).push(work)
+    return dispatch.dispatch(state, now_ms, home)
+
+
+def queue_for(home: Home, work: Work) -> FairQueue:
+    """Return the queue that work of this kind waits in."""
+    if work.work_class == "long":
+        return home.long
+    if work.needs_primary:
+        return home.writes
+    return home.reads
+
+
+def _work(
+    state: ProxyState,
+    now_ms: int,
+    origin: Origin,
+    request: ForwardedRequest,
+    contract: Contract,
+) -> Work:
+    key = classes.learn_key(request.customer, request.statement)
+    work_class = request.work_class or classes.learnt_class(state, key)
+    needs_primary = request.operation != "read" or contract.max_staleness_ms == 0
+    return Work(
+        origin,
+        request.operation,
+        request.customer,
+        request.statement,
+        work_class,
+        request.request_id,
+        request.transaction,
+        Position(request.term, request.offset),
+        contract.surge_share,
+        now_ms,
+        now_ms + request.deadline_ms,
+        key,
+        needs_primary=needs_primary,
+    )
+
+
+def _must_wait(state: ProxyState, work: Work) -> bool:
+    """Tell whether work would hold up the release of a group by a proxy that stops."""
+    if state.draining_since_ms is None:
+        return False
+    return work.operation == "begin" or (work.work_class == "long" and not work.transaction)
+
+
+def _session_fault(state: ProxyState, home: Home, work: Work) -> Failure | None:
+    """Refuse a session whose writes were lost at a fork, never answer it from older data."""
+    if work.wanted == ZERO:
+        return None
+    group = state.machine.groups[home.group]
+    if work.wanted.term <= group.term and survives(work.wanted, group.forks):
+        return None
+    message = (
+        "the session has seen writes that a change of primary lost; read the data again in a new "
+        "session, that is without a token"
+    )
+    return Failure(SESSION_LOST, message)
+
+
+def _overload(
+    state: ProxyState, now_ms: int, home: Home, work: Work, contract: Contract
+) -> Failure | None:
+    settings = state.settings
+    queue = queue_for(home, work)
+    share = max(1, int(contract.surge_share * settings.queue_limit))
+    slots = max(1, sum(instance.slots for instance in home.instances.values()))
+    if work.needs_primary:
+        slots = max(1, slots // max(1, len(home.instances)))
+    wait_ms = int(queue.size * home.mean_run_ms / slots)
+    if queue.count_of(work.customer) >= share:
+        message = f"customer {work.customer} has claimed its surge_share of the queue"
+    elif queue.size >= settings.queue_limit:
+        message = f"the queue of group {home.group} is full"
+    elif work.work_class != "long" and wait_ms > work.deadline_ms - now_ms:
+        message = f"the expected wait of {wait_ms} ms exceeds the deadline"
+    else:
+        return None
+    return Failure(OVERLOADED, message, retry_after_ms=max(50, wait_ms))
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/answers.py
@@ -0,0 +1,145 @@
+"""The answers that a home gives, each stamped with what is left of its lease."""
+
+from typing import Any, NamedTuple
+
+from ..exceptions import NOT_HOME, Failure
+from ..messages import ForwardedAnswer, ForwardedRequest
+from .effects import ForwardAnswer, Served
+from .events import UpstreamAnswer
+from .state import Home, ProxyState
+from .work import Origin, Work
+
+WRITES = ("write", "commit", "begin")
+
+
+class Repeated(NamedTuple):
+    """The first answer to a request id that came again."""
+
+    answer: ForwardedAnswer
+
+
+def not_home(
+    state: ProxyState, now_ms: int, origin: Origin, request: ForwardedRequest
+) -> ForwardAnswer:
+    """Tell the entry that this proxy does not hold the group; nothing ran."""
+    failure = Failure(NOT_HOME, f"{state.settings.name} does not hold group {request.group}")
+    return _failed(state, now_ms, request.group, request.home_epoch, origin, failure, None)
+
+
+def refuse(
+    state: ProxyState,
+    now_ms: int,
+    home: Home,
+    origin: Origin,
+    failure: Failure,
+    value: Any = None,
+) -> ForwardAnswer:
+    """Answer with a failure."""
+    return _failed(state, now_ms, home.group, home.epoch, origin, failure, value)
+
+
+def success(
+    state: ProxyState,
+    now_ms: int,
+    home: Home,
+    work: Work,
+    upstream: str,
+    answer: UpstreamAnswer,
+    value: Any,
+) -> ForwardedAnswer:
+    """Return the answer to work that an upstream ran."""
+    return ForwardedAnswer(
+        work.origin.number,
+        home.group,
+        home.epoch,
+        "",
+        "",
+        0,
+        value,
+        upstream,
+        answer.role,
+        answer.term,
+        answer.offset,
+        work.origin.sent_at_ms,
+        _lease_left_ms(state, now_ms),
+        work.operation in WRITES,
+    )
+
+
+def send(state: ProxyState, now_ms: int, origin: Origin, answer: ForwardedAnswer) -> ForwardAnswer:
+    """Send an answer to its origin, with the lease that is left now."""
+    stamped = answer._replace(
+        number=origin.number,
+        sent_at_ms=origin.sent_at_ms,
+        lease_left_ms=_lease_left_ms(state, now_ms),
+    )
+    return ForwardAnswer(origin.address, stamped)
+
+
+def value_answer(
+    state: ProxyState, now_ms: int, home: Home, work: Work, value: Any
+) -> ForwardAnswer:
+    """Answer with a value that no upstream took part in."""
+    answer = ForwardedAnswer(
+        work.origin.number,
+        home.group,
+        home.epoch,
+        "",
+        "",
+        0,
+        value,
+        "",
+        "",
+        0,
+        0,
+        work.origin.sent_at_ms,
+        _lease_left_ms(state, now_ms),
+        False,
+    )
+    return ForwardAnswer(work.origin.address, answer)
+
+
+def served(work: Work, now_ms: int, outcome: str, role: str) -> Served:
+    """Return the record of finished work, for the histograms."""
+    sent_ms = work.sent_ms or now_ms
+    return Served(
+        work.customer,
+        work.work_class,
+        work.operation,
+        outcome,
+        role,
+        sent_ms - work.arrived_ms,
+        now_ms - sent_ms,
+    )
+
+
+def _lease_left_ms(state: ProxyState, now_ms: int) -> int:
+    return max(0, state.lease_until_ms - now_ms)
+
+
+def _failed(
+    state: ProxyState,
+    now_ms: int,
+    group: str,
+    home_epoch: int,
+    origin: Origin,
+    failure: Failure,
+    value: Any,
+) -> ForwardAnswer:
+    answer = ForwardedAnswer(
+        origin.number,
+        group,
+        home_epoch,
+        failure.type.name,
+        failure.message,
+        failure.retry_after_ms,
+        value,
+        "",
+        "",
+        0,
+        0,
+        origin.sent_at_ms,
+        _lease_left_ms(state, now_ms),
+        False,
+    )
+    return ForwardAnswer(origin.address, answer)
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/configuration.py
@@ -0,0 +1,120 @@
+"""The proxy's copy of the configuration, its lease and its heartbeats to control.
+
+The configuration only moves forward: entries are applied when they follow on from the revision
+held, and a whole machine only when it is newer. The lease and the confirmation count from the
+moment the heartbeat was sent, on this process's own clock.
+"""
+
+from ..codec import CodecFault, decode, encode
+from ..commands import COMMANDS
+from ..machine import apply_command, decode_configuration
+from ..messages import HeartbeatReply, LeaderHint, ProxyHeartbeat
+from . import homes
+from .effects import Count, Effect, Note, Send
+from .state import ProxyState
+
+HEARTBEATS_REMEMBERED = 64
+PROPOSAL_RETRY_MS = 300
+
+
+def check_heartbeat(state: ProxyState, now_ms: int) -> list[Effect]:
+    """Send a heartbeat when one is due; try the next control process after silence."""
+    if now_ms < state.heartbeat_due_ms:
+        return []
+    settings = state.settings
+    silent_ms = now_ms - state.control_heard_ms
+    if not state.control_address or silent_ms > settings.control_timeout_ms:
+        _next_control(state, now_ms)
+    return [_heartbeat(state, now_ms)]
+
+
+def propose(state: ProxyState, now_ms: int, command: object) -> list[Effect]:
+    """Hand a command to control at once, and again until the configuration shows it."""
+    data = encode(command)
+    sent_ms = state.proposals.get(data)
+    if sent_ms is not None and now_ms - sent_ms < PROPOSAL_RETRY_MS:
+        return []
+    state.proposals[data] = now_ms
+    if not state.control_address:
+        return []
+    return [_heartbeat(state, now_ms)]
+
+
+def handle_reply(
+    state: ProxyState, now_ms: int, sender: str, reply: HeartbeatReply
+) -> list[Effect]:
+    """Apply a reply's changes, then renew the lease."""
+    sent_ms = state.heartbeat_sent_ms.pop(reply.sequence, None)
+    if sent_ms is None:
+        return [Count("control.reply_unmatched")]
+    state.control_address = sender
+    state.control_heard_ms = now_ms
+    effects = _apply(state, now_ms, reply)
+    if state.machine.revision < reply.commit_index:
+        state.heartbeat_due_ms = now_ms
+        return effects
+    if reply.lease_ms:
+        state.lease_until_ms = max(state.lease_until_ms, sent_ms + reply.lease_ms)
+    if state.confirmed_ms is None or sent_ms > state.confirmed_ms:
+        state.confirmed_ms = sent_ms
+    return effects
+
+
+def handle_hint(state: ProxyState, now_ms: int, hint: LeaderHint) -> list[Effect]:
+    """Turn to the leader that a control process named."""
+    if state.heartbeat_sent_ms.pop(hint.sequence, None) is None:
+        return [Count("control.reply_unmatched")]
+    if hint.leader_address and hint.leader_address != state.control_address:
+        state.control_address = hint.leader_address
+        state.control_heard_ms = now_ms
+        return [_heartbeat(state, now_ms)]
+    if not hint.leader_address:
+        _next_control(state, now_ms)
+    return []
+
+
+def _next_control(state: ProxyState, now_ms: int) -> None:
+    addresses = state.settings.control_addresses
+    state.control_index = (state.control_index + 1) % len(addresses)
+    state.control_address = addresses[state.control_index]
+    state.control_heard_ms = now_ms
+
+
+def _heartbeat(state: ProxyState, now_ms: int) -> Send:
+    settings = state.settings
+    state.sequence += 1
+    state.heartbeat_sent_ms[state.sequence] = now_ms
+    if len(state.heartbeat_sent_ms) > HEARTBEATS_REMEMBERED:
+        del state.heartbeat_sent_ms[next(iter(state.heartbeat_sent_ms))]
+    state.heartbeat_due_ms = now_ms + settings.heartbeat_ms
+    heartbeat = ProxyHeartbeat(
+        settings.name,
+        settings.boot,
+        settings.address,
+        settings.data_centre,
+        state.sequence,
+        state.machine.revision,
+        state.draining_since_ms is not None,
+        list(state.proposals),
+    )
+    return Send(state.control_address, heartbeat)
+
+
+def _apply(state: ProxyState, now_ms: int, reply: HeartbeatReply) -> list[Effect]:
+    before = state.machine.revision
+    if reply.machine and reply.machine_index > before:
+        state.machine = decode_configuration(reply.machine)
+        state.proposals.clear()
+    effects: list[Effect] = []
+    for entry in reply.entries:
+        if entry.log_index != state.machine.revision + 1:
+            continue
+        command = decode(COMMANDS, entry.command) if entry.command else None
+        if isinstance(command, CodecFault):
+            text = f"entry {entry.log_index} can't be read: {command.reason}; upgrade this process"
+            effects.append(Note("error", "entry_unreadable", text))
+        apply_command(state.machine, entry.log_index, command)
+        state.proposals.pop(entry.command, None)
+    if state.machine.revision > before:
+        effects += homes.configuration_changed(state, now_ms)
+    return effects
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/connections.py
@@ -0,0 +1,122 @@
+"""The pool of connections to each upstream: opening, checking, pinging and closing.
+
+A home opens at most half of an upstream's connection cap, so that its connections and those of a
+predecessor that is cut off but still holds its own stay within the cap together. A new connection
+takes work only after it has answered a ping. When a connection goes silent or breaks, its siblings
+are suspect until each has answered a ping.
+"""
+
+from .effects import CloseConnection, Effect, OpenConnection, SendUpstream
+from .state import Connection, ConnectionState, Home, Instance, ProxyState, lease_holds
+
+OPEN_RETRY_MS = 100
+SPARE_CONNECTIONS = 1
+
+
+def wanted_connections(home: Home, instance: Instance) -> int:
+    """Return how many connections the pool of an upstream should have."""
+    pinned = sum(1 for item in home.transactions.values() if item.upstream == instance.name)
+    return min(instance.connection_cap // 2, instance.slots + pinned + SPARE_CONNECTIONS)
+
+
+def fill_pool(state: ProxyState, now_ms: int, home: Home, instance: Instance) -> list[Effect]:
+    """Open the connections that the pool of an upstream lacks."""
+    if now_ms < instance.next_open_ms or not lease_holds(state, now_ms):
+        return []
+    effects: list[Effect] = []
+    while len(instance.connections) < wanted_connections(home, instance):
+        number = state.next_connection
+        state.next_connection += 1
+        instance.connections[number] = Connection(
+            number, instance.name, ConnectionState.OPENING, now_ms, sent_ms=now_ms
+        )
+        state.connections[number] = (home.group, instance.name)
+        effects.append(OpenConnection(number, instance.address))
+        if instance.refused:
+            break
+    return effects
+
+
+def find(
+    state: ProxyState, number: int
+) -> tuple[Home, Instance, Connection] | tuple[None, None, None]:
+    """Return a connection with its upstream and home, where it is still held."""
+    group, upstream = state.connections.get(number, ("", ""))
+    home = state.homes.get(group)
+    instance = home.instances.get(upstream) if home else None
+    connection = instance.connections.get(number) if instance else None
+    if home is None or instance is None or connection is None:
+        return None, None, None
+    return home, instance, connection
+
+
+def take_idle(instance: Instance) -> Connection | None:
+    """Take an idle connection that is not suspect."""
+    for position in range(len(instance.idle) - 1, -1, -1):
+        connection = instance.connections[instance.idle[position]]
+        if connection.suspect:
+            continue
+        del instance.idle[position]
+        connection.state = ConnectionState.BUSY
+        return connection
+    return None
+
+
+def make_idle(instance: Instance, connection: Connection) -> None:
+    """Put a connection back into the pool."""
+    connection.state = ConnectionState.IDLE
+    connection.order = ""
+    connection.work = None
+    connection.transaction = ""
+    instance.idle.append(connection.number)
+
+
+def drop(state: ProxyState, instance: Instance, connection: Connection) -> None:
+    """Forget a connection; what was in flight on it is the caller's to end."""
+    state.connections.pop(connection.number, None)
+    instance.connections.pop(connection.number, None)
+    if connection.number in instance.idle:
+        instance.idle.remove(connection.number)
+
+
+def suspect_siblings(instance: Instance) -> None:
+    """Make every idle connection prove itself before it takes work."""
+    for number in instance.idle:
+        instance.connections[number].suspect = True
+
+
+def order(now_ms: int, connection: Connection, name: str, body: dict[str, object]) -> SendUpstream:
+    """Send one of the proxy's own requests on a connection that is taken from the pool."""
+    connection.order = name
+    connection.sent_ms = now_ms
+    return SendUpstream(connection.number, f"/{name}", body)
+
+
+def ping_due(state: ProxyState, now_ms: int, instance: Instance) -> list[Effect]:
+    """Ping an upstream on one idle connection, and every suspect or long idle one."""
+    settings = state.settings
+    effects: list[Effect] = []
+    regular = now_ms - instance.pinged_ms >= settings.ping_ms
+    for number in list(instance.idle):
+        connection = instance.connections[number]
+        stale = now_ms - connection.heard_ms >= settings.idle_check_ms
+        if not regular and not stale and not connection.suspect:
+            continue
+        instance.idle.remove(number)
+        connection.state = ConnectionState.CHECKING
+        instance.pinged_ms = now_ms
+        regular = False
+        effects.append(order(now_ms, connection, "ping", {}))
+    return effects
+
+
+def close_aged(state: ProxyState, now_ms: int, instance: Instance) -> list[Effect]:
+    """Close one idle connection past its age, which is spread by the connection's number."""
+    limit_ms = state.settings.connection_age_ms
+    for number in instance.idle:
+        connection = instance.connections[number]
+        if now_ms - connection.opened_ms < limit_ms + number % 16 * limit_ms // 16:
+            continue
+        drop(state, instance, connection)
+        return [CloseConnection(number)]
+    return []
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/dispatch.py
@@ -0,0 +1,186 @@
+"""Dispatch: which waiting work goes to which upstream's free slot.
+
+Transactions go first on the primary, then writes, then reads that only the primary may serve; one
+such read goes ahead after ``WRITES_IN_ROW`` writes, so that writes can't starve reads. Long work
+never takes an upstream's last slot.
+"""
+
+from collections.abc import Callable
+
+from ..exceptions import DEADLINE_EXCEEDED, Failure
+from . import answers, connections, once, replicas, transactions
+from .effects import Effect, SendUpstream
+from .queueing import FairQueue
+from .state import (
+    Connection,
+    ConnectionState,
+    Home,
+    Instance,
+    Phase,
+    ProxyState,
+    is_active,
+    lease_holds,
+)
+from .work import Work
+
+WRITES_IN_ROW = 4
+
+
+def dispatch(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Start as much waiting work as slots and connections allow."""
+    if not lease_holds(state, now_ms):
+        return []
+    effects: list[Effect] = []
+    primary = state.machine.groups[home.group].primary
+    for instance in sorted(home.instances.values(), key=_load):
+        while instance.running < instance.slots:
+            started = _start_next(state, now_ms, home, instance, instance.name == primary)
+            if started is None:
+                break
+            effects.append(started)
+    return effects
+
+
+def expire_queues(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Refuse the waiting work whose deadline passed; none of it ran."""
+    effects: list[Effect] = []
+    for queue in (home.urgent, home.writes, home.reads, home.long):
+        if not queue.size:
+            continue
+        for work in queue.remove_if(lambda item: now_ms >= item.deadline_ms):
+            effects += _expire(state, now_ms, home, work)
+    return effects
+
+
+def release(home: Home, instance: Instance, work: Work) -> None:
+    """Give back the slot and the customer's connection that work held."""
+    instance.running -= 1
+    if work.work_class == "long":
+        instance.running_long -= 1
+    if not work.transaction:
+        transactions.release_held(home, work.customer)
+
+
+def _load(instance: Instance) -> int:
+    return instance.running
+
+
+def _start_next(
+    state: ProxyState, now_ms: int, home: Home, instance: Instance, is_primary: bool
+) -> SendUpstream | None:
+    if is_primary:
+        if not is_active(state, home, now_ms):
+            return None
+        return _start_on_primary(state, now_ms, home, instance)
+    if instance.leaving or not (home.reads.size or home.long.size):
+        return None
+
+    def fits(work: Work) -> bool:
+        return _within_contract(state, home, work) and replicas.may_serve(
+            state, home, instance, work, now_ms
+        )
+
+    started = _start_from(home.reads, now_ms, home, instance, fits)
+    if started is None and _long_may_start(instance):
+        started = _start_from(home.long, now_ms, home, instance, fits)
+    return started
+
+
+def _start_on_primary(
+    state: ProxyState, now_ms: int, home: Home, instance: Instance
+) -> SendUpstream | None:
+    work = home.urgent.pop(lambda item: _pinned_here(home, instance, item))
+    if work is not None:
+        return _send_pinned(now_ms, home, instance, work)
+    if home.phase is not Phase.ACTIVE or instance.leaving:
+        return None
+
+    def fits_write(work: Work) -> bool:
+        return _within_contract(state, home, work)
+
+    def fits_read(work: Work) -> bool:
+        return _within_contract(state, home, work) and not replicas.any_replica(
+            state, home, work, now_ms
+        )
+
+    def fits_long(work: Work) -> bool:
+        return fits_write(work) if work.operation != "read" else fits_read(work)
+
+    if home.writes_in_row >= WRITES_IN_ROW:
+        home.writes_in_row = 0
+        started = _start_from(home.reads, now_ms, home, instance, fits_read)
+        if started is not None:
+            return started
+    started = _start_from(home.writes, now_ms, home, instance, fits_write)
+    if started is not None:
+        home.writes_in_row += 1
+        return started
+    started = _start_from(home.reads, now_ms, home, instance, fits_read)
+    if started is None and _long_may_start(instance):
+        started = _start_from(home.long, now_ms, home, instance, fits_long)
+    return started
+
+
+def _long_may_start(instance: Instance) -> bool:
+    return instance.running_long < max(1, instance.slots - 1)
+
+
+def _within_contract(state: ProxyState, home: Home, work: Work) -> bool:
+    contract = state.machine.contracts.get(work.customer)
+    return contract is not None and home.held.get(work.customer, 0) < contract.connections
+
+
+def _pinned_here(home: Home, instance: Instance, work: Work) -> bool:
+    transaction = home.transactions.get(work.transaction)
+    return transaction is not None and transaction.upstream == instance.name
+
+
+def _start_from(
+    queue: FairQueue, now_ms: int, home: Home, instance: Instance, fits: Callable[[Work], bool]
+) -> SendUpstream | None:
+    if not queue.size:
+        return None
+    connection = connections.take_idle(instance)
+    if connection is None:
+        return None
+    work = queue.pop(fits)
+    if work is None:
+        connections.make_idle(instance, connection)
+        return None
+    home.held[work.customer] = home.held.get(work.customer, 0) + 1
+    return _send(now_ms, instance, connection, work)
+
+
+def _send_pinned(now_ms: int, home: Home, instance: Instance, work: Work) -> SendUpstream | None:
+    transaction = home.transactions[work.transaction]
+    return _send(now_ms, instance, instance.connections[transaction.connection], work)
+
+
+def _send(now_ms: int, instance: Instance, connection: Connection, work: Work) -> SendUpstream:
+    instance.running += 1
+    if work.work_class == "long":
+        instance.running_long += 1
+    connection.state = ConnectionState.BUSY
+    connection.work = work
+    connection.sent_ms = now_ms
+    work.sent_ms = now_ms
+    work.attempts += 1
+    body: dict[str, object] = {"customer": work.customer}
+    if work.operation not in ("read", "write"):
+        return SendUpstream(connection.number, f"/{work.operation}", body)
+    body["kind"] = work.operation
+    body["statement"] = work.statement
+    body["in_transaction"] = bool(work.transaction)
+    return SendUpstream(connection.number, "/statement", body)
+
+
+def _expire(state: ProxyState, now_ms: int, home: Home, work: Work) -> list[Effect]:
+    if work.transaction:
+        transactions.set_idle(home, work.transaction, now_ms)
+    once.forget(home, work)
+    message = "no upstream had room before the deadline; send it again later"
+    failure = Failure(DEADLINE_EXCEEDED, message, retry_after_ms=100)
+    return [
+        answers.refuse(state, now_ms, home, work.origin, failure),
+        answers.served(work, now_ms, DEADLINE_EXCEEDED.name, ""),
+    ]
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/events.py
@@ -0,0 +1,115 @@
+"""The events that a proxy reacts to.
+
+``now_ms`` is the process's monotonic clock. ``connection`` numbers an upstream connection, and
+``number`` a caller's request; both are drawn by the process itself and never used twice.
+"""
+
+from typing import Any, NamedTuple
+
+from ..messages import Announcement
+
+
+class Tick(NamedTuple):
+    """Time passed."""
+
+    now_ms: int
+
+
+class Ask(NamedTuple):
+    """A caller's request, checked for its form.
+
+    ``operation`` is ``read``, ``write``, ``begin``, ``commit``, ``rollback`` or ``issue_ids``.
+    ``work_class`` is ``short``, ``long`` or empty to have it learnt from run times.
+    """
+
+    operation: str
+    customer: str
+    statement: Any
+    work_class: str
+    request_id: str
+    transaction: str
+    deadline_ms: int
+    token: str
+    id_count: int = 0
+
+
+class CallerAsked(NamedTuple):
+    """A caller's request arrived."""
+
+    now_ms: int
+    number: int
+    ask: Ask
+
+
+class MessageReceived(NamedTuple):
+    """A message of the process at ``sender`` arrived."""
+
+    now_ms: int
+    sender: str
+    message: Any
+
+
+class UpstreamAnnounced(NamedTuple):
+    """An upstream announced itself to this proxy."""
+
+    now_ms: int
+    announcement: Announcement
+
+
+class UpstreamOpened(NamedTuple):
+    """A connection to an upstream was opened."""
+
+    now_ms: int
+    connection: int
+
+
+class UpstreamAnswer(NamedTuple):
+    """A whole answer of an upstream; ``status`` is HTTP's."""
+
+    status: int
+    term: int
+    offset: int
+    role: str
+    value: Any
+
+
+class UpstreamAnswered(NamedTuple):
+    """An upstream answered the request that was in flight on the connection."""
+
+    now_ms: int
+    connection: int
+    answer: UpstreamAnswer
+
+
+class UpstreamBroke(NamedTuple):
+    """A connection failed or was closed by the upstream."""
+
+    now_ms: int
+    connection: int
+    reason: str
+
+
+class ForwardUnsent(NamedTuple):
+    """A forwarded request could not be sent; nothing of it left this process."""
+
+    now_ms: int
+    number: int
+
+
+class DrainRequested(NamedTuple):
+    """A planned stop began."""
+
+    now_ms: int
+
+
+Event = (
+    Tick
+    | CallerAsked
+    | MessageReceived
+    | UpstreamAnnounced
+    | UpstreamOpened
+    | UpstreamAnswered
+    | UpstreamBroke
+    | ForwardUnsent
+    | DrainRequested
+)
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -0,0 +1,172 @@
+"""The group's primary, as its home sees it: adoption, detection, promotion and switch-over.
+
+The home is the only holder of its group's write grant, so it revokes the grant by itself the moment
+it decides that the primary is to be replaced. It then proposes the promotion of the reachable
+upstream with the highest position, and orders it once control has committed the proposal.
+"""
+
+from ..commands import AdoptPrimary, Promote
+from . import configuration, connections, results
+from .effects import Effect, Note, SendUpstream
+from .state import Home, Instance, Phase, ProxyState, lease_holds
+
+REFUSALS_TO_REPLACE = 3
+REPLICA_WAIT_MS = 1_000
+NO_PRIMARY_WAIT_MS = 2_000
+ORDER_INTERVAL_MS = 300
+
+
+def check_primary(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Take the next step towards a working primary."""
+    if not lease_holds(state, now_ms) or home.releasing:
+        return []
+    group = state.machine.groups[home.group]
+    if not group.primary:
+        return _adopt(state, now_ms, home)
+    instance = home.instances.get(group.primary)
+    if home.phase is Phase.REPLACING:
+        return _propose(state, now_ms, home)
+    if instance is None or _unreachable(state, now_ms, home, instance):
+        return _replace(state, now_ms, home, instance)
+    if home.phase is Phase.DRAINING_PRIMARY:
+        return _switch_over(state, now_ms, home, instance)
+    in_term = instance.role == "primary" and instance.position.term == group.term
+    if home.phase is Phase.ACTIVE:
+        if instance.leaving and _candidates(state, now_ms, home, instance):
+            set_phase(home, Phase.DRAINING_PRIMARY, now_ms)
+        return []
+    if in_term:
+        set_phase(home, Phase.ACTIVE, now_ms)
+        text = f"{instance.name} is the primary of {home.group} in term {group.term}"
+        return [Note("info", "primary_active", text)]
+    set_phase(home, Phase.PROMOTING, now_ms)
+    body: dict[str, object] = {"term": group.term}
+    return _order(now_ms, instance, "promote", body)
+
+
+def check_followers(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Order upstreams that are in an older term, or still primary there, to follow."""
+    group = state.machine.groups[home.group]
+    primary = home.instances.get(group.primary)
+    if home.phase is not Phase.ACTIVE or primary is None or not lease_holds(state, now_ms):
+        return []
+    effects: list[Effect] = []
+    for instance in home.instances.values():
+        if instance.name == group.primary or not instance.heard_ms:
+            continue
+        if instance.role == "replica" and instance.position.term == group.term:
+            continue
+        later = [fork for fork in group.forks if fork.term > instance.position.term]
+        start_index = min((fork.start_index for fork in later), default=0)
+        body: dict[str, object] = {
+            "term": group.term,
+            "primary": primary.address,
+            "start_index": start_index,
+        }
+        effects += _order(now_ms, instance, "follow", body)
+    return effects
+
+
+def set_phase(home: Home, phase: Phase, now_ms: int) -> None:
+    """Enter a phase; a repeated phase keeps its start."""
+    if home.phase is not phase:
+        home.phase = phase
+        home.phase_since_ms = now_ms
+
+
+def _unreachable(state: ProxyState, now_ms: int, home: Home, instance: Instance) -> bool:
+    if instance.refused >= REFUSALS_TO_REPLACE and not instance.idle:
+        return True
+    heard_ms = max(instance.heard_ms, home.since_ms)
+    if home.phase is Phase.WAITING:
+        heard_ms = max(heard_ms, home.phase_since_ms)
+    return now_ms - heard_ms > state.settings.unreachable_ms
+
+
+def _replace(state: ProxyState, now_ms: int, home: Home, instance: Instance | None) -> list[Effect]:
+    """Revoke the grant, end what runs on the old primary and propose another."""
+    set_phase(home, Phase.REPLACING, now_ms)
+    text = f"the primary of {home.group} can't be reached; replacing it"
+    effects: list[Effect] = [Note("warning", "primary_unreachable", text)]
+    if instance is not None:
+        for connection in list(instance.connections.values()):
+            effects += results.lose_connection(state, now_ms, home, instance, connection)
+    return effects + _propose(state, now_ms, home)
+
+
+def _propose(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    group = state.machine.groups[home.group]
+    candidates = _candidates(state, now_ms, home, None)
+    others = [item for item in home.instances.values() if item.name != group.primary]
+    missing = [item for item in others if item not in candidates and not item.leaving]
+    if not candidates or (missing and now_ms - home.phase_since_ms < REPLICA_WAIT_MS):
+        return []
+    best = max(candidates, key=_rank)
+    highest_term = max(item.position.term for item in home.instances.values())
+    term = max(group.term, highest_term) + 1
+    command = Promote(home.group, home.epoch, term, best.name, best.position.offset)
+    return configuration.propose(state, now_ms, command)
+
+
+def _switch_over(state: ProxyState, now_ms: int, home: Home, instance: Instance) -> list[Effect]:
+    """Move a leaving primary's role once nothing runs there and a replica holds everything."""
+    expired = now_ms - home.phase_since_ms >= state.settings.switchover_limit_ms
+    if not expired and (instance.running or home.transactions):
+        return []
+    caught_up = [
+        item
+        for item in _candidates(state, now_ms, home, instance)
+        if item.position >= instance.position
+    ]
+    if not expired and not caught_up:
+        return []
+    set_phase(home, Phase.REPLACING, now_ms)
+    effects: list[Effect] = []
+    for connection in list(instance.connections.values()):
+        if connection.work is not None or connection.transaction:
+            effects += results.lose_connection(state, now_ms, home, instance, connection)
+    return effects + _propose(state, now_ms, home)
+
+
+def _adopt(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Adopt the primary that announces itself, or promote one where none does."""
+    reachable = _candidates(state, now_ms, home, None)
+    primaries = [item for item in reachable if item.role == "primary"]
+    if primaries:
+        best = max(primaries, key=_rank)
+        command = AdoptPrimary(home.group, home.epoch, best.name, best.position.term)
+        return configuration.propose(state, now_ms, command)
+    if not reachable or now_ms - home.since_ms < NO_PRIMARY_WAIT_MS:
+        return []
+    set_phase(home, Phase.REPLACING, now_ms)
+    return _propose(state, now_ms, home)
+
+
+def _candidates(
+    state: ProxyState, now_ms: int, home: Home, excluded: Instance | None
+) -> list[Instance]:
+    limit_ms = state.settings.unreachable_ms
+    return [
+        item
+        for item in home.instances.values()
+        if item is not excluded
+        and not item.leaving
+        and item.heard_ms
+        and now_ms - item.heard_ms <= limit_ms
+    ]
+
+
+def _rank(instance: Instance) -> tuple[int, int, str]:
+    return (*instance.position, instance.name)
+
+
+def _order(now_ms: int, instance: Instance, name: str, body: dict[str, object]) -> list[Effect]:
+    """Send an order on an idle connection, at most once an interval."""
+    if now_ms - instance.ordered_ms < ORDER_INTERVAL_MS:
+        return []
+    connection = connections.take_idle(instance)
+    if connection is None:
+        return []
+    instance.ordered_ms = now_ms
+    sent: SendUpstream = connections.order(now_ms, connection, name, body)
+    return [sent]
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -0,0 +1,180 @@
+"""Homes: taking a group, knowing its upstreams, and giving the group up.
+
+A home that drains goes on with short work until its long work and its transactions have ended, then
+lets the rest finish, closes its connections and only then releases the group.
+"""
+
+from ..commands import RegisterUpstream, ReleaseHome
+from ..exceptions import NOT_HOME, OUTCOME_UNKNOWN, Failure
+from ..messages import Announcement
+from . import answers, configuration, results
+from .effects import CloseConnection, Effect, Note, Send
+from .events import UpstreamAnnounced
+from .state import Home, Instance, Phase, ProxyState
+
+
+def configuration_changed(state: ProxyState, now_ms: int) -> list[Effect]:
+    """Bring the homes in line with a newer configuration."""
+    effects: list[Effect] = []
+    for home in list(state.homes.values()):
+        group = state.machine.groups.get(home.group)
+        mine = group is not None and group.home_boot == state.settings.boot
+        if group is None or not mine or group.home_epoch != home.epoch:
+            effects += _drop(state, now_ms, home)
+    for group in state.machine.groups.values():
+        if group.home_boot == state.settings.boot and group.name not in state.homes:
+            effects += _take(state, now_ms, group.name, group.home_epoch)
+    for home in state.homes.values():
+        _sync_instances(state, home)
+        effects += _follow_term(state, now_ms, home)
+    return effects
+
+
+def handle_announced(state: ProxyState, event: UpstreamAnnounced) -> list[Effect]:
+    """Register a new upstream, and pass its state on to its group's home."""
+    item = event.announcement
+    state.announced[item.upstream] = item
+    effects: list[Effect] = []
+    command = RegisterUpstream(
+        item.upstream,
+        item.group,
+        item.address,
+        item.data_centre,
+        item.slots,
+        item.connection_cap,
+    )
+    known = state.machine.upstreams.get(item.upstream)
+    if known is None or tuple(known[:6]) != tuple(command):
+        effects += configuration.propose(state, event.now_ms, command)
+    group = state.machine.groups.get(item.group)
+    if group is None or not group.home:
+        return effects
+    if group.home_boot == state.settings.boot:
+        return effects + note_announcement(state, event.now_ms, item)
+    return [*effects, Send(group.home_address, item)]
+
+
+def note_announcement(state: ProxyState, now_ms: int, item: Announcement) -> list[Effect]:
+    """Remember whether an upstream of this home is leaving."""
+    home = state.homes.get(item.group)
+    instance = home.instances.get(item.upstream) if home else None
+    if instance is None or instance.address != item.address:
+        return []
+    leaving = item.state == "leaving"
+    changed = leaving != instance.announced_leaving
+    instance.announced_leaving = leaving
+    if not changed:
+        return []
+    text = f"{item.upstream} announces that it is {item.state}"
+    return [Note("info", "upstream_state", text)]
+
+
+def check_release(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Give up a group once nothing of it runs here."""
+    if state.draining_since_ms is None:
+        return []
+    if not home.releasing and (_long_running(home) or home.transactions):
+        return []
+    effects: list[Effect] = []
+    if not home.releasing:
+        home.releasing = True
+        effects += _return_queued(state, now_ms, home)
+    if any(item.running for item in home.instances.values()) or home.awaiting_replica:
+        return effects
+    effects += _close_all(state, home)
+    del state.homes[home.group]
+    effects.append(Note("info", "home_released", f"gives up group {home.group}"))
+    return effects + configuration.propose(state, now_ms, ReleaseHome(home.group, home.epoch))
+
+
+def lease_lost(state: ProxyState, now_ms: int) -> list[Effect]:
+    """Close every connection of homes whose lease ended; what ran there is unknown."""
+    effects: list[Effect] = []
+    for home in state.homes.values():
+        if not any(item.connections for item in home.instances.values()):
+            continue
+        effects.append(Note("warning", "lease_lost", f"the lease on {home.group} ended"))
+        effects += _abandon(state, now_ms, home)
+        home.phase = Phase.WAITING
+        home.phase_since_ms = now_ms
+    return effects
+
+
+def _take(state: ProxyState, now_ms: int, name: str, epoch: int) -> list[Effect]:
+    state.homes[name] = Home(name, epoch, now_ms, phase_since_ms=now_ms)
+    return [Note("info", "home_taken", f"holds group {name} in home epoch {epoch}")]
+
+
+def _drop(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    effects = _return_queued(state, now_ms, home) + _abandon(state, now_ms, home)
+    del state.homes[home.group]
+    effects.append(Note("info", "home_lost", f"no longer holds group {home.group}"))
+    return effects
+
+
+def _follow_term(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Start anew with the primary of the configuration when it changed."""
+    group = state.machine.groups[home.group]
+    if (group.primary, group.term) == home.primary_in_force:
+        return []
+    home.primary_in_force = (group.primary, group.term)
+    home.phase = Phase.WAITING
+    home.phase_since_ms = now_ms
+    home.samples.clear()
+    if not group.primary:
+        return []
+    text = f"term {group.term} of {home.group} has the primary {group.primary}"
+    return [Note("info", "primary_changed", text)]
+
+
+def _sync_instances(state: ProxyState, home: Home) -> None:
+    """Bring the upstreams of a home in line with the configuration."""
+    for record in state.machine.upstreams.values():
+        if record.group != home.group:
+            continue
+        known = home.instances.get(record.name)
+        if known is None:
+            known = Instance(record.name, record.address, record.slots, record.connection_cap)
+            home.instances[record.name] = known
+        known.address = record.address
+        known.slots = record.slots
+        known.connection_cap = record.connection_cap
+        known.stopped = record.wanted == "stopped"
+
+
+def _long_running(home: Home) -> bool:
+    return any(item.running_long for item in home.instances.values())
+
+
+def _return_queued(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Hand work that was not sent back to its entry, which waits for the next home."""
+    effects: list[Effect] = []
+    failure = Failure(NOT_HOME, f"{state.settings.name} gave up group {home.group}")
+    for queue in (home.urgent, home.writes, home.reads, home.long):
+        for work in queue.remove_if(lambda item: True):
+            effects.append(answers.refuse(state, now_ms, home, work.origin, failure))
+    return effects
+
+
+def _close_all(state: ProxyState, home: Home) -> list[Effect]:
+    effects: list[Effect] = []
+    for instance in home.instances.values():
+        for number in list(instance.connections):
+            state.connections.pop(number, None)
+            effects.append(CloseConnection(number))
+        instance.connections.clear()
+        instance.idle.clear()
+    return effects
+
+
+def _abandon(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Close every connection; the work in flight there has an unknown outcome."""
+    effects: list[Effect] = []
+    for instance in home.instances.values():
+        for connection in list(instance.connections.values()):
+            effects += results.lose_connection(state, now_ms, home, instance, connection)
+    failure = Failure(OUTCOME_UNKNOWN, "the group's home lost its lease; the request may have run")
+    for work, _ in home.awaiting_replica:
+        effects.append(answers.refuse(state, now_ms, home, work.origin, failure))
+    home.awaiting_replica = []
+    return effects
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/once.py
@@ -0,0 +1,97 @@
+"""At most once: request ids that this home issued, and what became of each.
+
+A request id runs only in the home epoch that issued it, and its record lasts until the id expires.
+So a home knows the whole past of every id that it lets run, and a home that took over refuses the
+ids of the epoch before.
+"""
+
+import msgspec
+import xxhash
+
+from ..exceptions import (
+    REQUEST_ID_EXPIRED,
+    REQUEST_ID_INVALID,
+    REQUEST_ID_REUSED,
+    REQUEST_IN_PROGRESS,
+    Failure,
+)
+from ..messages import ForwardedAnswer
+from ..request_ids import (
+    REQUEST_ID_LIFE_MS,
+    REQUEST_IDS_PER_CALL,
+    RequestId,
+    decode_request_id,
+    encode_request_id,
+)
+from . import answers
+from .effects import ForwardAnswer
+from .state import Home, OnceRecord, ProxyState
+from .work import Work
+
+
+def issue(state: ProxyState, now_ms: int, home: Home, work: Work) -> ForwardAnswer:
+    """Issue the request ids that a caller asked for."""
+    count = work.statement if isinstance(work.statement, int) else 1
+    request_ids: list[str] = []
+    for _ in range(min(count, REQUEST_IDS_PER_CALL)):
+        home.serial += 1
+        request_id = RequestId(home.group, home.epoch, now_ms + REQUEST_ID_LIFE_MS, home.serial)
+        request_ids.append(encode_request_id(state.settings.session_key, request_id))
+    value = {"request_ids": request_ids, "life_ms": REQUEST_ID_LIFE_MS}
+    return answers.value_answer(state, now_ms, home, work, value)
+
+
+def check(
+    state: ProxyState, now_ms: int, home: Home, work: Work
+) -> Failure | answers.Repeated | None:
+    """Admit a request id once; return its first answer or a failure when it came before."""
+    if not work.request_id:
+        return None
+    request_id = decode_request_id(state.settings.session_key, work.request_id)
+    if request_id is None or request_id.group != home.group:
+        message = "no proxy issued this request id for this customer; get one from /v1/request-ids"
+        return Failure(REQUEST_ID_INVALID, message)
+    if request_id.home_epoch != home.epoch or now_ms >= request_id.expires_ms:
+        message = (
+            "the request id is no longer valid and this attempt was not run; if you sent it "
+            "before, read the data to learn what became of it, then get a new request id"
+        )
+        return Failure(REQUEST_ID_EXPIRED, message)
+    digest = _digest(work)
+    record = home.once.get(work.request_id)
+    if record is None:
+        home.once[work.request_id] = OnceRecord(digest, request_id.expires_ms, None)
+        return None
+    if record.digest != digest:
+        return Failure(REQUEST_ID_REUSED, "this request id was used for another statement")
+    if record.answer is None:
+        message = "the first request with this id is still running; send it again later"
+        return Failure(REQUEST_IN_PROGRESS, message, retry_after_ms=100)
+    return answers.Repeated(record.answer)
+
+
+def record(home: Home, work: Work, answer: ForwardedAnswer) -> None:
+    """Keep the answer to a request id for its resends."""
+    known = home.once.get(work.request_id)
+    if known is not None:
+        home.once[work.request_id] = known._replace(answer=answer)
+
+
+def forget(home: Home, work: Work) -> None:
+    """Forget a request id whose request was not run, so that a resend may run."""
+    known = home.once.get(work.request_id)
+    if known is not None and known.answer is None:
+        del home.once[work.request_id]
+
+
+def sweep(home: Home, now_ms: int) -> None:
+    """Drop the records whose request ids have expired."""
+    expired = [key for key, item in home.once.items() if now_ms >= item.expires_ms]
+    for key in expired:
+        if home.once[key].answer is not None:
+            del home.once[key]
+
+
+def _digest(work: Work) -> bytes:
+    content = msgspec.msgpack.encode((work.operation, work.customer, work.statement))
+    return xxhash.xxh3_128_digest(content)
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/reducer.py
@@ -0,0 +1,151 @@
+"""The one reducer of a proxy: every event goes through ``reduce``."""
+
+from typing import Any
+
+from ..messages import (
+    Announcement,
+    ForwardBatch,
+    HeartbeatReply,
+    LeaderHint,
+    LeaseAnswer,
+    LeaseQuestion,
+)
+from . import (
+    admission,
+    configuration,
+    connections,
+    dispatch,
+    entry,
+    failover,
+    homes,
+    once,
+    results,
+)
+from .effects import Effect, Forward, ForwardAnswer, Note, Send
+from .events import (
+    CallerAsked,
+    DrainRequested,
+    Event,
+    ForwardUnsent,
+    MessageReceived,
+    Tick,
+    UpstreamAnnounced,
+    UpstreamAnswered,
+    UpstreamBroke,
+    UpstreamOpened,
+)
+from .state import Home, ProxyState, lease_holds
+
+SWEEP_INTERVAL_MS = 1_000
+
+
+def reduce(state: ProxyState, event: Event) -> list[Effect]:
+    """Change ``state`` by one event and return the effects, in the order to carry out."""
+    handler = _HANDLERS[type(event)]
+    return _settle(state, event.now_ms, handler(state, event))
+
+
+def _settle(state: ProxyState, now_ms: int, effects: list[Effect]) -> list[Effect]:
+    """Carry out the forwards between this proxy's own entry and homes."""
+    outer: list[Effect] = []
+    pending = list(reversed(effects))
+    while pending:
+        effect = pending.pop()
+        if isinstance(effect, ForwardAnswer) and not effect.address:
+            inner = entry.handle_answer(state, now_ms, effect.answer)
+        elif isinstance(effect, Forward) and effect.address == state.settings.address:
+            inner = admission.admit(state, now_ms, "", effect.request)
+        elif isinstance(effect, Send) and effect.address == state.settings.address:
+            message = MessageReceived(now_ms, effect.address, effect.message)
+            inner = _receive(state, message)
+        else:
+            outer.append(effect)
+            continue
+        pending.extend(reversed(inner))
+    return outer
+
+
+def _receive(state: ProxyState, event: MessageReceived) -> list[Effect]:
+    now_ms, sender, message = event
+    if isinstance(message, ForwardBatch):
+        return _receive_batch(state, now_ms, sender, message)
+    if isinstance(message, HeartbeatReply):
+        effects = configuration.handle_reply(state, now_ms, sender, message)
+        return effects + entry.route_waiting(state, now_ms)
+    if isinstance(message, LeaderHint):
+        return configuration.handle_hint(state, now_ms, message)
+    if isinstance(message, Announcement):
+        return homes.note_announcement(state, now_ms, message)
+    if isinstance(message, LeaseQuestion):
+        return [Send(sender, _lease_answer(state, now_ms, message))]
+    if isinstance(message, LeaseAnswer):
+        return entry.handle_lease_answer(state, now_ms, message)
+    text = f"a proxy got a {type(message).__name__}"
+    return [Note("warning", "message_unexpected", text)]
+
+
+def _receive_batch(
+    state: ProxyState, now_ms: int, sender: str, batch: ForwardBatch
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for answer in batch.answers:
+        effects += entry.handle_answer(state, now_ms, answer)
+    for request in batch.requests:
+        effects += admission.admit(state, now_ms, sender, request)
+    return effects
+
+
+def _lease_answer(state: ProxyState, now_ms: int, question: LeaseQuestion) -> LeaseAnswer:
+    home = state.homes.get(question.group)
+    left_ms = 0
+    if home is not None and home.epoch == question.home_epoch:
+        left_ms = max(0, state.lease_until_ms - now_ms)
+    return LeaseAnswer(question.group, question.home_epoch, question.sent_at_ms, left_ms)
+
+
+def _tick(state: ProxyState, event: Tick) -> list[Effect]:
+    now_ms = event.now_ms
+    effects = configuration.check_heartbeat(state, now_ms)
+    if not lease_holds(state, now_ms):
+        effects += homes.lease_lost(state, now_ms)
+    for home in list(state.homes.values()):
+        effects += _tick_home(state, now_ms, home)
+    effects += entry.check_entries(state, now_ms)
+    return effects + entry.route_waiting(state, now_ms)
+
+
+def _tick_home(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    effects = results.check_silent(state, now_ms, home)
+    effects += results.check_awaiting(state, now_ms, home)
+    effects += dispatch.expire_queues(state, now_ms, home)
+    effects += failover.check_primary(state, now_ms, home)
+    effects += failover.check_followers(state, now_ms, home)
+    for instance in home.instances.values():
+        effects += connections.ping_due(state, now_ms, instance)
+        effects += connections.close_aged(state, now_ms, instance)
+        effects += connections.fill_pool(state, now_ms, home, instance)
+    effects += dispatch.dispatch(state, now_ms, home)
+    if now_ms >= home.sweep_due_ms:
+        home.sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
+        once.sweep(home, now_ms)
+    return effects + homes.check_release(state, now_ms, home)
+
+
+def _drain(state: ProxyState, event: DrainRequested) -> list[Effect]:
+    if state.draining_since_ms is not None:
+        return []
+    state.draining_since_ms = event.now_ms
+    return [Note("info", "draining", "a planned stop began")]
+
+
+_HANDLERS: dict[type, Any] = {
+    CallerAsked: entry.handle_caller,
+    MessageReceived: _receive,
+    UpstreamAnnounced: homes.handle_announced,
+    UpstreamOpened: results.handle_opened,
+    UpstreamAnswered: results.handle_answered,
+    UpstreamBroke: results.handle_broke,
+    Tick: _tick,
+    ForwardUnsent: entry.handle_unsent,
+    DrainRequested: _drain,
+}
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/replicas.py
@@ -0,0 +1,66 @@
+"""Which upstream may serve a read: session and age.
+
+The home samples the primary's position. A replica at or past a sample holds everything that was
+committed when the sample was asked for, so its data is at most as old as the sample. Age is counted
+at the moment the read is sent to the upstream.
+"""
+
+from ..positions import Position, covers
+from .state import Home, Instance, PrimarySample, ProxyState
+from .work import Work
+
+SAMPLES_KEPT = 2_000
+
+
+def note_position(instance: Instance, position: Position) -> None:
+    """Remember the highest position that an upstream reported."""
+    instance.position = max(instance.position, position)
+
+
+def sample_primary(home: Home, at_ms: int, position: Position) -> None:
+    """Record that the primary's position was at most ``position`` at ``at_ms``."""
+    samples = home.samples
+    if samples and at_ms < samples[-1].at_ms:
+        return
+    if len(samples) >= 2 and samples[-1].position == samples[-2].position == position:
+        samples[-1] = PrimarySample(at_ms, position)
+        return
+    samples.append(PrimarySample(at_ms, position))
+    if len(samples) > SAMPLES_KEPT:
+        samples.popleft()
+
+
+def age_ms(home: Home, position: Position, at_ms: int) -> int | None:
+    """Return how old the data at ``position`` is at most, or None where that is not known."""
+    for sample in reversed(home.samples):
+        if covers(position, sample.position):
+            return max(0, at_ms - sample.at_ms)
+    return None
+
+
+def may_serve(state: ProxyState, home: Home, instance: Instance, work: Work, now_ms: int) -> bool:
+    """Tell whether a replica may serve a read, as far as is known before it runs."""
+    group = state.machine.groups[home.group]
+    if instance.leaving or instance.name == group.primary or instance.role != "replica":
+        return False
+    if now_ms - instance.heard_ms > state.settings.unreachable_ms:
+        return False
+    if work.needs_primary or instance.position.term != group.term:
+        return False
+    return is_valid(state, home, instance.position, work, now_ms)
+
+
+def is_valid(state: ProxyState, home: Home, position: Position, work: Work, sent_ms: int) -> bool:
+    """Tell whether data at ``position`` satisfies the session and the contract's staleness."""
+    contract = state.machine.contracts.get(work.customer)
+    if contract is None or not covers(position, work.wanted):
+        return False
+    age = age_ms(home, position, sent_ms)
+    return age is not None and age <= contract.max_staleness_ms
+
+
+def any_replica(state: ProxyState, home: Home, work: Work, now_ms: int) -> bool:
+    """Tell whether some replica may serve the read, free or not."""
+    return any(
+        may_serve(state, home, instance, work, now_ms) for instance in home.instances.values()
+    )
--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/state.py
@@ -0,0 +1,237 @@
+"""The state of a proxy."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..machine import Machine
+from ..messages import Announcement, ForwardedAnswer
+from ..positions import Position
+from ..tokens import SessionToken
+from .events import Ask
+from .queueing import FairQueue
+from .work import Work
+
+
+class ProxySettings(NamedTuple):
+    """The names, keys, limits and times of a proxy."""
+
+    name: str
+    boot: str
+    address: str
+    data_centre: str
+    control_addresses: list[str]
+    session_key: bytes
+    heartbeat_ms: int = 250
+    control_timeout_ms: int = 500
+    configuration_limit_ms: int = 4_000
+    balancer_grace_ms: int = 1_000
+    ping_ms: int = 100
+    ping_timeout_ms: int = 400
+    unreachable_ms: int = 1_000
+    open_timeout_ms: int = 1_000
+    idle_check_ms: int = 5_000
+    connection_age_ms: int = 600_000
+    short_attempt_ms: int = 1_000
+    long_run_ms: int = 250
+    queue_limit: int = 512
+    waiting_limit: int = 1_000
+    transaction_idle_ms: int = 10_000
+    switchover_limit_ms: int = 5_000
+
+
+class ConnectionState(StrEnum):
+    """What an upstream connection does."""
+
+    OPENING = "opening"
+    CHECKING = "checking"
+    IDLE = "idle"
+    BUSY = "busy"
+    PINNED = "pinned"
+
+
+@dataclass(slots=True)
+class Connection:
+    """One connection to an upstream.
+
+    ``work`` is in flight on it, or ``order`` names the proxy's own request (``ping``, ``promote``,
+    ``follow`` or ``rollback``). A suspect connection takes no work until a ping was answered.
+    """
+
+    number: int
+    upstream: str
+    state: ConnectionState
+    opened_ms: int
+    sent_ms: int = 0
+    heard_ms: int = 0
+    work: Work | None = None
+    order: str = ""
+    transaction: str = ""
+    suspect: bool = False
+
+
+@dataclass(slots=True)
+class Instance:
+    """An upstream of a home's group, as this home knows it."""
+
+    name: str
+    address: str
+    slots: int
+    connection_cap: int
+    connections: dict[int, Connection] = field(default_factory=dict)
+    idle: list[int] = field(default_factory=list)
+    running: int = 0
+    running_long: int = 0
+    opening: int = 0
+    position: Position = Position(0, 0)
+    role: str = ""
+    heard_ms: int = 0
+    known_ms: int = 0
+    refused: int = 0
+    next_open_ms: int = 0
+    pinged_ms: int = 0
+    ordered_ms: int = 0
+    announced_leaving: bool = False
+    stopped: bool = False
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the upstream takes no new work."""
+        return self.announced_leaving or self.stopped
+
+
+class Transaction(NamedTuple):
+    """An open transaction and the connection that it has to itself."""
+
+    identity: str
+    customer: str
+    connection: int
+    upstream: str
+    used_ms: int
+    busy: bool
+
+
+class OnceRecord(NamedTuple):
+    """What became of a request id; ``answer`` is None while it runs."""
+
+    digest: bytes
+    expires_ms: int
+    answer: ForwardedAnswer | None
+
+
+class PrimarySample(NamedTuple):
+    """The primary's position, at or after ``at_ms``."""
+
+    at_ms: int
+    position: Position
+
+
+class Phase(StrEnum):
+    """Where a home stands with its group's primary."""
+
+    WAITING = "waiting"
+    PROMOTING = "promoting"
+    ACTIVE = "active"
+    DRAINING_PRIMARY = "draining_primary"
+    REPLACING = "replacing"
+
+
+@dataclass(slots=True)
+class Home:
+    """What the home of a group holds, from its assignment to its release."""
+
+    group: str
+    epoch: int
+    since_ms: int
+    phase: Phase = Phase.WAITING
+    phase_since_ms: int = 0
+    primary_in_force: tuple[str, int] = ("", 0)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    urgent: FairQueue = field(default_factory=FairQueue)
+    writes: FairQueue = field(default_factory=FairQueue)
+    reads: FairQueue = field(default_factory=FairQueue)
+    long: FairQueue = field(default_factory=FairQueue)
+    held: dict[str, int] = field(default_factory=dict)
+    transactions: dict[str, Transaction] = field(default_factory=dict)
+    once: dict[str, OnceRecord] = field(default_factory=dict)
+    samples: deque[PrimarySample] = field(default_factory=deque)
+    awaiting_replica: list[tuple[Work, ForwardedAnswer]] = field(default_factory=list)
+    mean_run_ms: float = 5.0
+    writes_in_row: int = 0
+    releasing: bool = False
+    serial: int = 0
+    sweep_due_ms: int = 0
+
+
+class EntryStage(StrEnum):
+    """Where a caller's request stands at its entry."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    CONFIRMING = "confirming"
+
+
+@dataclass(slots=True)
+class Entry:
+    """A caller's request at its entry proxy."""
+
+    number: int
+    ask: Ask
+    token: SessionToken
+    group: str
+    arrived_ms: int
+    deadline_ms: int
+    stage: EntryStage = EntryStage.WAITING
+    home_epoch: int = 0
+    home_address: str = ""
+    sent_ms: int = 0
+    moved_ms: int = 0
+    answer: ForwardedAnswer | None = None
+
+
+@dataclass(slots=True)
+class ProxyState:
+    """The whole state of a proxy; ``reduce`` alone changes it.
+
+    ``confirmed_ms`` is when the heartbeat was sent whose reply last confirmed the configuration,
+    and ``lease_until_ms`` the end of the lease; both are on this process's clock.
+    """
+
+    settings: ProxySettings
+    machine: Machine = field(default_factory=Machine)
+    confirmed_ms: int | None = None
+    lease_until_ms: int = 0
+    sequence: int = 0
+    heartbeat_sent_ms: dict[int, int] = field(default_factory=dict)
+    heartbeat_due_ms: int = 0
+    control_heard_ms: int = 0
+    control_index: int = 0
+    control_address: str = ""
+    proposals: dict[bytes, int] = field(default_factory=dict)
+    announced: dict[str, Announcement] = field(default_factory=dict)
+    entries: dict[int, Entry] = field(default_factory=dict)
+    waiting: dict[str, list[int]] = field(default_factory=dict)
+    home_leases: dict[str, tuple[int, int]] = field(default_factory=dict)
+    homes: dict[str, Home] = field(default_factory=dict)
+    connections: dict[int, tuple[str, str]] = field(default_factory=dict)
+    next_connection: int = 1
+    run_times_ms: dict[int, float] = field(default_factory=dict)
+    draining_since_ms: int | None = None
+
+
+def lease_holds(state: ProxyState, now_ms: int) -> bool:
+    """Tell whether this proxy's lease is valid at ``now_ms``."""
+    return now_ms < state.lease_until_ms
+
+
+def configuration_fresh(state: ProxyState, now_ms: int) -> bool:
+    """Tell whether the configuration was confirmed within its limit."""
+    if state.confirmed_ms is None:
+        return False
+    return now_ms - state.confirmed_ms <= state.settings.configuration_limit_ms
+
+
+def is_active(state: ProxyState, home: Home, now_ms: int) -> bool:
+    """Tell whether the home may have its primary run and acknowledge work."""
+    return home.phase in (Phase.ACTIVE, Phase.DRAINING_PRIMARY) and lease_holds(state, now_ms)
--- /dev/null
+++ b/packages/core/src/endivewick_core/tokens.py
@@ -0,0 +1,71 @@
+"""Session tokens: the positions that a caller has seen, authenticated and opaque.
+
+A token maps each group to the highest position that the session has written or read. Proxies keep
+no session state, so a session may go on at any proxy. Layout before base64url: 16 bytes of
+HMAC-SHA256 over the rest, then msgpack of ``{group: [term, index]}``.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from .exceptions import TOKEN_INVALID, Failure
+from .positions import Position
+
+DIGEST_BYTES = 16
+TOKEN_LIMIT_BYTES = 4096
+
+
+class SessionToken(NamedTuple):
+    """The positions of one session, by group."""
+
+    positions: dict[str, Position]
+
+
+EMPTY = SessionToken({})
+_decoder = msgspec.msgpack.Decoder(dict[str, Position])
+_encode = msgspec.msgpack.encode
+
+
+def _digest(key: bytes, payload: bytes) -> bytes:
+    return hmac.digest(key, payload, hashlib.sha256)[:DIGEST_BYTES]
+
+
+def encode_token(key: bytes, token: SessionToken) -> str:
+    """Return the text form of ``token`` under the cluster's session key."""
+    payload = _encode(token.positions)
+    return base64.urlsafe_b64encode(_digest(key, payload) + payload).decode()
+
+
+def decode_token(key: bytes, text: str) -> Result[SessionToken, Failure]:
+    """Return the token in ``text``; a missing token is the empty one."""
+    if not text:
+        return Success(EMPTY)
+    if len(text) > TOKEN_LIMIT_BYTES:
+        return Failed(Failure(TOKEN_INVALID, f"the token exceeds {TOKEN_LIMIT_BYTES} bytes"))
+    try:
+        raw = base64.b64decode(text, altchars=b"-_", validate=True)
+        if not hmac.compare_digest(raw[:DIGEST_BYTES], _digest(key, raw[DIGEST_BYTES:])):
+            raise ValueError
+        return Success(SessionToken(_decoder.decode(raw[DIGEST_BYTES:])))
+    except (binascii.Error, ValueError, msgspec.MsgspecError):
+        return Failed(
+            Failure(
+                TOKEN_INVALID,
+                "the session token can't be read; send the last token unchanged or none at all",
+            )
+        )
+
+
+def advance(token: SessionToken, group: str, position: Position) -> SessionToken:
+    """Return ``token`` with ``position`` of ``group`` merged in by maximum."""
+    known = token.positions.get(group)
+    if known is not None and known >= position:
+        return token
+    return SessionToken({**token.positions, group: position})
--- /dev/null
+++ b/packages/ctl/src/endivewick_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command endivewickctl."""
--- /dev/null
+++ b/packages/node/src/endivewick_node/__init__.py
@@ -0,0 +1,1 @@
+"""The endivewickd process: HTTP, zmq, disk, timers, metrics and logs."""
--- /dev/null
+++ b/packages/node/src/endivewick_node/conf.py
@@ -0,0 +1,159 @@
+"""Settings: a JSON file with comments, checked as a whole before anything starts."""
+
+import re
+from pathlib import Path
+from typing import Annotated, Literal, NotRequired
+
+import jsonc
+from endivewick_core.contracts import NAME_PATTERN, fault_list
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from typing_extensions import TypedDict
+
+from .exceptions import SettingsInvalid
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Key = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Strict = ConfigDict(extra="forbid", strict=True)
+
+
+def _ms(low: int, high: int) -> Field:  # type: ignore[valid-type]
+    return Field(ge=low, le=high)
+
+
+@with_config(Strict)
+class MemberSettings(TypedDict):
+    """A control process: its name, its cluster address and its operators' address."""
+
+    name: Name
+    address: Address
+    operator_address: Address
+
+
+@with_config(Strict)
+class ControlSection(TypedDict):
+    """The control processes, the same list on every node, and their timing."""
+
+    members: Annotated[list[MemberSettings], Field(min_length=1, max_length=9)]
+    heartbeat_ms: NotRequired[Annotated[int, _ms(10, 10_000)]]
+    election_timeout_ms: NotRequired[Annotated[int, _ms(50, 60_000)]]
+    lease_ms: NotRequired[Annotated[int, _ms(200, 60_000)]]
+    snapshot_entries: NotRequired[Annotated[int, Field(ge=10, le=1_000_000)]]
+
+
+@with_config(Strict)
+class ClusterSection(TypedDict):
+    """The address for other endivewick processes, and other routes to some of them."""
+
+    address: Address
+    routes: NotRequired[dict[Address, Address]]
+
+
+@with_config(Strict)
+class HttpSection(TypedDict):
+    """The HTTP address, for callers at a proxy and for operators at a control process."""
+
+    address: Address
+    body_limit_bytes: NotRequired[Annotated[int, Field(ge=1_024, le=64 * 1024 * 1024)]]
+    request_timeout_ms: NotRequired[Annotated[int, _ms(100, 600_000)]]
+    connection_limit: NotRequired[Annotated[int, Field(ge=1, le=1_000_000)]]
+
+
+@with_config(Strict)
+class TlsSection(TypedDict):
+    """The certificate chain and key of the HTTP address, as PEM files."""
+
+    certificate_file: str
+    key_file: str
+
+
+@with_config(Strict)
+class StatsdSection(TypedDict):
+    """Where statsd listens, and the prefix of every metric name."""
+
+    address: Address
+    prefix: NotRequired[str]
+
+
+@with_config(Strict)
+class LogSection(TypedDict):
+    """The lowest level to log, and a file in place of standard error."""
+
+    level: NotRequired[Literal["debug", "info", "warning", "error"]]
+    file: NotRequired[str]
+
+
+@with_config(Strict)
+class ProxySection(TypedDict):
+    """The limits and times of a proxy; docs/reference/settings.md gives each default."""
+
+    heartbeat_ms: NotRequired[Annotated[int, _ms(20, 10_000)]]
+    control_timeout_ms: NotRequired[Annotated[int, _ms(50, 60_000)]]
+    configuration_limit_ms: NotRequired[Annotated[int, _ms(500, 7_000)]]
+    balancer_grace_ms: NotRequired[Annotated[int, _ms(0, 600_000)]]
+    ping_ms: NotRequired[Annotated[int, _ms(10, 10_000)]]
+    ping_timeout_ms: NotRequired[Annotated[int, _ms(20, 60_000)]]
+    unreachable_ms: NotRequired[Annotated[int, _ms(100, 60_000)]]
+    open_timeout_ms: NotRequired[Annotated[int, _ms(20, 60_000)]]
+    idle_check_ms: NotRequired[Annotated[int, _ms(100, 600_000)]]
+    connection_age_ms: NotRequired[Annotated[int, _ms(1_000, 86_400_000)]]
+    short_attempt_ms: NotRequired[Annotated[int, _ms(10, 600_000)]]
+    long_run_ms: NotRequired[Annotated[int, _ms(1, 600_000)]]
+    queue_limit: NotRequired[Annotated[int, Field(ge=1, le=1_000_000)]]
+    waiting_limit: NotRequired[Annotated[int, Field(ge=1, le=1_000_000)]]
+    transaction_idle_ms: NotRequired[Annotated[int, _ms(100, 3_600_000)]]
+    switchover_limit_ms: NotRequired[Annotated[int, _ms(100, 600_000)]]
+
+
+@with_config(Strict)
+class Settings(TypedDict):
+    """The settings of one process."""
+
+    name: Name
+    role: Literal["proxy", "control"]
+    data_centre: Name
+    region: Name
+    cluster: ClusterSection
+    http: HttpSection
+    control: ControlSection
+    session_key: NotRequired[Key]
+    operator_key: NotRequired[Annotated[str, Field(min_length=16)]]
+    data_folder: NotRequired[str]
+    tls: NotRequired[TlsSection]
+    statsd: NotRequired[StatsdSection]
+    log: NotRequired[LogSection]
+    proxy: NotRequired[ProxySection]
+
+
+_adapter: TypeAdapter[Settings] = TypeAdapter(Settings)
+
+
+def load_settings(path: Path) -> Settings:
+    """Return the settings in a file; raise SettingsInvalid with every fault of its form."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise SettingsInvalid([f"E001 {path}: can't be read: {error.strerror}"]) from error
+    try:
+        raw = jsonc.loads(text)
+    except ValueError as error:
+        raise SettingsInvalid([f"E002 {path}: not JSON with comments: {error}"]) from error
+    try:
+        return _adapter.validate_python(raw)
+    except ValidationError as error:
+        raise SettingsInvalid([f"E003 {line}" for line in fault_list(error)]) from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def is_address(address: str) -> bool:
+    """Tell whether an address has octets and a port in range."""
+    match = re.fullmatch(r"(\d+)\.(\d+)\.(\d+)\.(\d+):(\d+)", address)
+    if match is None:
+        return False
+    *octets, port = (int(part) for part in match.groups())
+    return all(octet <= 255 for octet in octets) and 0 < port <= 65_535
--- /dev/null
+++ b/packages/node/src/endivewick_node/control_api.py
@@ -0,0 +1,105 @@
+"""The HTTP API of a control process, for operators.
+
+docs/reference/http-api.md documents every path, field and failure.
+"""
+
+import hmac
+from typing import Any, Literal
+
+import msgspec
+from endivewick_core.control.events import (
+    BootstrapRequest,
+    GetContracts,
+    GetStatus,
+    GetUpstreams,
+    PutContractRequest,
+    SetUpstreamRequest,
+)
+from endivewick_core.exceptions import (
+    MALFORMED_REQUEST,
+    UNAUTHORIZED,
+    UNKNOWN_PATH,
+    Failure,
+)
+from typing_extensions import TypedDict
+
+from .http_server import Request
+
+
+class ContractBody(TypedDict):
+    """The body of ``PUT /v1/contracts/CUSTOMER``."""
+
+    change_id: str
+    replaces_version: int
+    contract: Any
+
+
+class UpstreamBody(TypedDict):
+    """The body of ``PUT /v1/upstreams/NAME``."""
+
+    change_id: str
+    replaces_version: int
+    wanted: Literal["started", "stopped"]
+
+
+_FIELDS: dict[Any, frozenset[str]] = {
+    kind: frozenset(kind.__annotations__) for kind in (ContractBody, UpstreamBody)
+}
+
+
+def parse_operator(request: Request, operator_key: str) -> Any:
+    """Return the operator's request for the reducer, or a Failure."""
+    if operator_key and not _authorized(request, operator_key):
+        message = "send the operator key as 'authorization: Bearer KEY'"
+        return Failure(UNAUTHORIZED, message)
+    parts = request.path.strip("/").split("/")
+    match (request.method, *parts):
+        case ("GET", "v1", "status"):
+            return GetStatus()
+        case ("GET", "v1", "contracts"):
+            return GetContracts("")
+        case ("GET", "v1", "contracts", customer):
+            return GetContracts(customer)
+        case ("GET", "v1", "upstreams"):
+            return GetUpstreams()
+        case ("POST", "v1", "bootstrap"):
+            return BootstrapRequest()
+        case ("PUT", "v1", "contracts", customer):
+            return _put_contract(request, customer)
+        case ("PUT", "v1", "upstreams", upstream):
+            return _set_upstream(request, upstream)
+    message = f"a control process does not take {request.method} {request.path}"
+    return Failure(UNKNOWN_PATH, message)
+
+
+def _authorized(request: Request, operator_key: str) -> bool:
+    given = request.headers.get("authorization", "")
+    return hmac.compare_digest(given.encode(), f"Bearer {operator_key}".encode())
+
+
+def _body(request: Request, kind: Any) -> Any:
+    try:
+        raw = msgspec.json.decode(request.body)
+        checked = msgspec.convert(raw, kind)
+    except msgspec.MsgspecError as error:
+        return Failure(MALFORMED_REQUEST, f"the body has a fault: {error}")
+    unknown = raw.keys() - _FIELDS[kind]
+    if unknown:
+        return Failure(MALFORMED_REQUEST, f"unknown fields: {', '.join(sorted(unknown))}")
+    return checked
+
+
+def _put_contract(request: Request, customer: str) -> Any:
+    body = _body(request, ContractBody)
+    if isinstance(body, Failure):
+        return body
+    return PutContractRequest(
+        body["change_id"], customer, body["replaces_version"], body["contract"]
+    )
+
+
+def _set_upstream(request: Request, upstream: str) -> Any:
+    body = _body(request, UpstreamBody)
+    if isinstance(body, Failure):
+        return body
+    return SetUpstreamRequest(body["change_id"], upstream, body["replaces_version"], body["wanted"])
--- /dev/null
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -0,0 +1,362 @@
+"""The shell of a proxy: it turns I/O into events and carries out the reducer's effects."""
+
+import ssl
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import trio
+from endivewick_core.codec import CodecFault, decode, encode
+from endivewick_core.exceptions import Failure
+from endivewick_core.messages import (
+    CODEC,
+    ForwardBatch,
+    ForwardedAnswer,
+    ForwardedRequest,
+)
+from endivewick_core.proxy import effects as fx
+from endivewick_core.proxy import events as ev
+from endivewick_core.proxy.reducer import reduce
+from endivewick_core.proxy.state import (
+    ProxySettings,
+    ProxyState,
+    configuration_fresh,
+    lease_holds,
+)
+
+from .clock import now_ms
+from .conf import Settings
+from .http_server import Answer, Connection, HttpServer, Request
+from .logs import log
+from .metrics import Metrics, Series, open_metrics
+from .proxy_api import failure_answer, parse_request
+from .transport import Transport
+from .upstream_client import UpstreamClient
+
+TICK_MS = 20
+METRICS_INTERVAL_MS = 1_000
+ANNOUNCE_INTERVAL_MS = 500
+NOTE_METRIC = "notes"
+HELD_LIMIT_MS = 2_000
+
+
+class HeldAnswers(NamedTuple):
+    """Answers that wait for a connection to their entry proxy."""
+
+    since_ms: int
+    address: str
+    answers: list[ForwardedAnswer]
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What one loop turn forwards to one proxy."""
+
+    requests: list[ForwardedRequest] = field(default_factory=list)
+    answers: list[ForwardedAnswer] = field(default_factory=list)
+
+
+def proxy_settings(settings: Settings) -> ProxySettings:
+    """Return the reducer's settings; defaults stand in ProxySettings."""
+    return ProxySettings(
+        name=settings["name"],
+        boot=uuid.uuid4().hex[:12],
+        address=settings["cluster"]["address"],
+        data_centre=settings["data_centre"],
+        control_addresses=[member["address"] for member in settings["control"]["members"]],
+        session_key=bytes.fromhex(settings["session_key"]),
+        **settings.get("proxy", {}),
+    )
+
+
+class ProxyNode:
+    """One proxy process."""
+
+    def __init__(self, settings: Settings, tls: ssl.SSLContext | None) -> None:
+        """Bind every address; raise AddressInUse where one is taken."""
+        self._state = ProxyState(proxy_settings(settings))
+        self._metrics: Metrics = open_metrics(settings.get("statsd"))
+        self._transport = Transport(settings["cluster"], self._count_dropped)
+        self._server = HttpServer(settings["http"], self._handle_request, tls)
+        self._client = UpstreamClient(self._opened, self._answered, self._broke)
+        self._callers: dict[int, tuple[Connection, ev.Ask, int]] = {}
+        self._next_number = 1
+        self._outboxes: dict[str, Outbox] = {}
+        self._held: list[HeldAnswers] = []
+        self._flush_wanted = trio.Event()
+        self._stopped = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        async with trio.open_nursery() as nursery:
+            self._client.nursery = nursery
+            nursery.start_soon(self._server.serve)
+            nursery.start_soon(self._transport.receive, self._receive)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._flush_forwards)
+            nursery.start_soon(self._report)
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+        self._transport.close()
+
+    def drain(self) -> None:
+        """Begin a planned stop: finish what runs, hand the homes over, then end."""
+        self._reduce(ev.DrainRequested(now_ms()))
+
+    def _reduce(self, event: ev.Event) -> None:
+        for effect in reduce(self._state, event):
+            _CARRY_OUT[type(effect)](self, effect)
+
+    # Events from outside.
+
+    def _handle_request(self, request: Request, connection: Connection) -> None:
+        if request.method == "GET" or request.path == "/v1/drain":
+            connection.answer(self._inspect(request))
+            return
+        parsed = parse_request(request)
+        if isinstance(parsed, Failure):
+            self._metrics.count("requests.refused_at_edge")
+            connection.answer(failure_answer(parsed))
+            return
+        if parsed.announcement is not None:
+            self._reduce(ev.UpstreamAnnounced(now_ms(), parsed.announcement))
+            connection.answer(Answer(200, {"interval_ms": ANNOUNCE_INTERVAL_MS}))
+            return
+        assert parsed.ask is not None
+        number = self._next_number
+        self._next_number += 1
+        started_ms = now_ms()
+        self._callers[number] = (connection, parsed.ask, started_ms)
+        self._reduce(ev.CallerAsked(started_ms, number, parsed.ask))
+
+    def _receive(self, sender: str, frame: bytes) -> None:
+        message = decode(CODEC, frame)
+        if isinstance(message, CodecFault):
+            self._metrics.count("messages.unreadable")
+            log("warning", "message_unreadable", f"{sender}: {message.reason}")
+            return
+        self._reduce(ev.MessageReceived(now_ms(), sender, message))
+
+    def _opened(self, connection: int) -> None:
+        self._reduce(ev.UpstreamOpened(now_ms(), connection))
+
+    def _answered(self, connection: int, answer: ev.UpstreamAnswer) -> None:
+        self._reduce(ev.UpstreamAnswered(now_ms(), connection, answer))
+
+    def _broke(self, connection: int, reason: str) -> None:
+        self._metrics.count("upstream.broken_connections")
+        self._reduce(ev.UpstreamBroke(now_ms(), connection, reason))
+
+    async def _tick(self) -> None:
+        while True:
+            self._reduce(ev.Tick(now_ms()))
+            if self._held:
+                self._retry_held()
+            if self._may_stop():
+                log("info", "stopped", "the planned stop has ended")
+                self._stopped.set()
+            await trio.sleep(TICK_MS / 1000)
+
+    def _may_stop(self) -> bool:
+        state = self._state
+        since_ms = state.draining_since_ms
+        if since_ms is None or now_ms() - since_ms < state.settings.balancer_grace_ms:
+            return False
+        holds = any(
+            group.home_boot == state.settings.boot for group in state.machine.groups.values()
+        )
+        return not (
+            holds or state.entries or self._server.busy_count() or self._outboxes or self._held
+        )
+
+    # Effects.
+
+    def _answer_caller(self, effect: fx.AnswerCaller) -> None:
+        connection, ask, started_ms = self._callers.pop(effect.number)
+        spent_ms = now_ms() - started_ms
+        outcome = effect.failure.type.name if effect.failure else "ok"
+        self._metrics.count(f"requests.{ask.operation}.{outcome}")
+        if effect.failure is None:
+            work_class = ask.work_class or "undeclared"
+            series = Series(ask.customer, work_class, ask.operation, "total")
+            self._metrics.record(series, spent_ms)
+            connection.answer(Answer(200, effect.body, effect.token))
+            return
+        if effect.failure.type.ran == "outcome_unknown":
+            log(
+                "warning",
+                "outcome_unknown",
+                effect.failure.message,
+                customer=ask.customer,
+                request_id=ask.request_id,
+            )
+        connection.answer(failure_answer(effect.failure, effect.token))
+
+    def _send(self, effect: fx.Send) -> None:
+        self._transport.send(effect.address, encode(effect.message))
+
+    def _forward(self, effect: fx.Forward) -> None:
+        self._outbox(effect.address).requests.append(effect.request)
+
+    def _forward_answer(self, effect: fx.ForwardAnswer) -> None:
+        self._outbox(effect.address).answers.append(effect.answer)
+
+    def _open_connection(self, effect: fx.OpenConnection) -> None:
+        self._client.open(effect.connection, effect.address)
+
+    def _send_upstream(self, effect: fx.SendUpstream) -> None:
+        self._client.send(effect.connection, effect.path, effect.body)
+
+    def _close_connection(self, effect: fx.CloseConnection) -> None:
+        self._client.close(effect.connection)
+
+    def _record_served(self, effect: fx.Served) -> None:
+        metrics = self._metrics
+        metrics.count(f"work.{effect.operation}.{effect.outcome}")
+        if effect.operation == "read" and effect.upstream_role:
+            metrics.count(f"reads.by_{effect.upstream_role}")
+        key = (effect.customer, effect.work_class, effect.operation)
+        metrics.record(Series(*key, "queue"), effect.queue_ms)
+        metrics.record(Series(*key, "run"), effect.run_ms)
+
+    def _count(self, effect: fx.Count) -> None:
+        self._metrics.count(effect.name, effect.amount)
+
+    def _note(self, effect: fx.Note) -> None:
+        self._metrics.count(f"{NOTE_METRIC}.{effect.name}")
+        log(effect.level, effect.name, effect.text)
+
+    def _count_dropped(self) -> None:
+        self._metrics.count("messages.dropped")
+
+    # Forwarding between proxies, batched by loop turn.
+
+    def _outbox(self, address: str) -> Outbox:
+        outbox = self._outboxes.get(address)
+        if outbox is None:
+            outbox = self._outboxes[address] = Outbox()
+            self._flush_wanted.set()
+        return outbox
+
+    async def _flush_forwards(self) -> None:
+        while True:
+            await self._flush_wanted.wait()
+            self._flush_wanted = trio.Event()
+            outboxes, self._outboxes = self._outboxes, {}
+            for address, outbox in outboxes.items():
+                batch = ForwardBatch(outbox.requests, outbox.answers)
+                if self._transport.send(address, encode(batch)):
+                    continue
+                if outbox.answers:
+                    self._held.append(HeldAnswers(now_ms(), address, outbox.answers))
+                for request in outbox.requests:
+                    self._reduce(ev.ForwardUnsent(now_ms(), request.number))
+
+    def _retry_held(self) -> None:
+        """Send again the answers whose connection back was still being opened."""
+        held, self._held = self._held, []
+        oldest_ms = now_ms() - HELD_LIMIT_MS
+        for item in held:
+            if item.since_ms < oldest_ms:
+                self._metrics.count("messages.answers_lost", len(item.answers))
+                continue
+            batch = ForwardBatch([], item.answers)
+            if not self._transport.send(item.address, encode(batch)):
+                self._held.append(item)
+
+    # Reports.
+
+    def _inspect(self, request: Request) -> Answer:
+        if request.path == "/v1/drain" and request.method == "POST":
+            self.drain()
+            return Answer(200, {"draining": True})
+        view = _VIEWS.get(request.path)
+        if view is None:
+            paths = ", ".join(sorted(_VIEWS))
+            body: dict[str, Any] = {"error": "unknown_path", "message": f"GET takes {paths}"}
+            return Answer(404, body)
+        return view(self)
+
+    def _health(self) -> Answer:
+        state = self._state
+        reason = ""
+        if state.draining_since_ms is not None:
+            reason = "draining"
+        elif not configuration_fresh(state, now_ms()):
+            reason = "configuration_stale"
+        return Answer(503 if reason else 200, {"healthy": not reason, "reason": reason})
+
+    def _status(self) -> Answer:
+        state = self._state
+        homes = [
+            {
+                "group": home.group,
+                "home_epoch": home.epoch,
+                "phase": str(home.phase),
+                "queued": home.writes.size + home.reads.size + home.long.size,
+                "transactions": len(home.transactions),
+                "request_ids": len(home.once),
+                "upstreams": [
+                    {
+                        "name": item.name,
+                        "role": item.role,
+                        "term": item.position.term,
+                        "position": item.position.offset,
+                        "connections": len(item.connections),
+                        "running": item.running,
+                        "leaving": item.leaving,
+                        "heard_ms_ago": now_ms() - item.heard_ms if item.heard_ms else None,
+                    }
+                    for item in home.instances.values()
+                ],
+            }
+            for home in state.homes.values()
+        ]
+        body = {
+            "name": state.settings.name,
+            "revision": state.machine.revision,
+            "lease": lease_holds(state, now_ms()),
+            "configuration_fresh": configuration_fresh(state, now_ms()),
+            "draining": state.draining_since_ms is not None,
+            "callers": len(self._server.connections),
+            "requests": len(state.entries),
+            "homes": homes,
+            "totals": self._metrics.totals,
+        }
+        return Answer(200, body)
+
+    def _histograms(self) -> Answer:
+        return Answer(200, {"histograms": self._metrics.histogram_rows()})
+
+    async def _report(self) -> None:
+        while True:
+            await trio.sleep(METRICS_INTERVAL_MS / 1000)
+            state = self._state
+            metrics = self._metrics
+            metrics.gauge("callers.connections", len(self._server.connections))
+            metrics.gauge("callers.requests", len(state.entries))
+            metrics.gauge("configuration.revision", state.machine.revision)
+            metrics.gauge("homes.held", len(state.homes))
+            waiting = sum(len(numbers) for numbers in state.waiting.values())
+            metrics.gauge("requests.waiting_for_home", waiting)
+            metrics.flush()
+
+
+_CARRY_OUT: dict[type, Callable[[ProxyNode, Any], None]] = {
+    fx.AnswerCaller: ProxyNode._answer_caller,
+    fx.Send: ProxyNode._send,
+    fx.Forward: ProxyNode._forward,
+    fx.ForwardAnswer: ProxyNode._forward_answer,
+    fx.OpenConnection: ProxyNode._open_connection,
+    fx.SendUpstream: ProxyNode._send_upstream,
+    fx.CloseConnection: ProxyNode._close_connection,
+    fx.Served: ProxyNode._record_served,
+    fx.Count: ProxyNode._count,
+    fx.Note: ProxyNode._note,
+}
+_VIEWS: dict[str, Callable[[ProxyNode], Answer]] = {
+    "/v1/health": ProxyNode._health,
+    "/v1/status": ProxyNode._status,
+    "/v1/histograms": ProxyNode._histograms,
+}
--- /dev/null
+++ b/packages/node/src/endivewick_node/transport.py
@@ -0,0 +1,102 @@
+"""Messages between endivewick processes over zmq.
+
+Each process binds one ROUTER for what it receives, and connects one DEALER per process that it
+sends to. A DEALER's identity is the sender's own address. A message to a process that can't be
+reached is dropped and counted: every protocol here repeats what matters.
+"""
+
+from collections.abc import Callable
+
+import trio
+import zmq
+
+from .conf import ClusterSection
+from .exceptions import AddressInUse
+
+SEND_LIMIT = 2_000
+RECONNECT_MS = 100
+RECONNECT_LIMIT_MS = 1_000
+HEARTBEAT_MS = 1_000
+HEARTBEAT_TIMEOUT_MS = 3_000
+FRAMES_PER_TURN = 200
+
+
+class Transport:
+    """The zmq sockets of one process; use them from the loop's thread only."""
+
+    def __init__(self, section: ClusterSection, dropped: Callable[[], None]) -> None:
+        """Bind the ROUTER; raise AddressInUse where the address can't be bound."""
+        self._context = zmq.Context()
+        self._address = section["address"]
+        self._routes = section.get("routes", {})
+        self._dropped = dropped
+        self._dealers: dict[str, zmq.Socket[bytes]] = {}
+        self._router: zmq.Socket[bytes] = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._router.setsockopt(zmq.RCVHWM, SEND_LIMIT)
+        try:
+            self._router.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            self._context.destroy(linger=0)
+            message = f"cluster.address: can't bind {self._address}: {error}; free it or change it"
+            raise AddressInUse(message) from error
+
+    def send(self, address: str, frame: bytes) -> bool:
+        """Queue a frame for the process at ``address``; tell whether it was taken."""
+        dealer = self._dealers.get(address)
+        if dealer is None:
+            dealer = self._connect(address)
+        try:
+            dealer.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            self._dropped()
+            return False
+        return True
+
+    def connect(self, address: str) -> None:
+        """Connect to a process ahead of the first message."""
+        if address not in self._dealers:
+            self._connect(address)
+
+    async def receive(self, handle: Callable[[str, bytes], None]) -> None:
+        """Pass every received frame with its sender's address to ``handle``."""
+        descriptor = int(self._router.getsockopt(zmq.FD))
+        while True:
+            taken = self._drain(handle)
+            if taken == FRAMES_PER_TURN:
+                await trio.lowlevel.checkpoint()
+                continue
+            if int(self._router.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
+                continue
+            await trio.lowlevel.wait_readable(descriptor)
+
+    def close(self) -> None:
+        """Close all sockets, dropping what was not sent."""
+        self._context.destroy(linger=0)
+
+    def _drain(self, handle: Callable[[str, bytes], None]) -> int:
+        for taken in range(FRAMES_PER_TURN):
+            try:
+                identity, frame = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return taken
+            except ValueError:
+                self._dropped()
+                continue
+            handle(identity.decode(errors="replace"), frame)
+        return FRAMES_PER_TURN
+
+    def _connect(self, address: str) -> "zmq.Socket[bytes]":
+        dealer: zmq.Socket[bytes] = self._context.socket(zmq.DEALER)
+        dealer.setsockopt(zmq.LINGER, 0)
+        dealer.setsockopt(zmq.IDENTITY, self._address.encode())
+        dealer.setsockopt(zmq.SNDHWM, SEND_LIMIT)
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_LIMIT_MS)
+        dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        dealer.connect(f"tcp://{self._routes.get(address, address)}")
+        self._dealers[address] = dealer
+        return dealer
--- /dev/null
+++ b/tests/test_positions.py
@@ -0,0 +1,25 @@
+"""Tests of log positions and forks."""
+
+from endivewick_core.positions import Fork, Position, covers, survives
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+
+def test_position_below_the_fork_survives():
+    assert_that(survives(Position(1, 5), [Fork(2, 5)]), Equals(True))
+
+
+def test_position_above_the_fork_is_lost():
+    assert_that(survives(Position(1, 6), [Fork(2, 5)]), Equals(False))
+
+
+def test_position_of_the_new_term_survives_its_own_fork():
+    assert_that(survives(Position(2, 9), [Fork(2, 5)]), Equals(True))
+
+
+def test_position_lost_at_any_later_fork_is_lost():
+    assert_that(survives(Position(1, 5), [Fork(2, 7), Fork(3, 4)]), Equals(False))
+
+
+def test_replica_of_an_older_term_covers_nothing_newer():
+    assert_that(covers(Position(1, 100), Position(2, 3)), Equals(False))
