Add endivewickctl, and let entries acknowledge only under a home's grant

Cause: an entry trusted what was left of the home's lease, but a home that keeps its lease may replace the primary itself; an entry held up for some hundred milliseconds could then acknowledge a write of the replaced primary. Found by reading, while writing the checker for that promise. Ruled out: asking the home before every acknowledgement, since it adds a round trip to each write. Change: a write's answer carries a grant of at most 400 ms, bound to the term; the home proposes a promotion only after its last grant ran out, and an entry past the grant asks the home again. The operator's command: contract, upstream, status, histogram, drain and bootstrap, with exit codes. The digest of a change leaves out the version it replaces, so a resend with the same change id gets the first answer even where the command has read a newer version.

--- a/packages/core/src/endivewick_core/control/leases.py
+++ b/packages/core/src/endivewick_core/control/leases.py
@@ -100,6 +100,7 @@
         heartbeat.proxy,
         heartbeat.boot,
         heartbeat.address,
+        heartbeat.http_address,
         heartbeat.data_centre,
         now_ms,
         revision,
--- a/packages/core/src/endivewick_core/control/operators.py
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -132,6 +132,7 @@
     body["proxies"] = [
         {
             "name": lease.proxy,
+            "http_address": lease.http_address,
             "data_centre": lease.data_centre,
             "revision": lease.revision,
             "behind": max(0, state.machine.revision - lease.revision),
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -59,6 +59,7 @@
     proxy: str
     boot: str
     address: str
+    http_address: str
     data_centre: str
     granted_ms: int
     revision: int
--- a/packages/core/src/endivewick_core/machine.py
+++ b/packages/core/src/endivewick_core/machine.py
@@ -123,8 +123,12 @@
 
 
 def content_digest(command: PutContract | SetUpstream) -> str:
-    """Return a digest of a change's content, its change id included."""
-    return xxhash.xxh3_128_hexdigest(encode(command))
+    """Return a digest of a change's content.
+
+    The version that it replaces is left out: a resend may name the version that the first attempt
+    made.
+    """
+    return xxhash.xxh3_128_hexdigest(encode(command._replace(replaces_version=0)))
 
 
 def apply_command(machine: Machine, index: int, command: Any) -> ChangeResult:
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -106,6 +106,7 @@
     proxy: str
     boot: str
     address: str
+    http_address: str
     data_centre: str
     sequence: int
     revision: int
@@ -177,8 +178,8 @@
 class ForwardedAnswer(NamedTuple):
     """The home's answer to a ForwardedRequest.
 
-    ``lease_left_ms`` is what was left of the home's lease when it answered; the entry may
-    acknowledge the answer until ``sent_at_ms + lease_left_ms`` on its own clock.
+    ``grant_left_ms`` is how long the home lets the entry acknowledge the answer: until
+    ``sent_at_ms + grant_left_ms`` on the entry's own clock.
     """
 
     number: int
@@ -193,7 +194,7 @@
     term: int
     offset: int
     sent_at_ms: int
-    lease_left_ms: int
+    grant_left_ms: int
     is_write: bool
 
 
@@ -204,21 +205,23 @@
     answers: list[ForwardedAnswer]
 
 
-class LeaseQuestion(NamedTuple):
-    """Ask a home what is left of its lease on a group."""
+class GrantQuestion(NamedTuple):
+    """Ask a home whether writes of a term of its group may still be acknowledged."""
 
     group: str
     home_epoch: int
+    term: int
     sent_at_ms: int
 
 
-class LeaseAnswer(NamedTuple):
-    """Answer a LeaseQuestion; ``lease_left_ms`` is zero where the lease ended."""
+class GrantAnswer(NamedTuple):
+    """Answer a GrantQuestion; ``grant_left_ms`` is zero where the grant was revoked."""
 
     group: str
     home_epoch: int
+    term: int
     sent_at_ms: int
-    lease_left_ms: int
+    grant_left_ms: int
 
 
 CODEC = build_codec(
@@ -235,8 +238,8 @@
         LeaderHint,
         Announcement,
         ForwardBatch,
-        LeaseQuestion,
-        LeaseAnswer,
+        GrantQuestion,
+        GrantAnswer,
     )
 )
 
--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -50,7 +50,7 @@
     """Queue work outside transactions, unless its request id or the load forbids it."""
     seen = once.check(state, now_ms, home, work)
     if isinstance(seen, answers.Repeated):
-        return [answers.send(state, now_ms, work.origin, seen.answer)]
+        return [answers.send(state, now_ms, home, work.origin, seen.answer)]
     if seen is not None:
         return [answers.refuse(state, now_ms, home, work.origin, seen)]
     overload = _overload(state, now_ms, home, work, contract)
--- a/packages/core/src/endivewick_core/proxy/answers.py
+++ b/packages/core/src/endivewick_core/proxy/answers.py
@@ -1,4 +1,4 @@
-"""The answers that a home gives, each stamped with what is left of its lease."""
+"""The answers that a home gives, and the grants to acknowledge writes that go with them."""
 
 from typing import Any, NamedTuple
 
@@ -6,7 +6,7 @@
 from ..messages import ForwardedAnswer, ForwardedRequest
 from .effects import ForwardAnswer, Served
 from .events import UpstreamAnswer
-from .state import Home, ProxyState
+from .state import Home, ProxyState, is_active
 from .work import Origin, Work
 
 WRITES = ("write", "commit", "begin")
@@ -61,21 +61,35 @@
         answer.term,
         answer.offset,
         work.origin.sent_at_ms,
-        _lease_left_ms(state, now_ms),
+        0,
         work.operation in WRITES,
     )
 
 
-def send(state: ProxyState, now_ms: int, origin: Origin, answer: ForwardedAnswer) -> ForwardAnswer:
-    """Send an answer to its origin, with the lease that is left now."""
-    stamped = answer._replace(
-        number=origin.number,
-        sent_at_ms=origin.sent_at_ms,
-        lease_left_ms=_lease_left_ms(state, now_ms),
-    )
+def send(
+    state: ProxyState, now_ms: int, home: Home, origin: Origin, answer: ForwardedAnswer
+) -> ForwardAnswer:
+    """Send an answer to its origin; a write's answer carries the grant that is left now."""
+    stamped = answer._replace(number=origin.number, sent_at_ms=origin.sent_at_ms)
+    if answer.is_write:
+        left_ms = grant(state, now_ms, home, answer.term)
+        stamped = stamped._replace(grant_left_ms=left_ms)
     return ForwardAnswer(origin.address, stamped)
 
 
+def grant(state: ProxyState, now_ms: int, home: Home, term: int) -> int:
+    """Let an entry acknowledge writes of ``term``, and remember until when; return for how long.
+
+    The home replaces the primary only after every such grant has run out.
+    """
+    in_term = state.machine.groups[home.group].term == term
+    if not in_term or not is_active(state, home, now_ms):
+        return 0
+    left_ms = min(state.settings.grant_ms, state.lease_until_ms - now_ms)
+    home.granted_until_ms = max(home.granted_until_ms, now_ms + left_ms)
+    return left_ms
+
+
 def value_answer(
     state: ProxyState, now_ms: int, home: Home, work: Work, value: Any
 ) -> ForwardAnswer:
@@ -93,7 +107,7 @@
         0,
         0,
         work.origin.sent_at_ms,
-        _lease_left_ms(state, now_ms),
+        0,
         False,
     )
     return ForwardAnswer(work.origin.address, answer)
@@ -113,10 +127,6 @@
     )
 
 
-def _lease_left_ms(state: ProxyState, now_ms: int) -> int:
-    return max(0, state.lease_until_ms - now_ms)
-
-
 def _failed(
     state: ProxyState,
     now_ms: int,
@@ -139,7 +149,7 @@
         0,
         0,
         origin.sent_at_ms,
-        _lease_left_ms(state, now_ms),
+        0,
         False,
     )
     return ForwardAnswer(origin.address, answer)
--- a/packages/core/src/endivewick_core/proxy/configuration.py
+++ b/packages/core/src/endivewick_core/proxy/configuration.py
@@ -91,6 +91,7 @@
         settings.name,
         settings.boot,
         settings.address,
+        settings.http_address,
         settings.data_centre,
         state.sequence,
         state.machine.revision,
--- a/packages/core/src/endivewick_core/proxy/entry.py
+++ b/packages/core/src/endivewick_core/proxy/entry.py
@@ -1,7 +1,7 @@
 """The entry of a caller's request: checks, the way to its group's home, and the answer.
 
 A request is sent to one home at a time. It is sent again only where the home said that it was not
-run, or where it only reads. A successful write is acknowledged only while the home's lease, as far
+run, or where it only reads. A successful write is acknowledged only while the home's grant, as far
 as this process can tell by its own clock, is valid.
 """
 
@@ -21,8 +21,8 @@
 from ..messages import (
     ForwardedAnswer,
     ForwardedRequest,
-    LeaseAnswer,
-    LeaseQuestion,
+    GrantAnswer,
+    GrantQuestion,
 )
 from ..positions import ZERO, Position
 from ..tokens import advance, decode_token, encode_token
@@ -75,12 +75,12 @@
         return _wait(state, now_ms, entry)
     if answer.failure:
         return [_fail_as(state, entry, answer)]
-    if not answer.is_write or _lease_known(state, now_ms, entry, answer):
+    if not answer.is_write or _may_acknowledge(state, now_ms, entry, answer):
         return [_succeed(state, entry, answer)]
     entry.stage = EntryStage.CONFIRMING
     entry.answer = answer
-    question = LeaseQuestion(entry.group, entry.home_epoch, now_ms)
-    return [Count("entry.lease_questions"), Send(entry.home_address, question)]
+    question = GrantQuestion(entry.group, entry.home_epoch, answer.term, now_ms)
+    return [Count("entry.grant_questions"), Send(entry.home_address, question)]
 
 
 def handle_unsent(state: ProxyState, event: ForwardUnsent) -> list[Effect]:
@@ -91,15 +91,16 @@
     return _wait(state, event.now_ms, entry)
 
 
-def handle_lease_answer(state: ProxyState, now_ms: int, answer: LeaseAnswer) -> list[Effect]:
-    """Release the answers that waited to learn whether the home's lease is valid."""
-    until_ms = answer.sent_at_ms + answer.lease_left_ms
-    state.home_leases[answer.group] = (answer.home_epoch, until_ms)
+def handle_grant(state: ProxyState, now_ms: int, answer: GrantAnswer) -> list[Effect]:
+    """End the writes that waited to learn whether they may still be acknowledged."""
+    until_ms = answer.sent_at_ms + answer.grant_left_ms
+    state.grants[answer.group] = (answer.home_epoch, answer.term, until_ms)
     effects: list[Effect] = []
     for entry in list(state.entries.values()):
         if entry.stage is not EntryStage.CONFIRMING or entry.answer is None:
             continue
-        if (entry.group, entry.home_epoch) != (answer.group, answer.home_epoch):
+        of_grant = (answer.group, answer.home_epoch, answer.term)
+        if (entry.group, entry.home_epoch, entry.answer.term) != of_grant:
             continue
         if now_ms < until_ms:
             effects.append(_succeed(state, entry, entry.answer))
@@ -184,13 +185,13 @@
     return []
 
 
-def _lease_known(state: ProxyState, now_ms: int, entry: Entry, answer: ForwardedAnswer) -> bool:
-    """Tell whether the home's lease is valid now, by this process's clock alone."""
-    until_ms = answer.sent_at_ms + answer.lease_left_ms
-    known_epoch, known_ms = state.home_leases.get(entry.group, (0, 0))
-    if known_epoch == entry.home_epoch:
+def _may_acknowledge(state: ProxyState, now_ms: int, entry: Entry, answer: ForwardedAnswer) -> bool:
+    """Tell whether the home lets this entry acknowledge the write now, by its own clock."""
+    until_ms = answer.sent_at_ms + answer.grant_left_ms
+    known_epoch, known_term, known_ms = state.grants.get(entry.group, (0, 0, 0))
+    if (known_epoch, known_term) == (entry.home_epoch, answer.term):
         until_ms = max(until_ms, known_ms)
-    state.home_leases[entry.group] = (entry.home_epoch, until_ms)
+    state.grants[entry.group] = (entry.home_epoch, answer.term, until_ms)
     return now_ms < until_ms
 
 
--- a/packages/core/src/endivewick_core/proxy/failover.py
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -95,6 +95,9 @@
 
 
 def _propose(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Propose the best reachable upstream once no entry may acknowledge older writes."""
+    if now_ms < home.granted_until_ms:
+        return []
     group = state.machine.groups[home.group]
     candidates = _candidates(state, now_ms, home, None)
     others = [item for item in home.instances.values() if item.name != group.primary]
--- a/packages/core/src/endivewick_core/proxy/homes.py
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -101,7 +101,10 @@
 
 
 def _take(state: ProxyState, now_ms: int, name: str, epoch: int) -> list[Effect]:
-    state.homes[name] = Home(name, epoch, now_ms, phase_since_ms=now_ms)
+    granted_until_ms = now_ms + state.settings.grant_ms
+    state.homes[name] = Home(
+        name, epoch, now_ms, phase_since_ms=now_ms, granted_until_ms=granted_until_ms
+    )
     return [Note("info", "home_taken", f"holds group {name} in home epoch {epoch}")]
 
 
--- a/packages/core/src/endivewick_core/proxy/reducer.py
+++ b/packages/core/src/endivewick_core/proxy/reducer.py
@@ -5,13 +5,14 @@
 from ..messages import (
     Announcement,
     ForwardBatch,
+    GrantAnswer,
+    GrantQuestion,
     HeartbeatReply,
     LeaderHint,
-    LeaseAnswer,
-    LeaseQuestion,
 )
 from . import (
     admission,
+    answers,
     configuration,
     connections,
     dispatch,
@@ -76,10 +77,10 @@
         return configuration.handle_hint(state, now_ms, message)
     if isinstance(message, Announcement):
         return homes.note_announcement(state, now_ms, message)
-    if isinstance(message, LeaseQuestion):
-        return [Send(sender, _lease_answer(state, now_ms, message))]
-    if isinstance(message, LeaseAnswer):
-        return entry.handle_lease_answer(state, now_ms, message)
+    if isinstance(message, GrantQuestion):
+        return [Send(sender, _grant_answer(state, now_ms, message))]
+    if isinstance(message, GrantAnswer):
+        return entry.handle_grant(state, now_ms, message)
     text = f"a proxy got a {type(message).__name__}"
     return [Note("warning", "message_unexpected", text)]
 
@@ -95,12 +96,12 @@
     return effects
 
 
-def _lease_answer(state: ProxyState, now_ms: int, question: LeaseQuestion) -> LeaseAnswer:
+def _grant_answer(state: ProxyState, now_ms: int, question: GrantQuestion) -> GrantAnswer:
     home = state.homes.get(question.group)
     left_ms = 0
     if home is not None and home.epoch == question.home_epoch:
-        left_ms = max(0, state.lease_until_ms - now_ms)
-    return LeaseAnswer(question.group, question.home_epoch, question.sent_at_ms, left_ms)
+        left_ms = answers.grant(state, now_ms, home, question.term)
+    return GrantAnswer(*question, grant_left_ms=left_ms)
 
 
 def _tick(state: ProxyState, event: Tick) -> list[Effect]:
--- a/packages/core/src/endivewick_core/proxy/results.py
+++ b/packages/core/src/endivewick_core/proxy/results.py
@@ -340,7 +340,7 @@
 ) -> list[Effect]:
     once.record(home, work, reply)
     return [
-        answers.send(state, now_ms, work.origin, reply),
+        answers.send(state, now_ms, home, work.origin, reply),
         answers.served(work, now_ms, "ok", reply.role),
     ]
 
--- a/packages/core/src/endivewick_core/proxy/state.py
+++ b/packages/core/src/endivewick_core/proxy/state.py
@@ -20,10 +20,12 @@
     name: str
     boot: str
     address: str
+    http_address: str
     data_centre: str
     control_addresses: list[str]
     session_key: bytes
     heartbeat_ms: int = 250
+    grant_ms: int = 400
     control_timeout_ms: int = 500
     configuration_limit_ms: int = 4_000
     balancer_grace_ms: int = 1_000
@@ -160,6 +162,7 @@
     mean_run_ms: float = 5.0
     writes_in_row: int = 0
     releasing: bool = False
+    granted_until_ms: int = 0
     serial: int = 0
     sweep_due_ms: int = 0
 
@@ -194,6 +197,9 @@
 class ProxyState:
     """The whole state of a proxy; ``reduce`` alone changes it.
 
+    ``grants`` holds for a group the home epoch, the term and until when its home lets this entry
+    acknowledge writes.
+
     ``confirmed_ms`` is when the heartbeat was sent whose reply last confirmed the configuration,
     and ``lease_until_ms`` the end of the lease; both are on this process's clock.
     """
@@ -212,7 +218,7 @@
     announced: dict[str, Announcement] = field(default_factory=dict)
     entries: dict[int, Entry] = field(default_factory=dict)
     waiting: dict[str, list[int]] = field(default_factory=dict)
-    home_leases: dict[str, tuple[int, int]] = field(default_factory=dict)
+    grants: dict[str, tuple[int, int, int]] = field(default_factory=dict)
     homes: dict[str, Home] = field(default_factory=dict)
     connections: dict[int, tuple[str, str]] = field(default_factory=dict)
     next_connection: int = 1
--- /dev/null
+++ b/packages/ctl/src/endivewick_ctl/main.py
@@ -0,0 +1,114 @@
+"""The command endivewickctl.
+
+Usage: endivewickctl [flags] COMMAND
+
+  contract put CUSTOMER FILE     put a contract (--change_id, --replaces, --wait)
+  contract get CUSTOMER          show a contract
+  contract list                  list all contracts
+  contract diff CUSTOMER FILE    compare a file with the contract in force
+  upstream start|stop NAME       let an upstream take work, or not (--change_id, --wait)
+  upstream list                  list the upstreams
+  status                         who leads, who lags, which proxies are behind
+  histogram [CUSTOMER]           run and queue times per customer and class
+  drain PROXY                    begin the planned stop of a proxy
+  bootstrap                      start a new cluster
+
+Exit codes: 0 done, 1 refused, 2 wrong use, 3 conflict with another change, 4 no answer or outcome
+unknown, 5 accepted but not yet in force everywhere.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from . import contracts, reports, upstreams
+from .client import Target
+from .exceptions import USAGE, CommandFailed
+
+CONTROL_VARIABLE = "ENDIVEWICK_CONTROL"
+
+_CONTROL = flags.DEFINE_list(
+    "control", None, f"Operator addresses of the control processes; or set {CONTROL_VARIABLE}."
+)
+_KEY_FILE = flags.DEFINE_string("key_file", None, "A file that holds the operator key.")
+_CA_FILE = flags.DEFINE_string("ca_file", "", "Use TLS, and trust this PEM file.")
+_JSON = flags.DEFINE_bool("json", False, "Print JSON in place of tables.")
+_CHANGE_ID = flags.DEFINE_string("change_id", "", "The change id; repeat it to resend a change.")
+_REPLACES = flags.DEFINE_integer(
+    "replaces", None, "The version that the contract replaces; default: the one in force."
+)
+_WAIT = flags.DEFINE_bool("wait", False, "Return once the change is in force at every proxy.")
+
+
+def run() -> None:
+    """Run the command; the entry point of the package."""
+    app.run(_main, flags_parser=_parse_flags)
+
+
+def _parse_flags(arguments: list[str]) -> list[str]:
+    try:
+        return flags.FLAGS(arguments)
+    except flags.Error as error:
+        print(f"{error}\n\n{__doc__}", file=sys.stderr)
+        sys.exit(USAGE)
+
+
+def _main(arguments: list[str]) -> None:
+    try:
+        _run_command(arguments[1:])
+    except CommandFailed as failure:
+        print(f"{failure.message}\n{failure.advice}", file=sys.stderr)
+        sys.exit(failure.exit_code)
+
+
+def _run_command(words: list[str]) -> None:
+    as_json = _JSON.value
+    match words:
+        case ["contract", "put", customer, path]:
+            replaces, wait = _REPLACES.value, _WAIT.value
+            contracts.put(_target(), customer, path, _CHANGE_ID.value, replaces, wait, as_json)
+        case ["contract", "get", customer]:
+            contracts.get(_target(), customer, as_json)
+        case ["contract", "list"]:
+            contracts.list_all(_target(), as_json)
+        case ["contract", "diff", customer, path]:
+            contracts.diff(_target(), customer, path, as_json)
+        case ["upstream", ("start" | "stop") as action, name]:
+            wanted = "started" if action == "start" else "stopped"
+            upstreams.set_wanted(_target(), name, wanted, _CHANGE_ID.value, _WAIT.value, as_json)
+        case ["upstream", "list"]:
+            upstreams.list_all(_target(), as_json)
+        case ["status"]:
+            reports.status(_target(), as_json)
+        case ["histogram"]:
+            reports.histogram(_target(), "", as_json)
+        case ["histogram", customer]:
+            reports.histogram(_target(), customer, as_json)
+        case ["drain", proxy]:
+            reports.drain(_target(), proxy, as_json)
+        case ["bootstrap"]:
+            reports.bootstrap(_target(), as_json)
+        case _:
+            raise CommandFailed(USAGE, f"unknown command: {' '.join(words) or '(none)'}", __doc__)
+
+
+def _target() -> Target:
+    addresses = _CONTROL.value or os.environ.get(CONTROL_VARIABLE, "").split(",")
+    addresses = [address for address in addresses if address]
+    if not addresses:
+        advice = f"give --control=IP:PORT,... or set {CONTROL_VARIABLE}"
+        raise CommandFailed(USAGE, "no control process is named", advice)
+    return Target(addresses, _operator_key(), _CA_FILE.value)
+
+
+def _operator_key() -> str:
+    path = _KEY_FILE.value
+    if path is None:
+        return ""
+    try:
+        return Path(path).read_text().strip()
+    except OSError as error:
+        message = f"--key_file {path} can't be read: {error.strerror}"
+        raise CommandFailed(USAGE, message, "name a file that exists") from error
--- /dev/null
+++ b/packages/ctl/src/endivewick_ctl/upstreams.py
@@ -0,0 +1,52 @@
+"""The upstream commands: start, stop and list."""
+
+import uuid
+
+from .client import Target, ask_leader
+from .contracts import wait_in_force
+from .exceptions import REFUSED, CommandFailed
+from .render import print_json, print_table
+
+UPSTREAM_COLUMNS = (
+    "name",
+    "group",
+    "address",
+    "data_centre",
+    "slots",
+    "connection_cap",
+    "wanted",
+    "version",
+)
+
+
+def set_wanted(
+    target: Target, name: str, wanted: str, change_id: str, wait: bool, as_json: bool
+) -> None:
+    """Start or stop an upstream: a stopped one gets no new work."""
+    upstreams = ask_leader(target, "GET", "/v1/upstreams")["upstreams"]
+    known = [row for row in upstreams if row["name"] == name]
+    if not known:
+        names = ", ".join(sorted(row["name"] for row in upstreams)) or "none yet"
+        message = f"no upstream {name} has announced itself"
+        raise CommandFailed(REFUSED, message, f"known upstreams: {names}")
+    body = {
+        "change_id": change_id or uuid.uuid4().hex,
+        "replaces_version": known[0]["version"],
+        "wanted": wanted,
+    }
+    answer = ask_leader(target, "PUT", f"/v1/upstreams/{name}", body)
+    if wait:
+        answer["in_force"] = wait_in_force(target, answer["revision"])
+    if as_json:
+        print_json({**answer, "change_id": body["change_id"]})
+        return
+    print(f"{name}: {wanted}, version {answer['version']} (change {body['change_id']})")
+
+
+def list_all(target: Target, as_json: bool) -> None:
+    """List the upstreams that announced themselves."""
+    answer = ask_leader(target, "GET", "/v1/upstreams")
+    if as_json:
+        print_json(answer)
+        return
+    print_table(answer["upstreams"], UPSTREAM_COLUMNS)
--- a/packages/node/src/endivewick_node/conf.py
+++ b/packages/node/src/endivewick_node/conf.py
@@ -88,6 +88,7 @@
     """The limits and times of a proxy; docs/reference/settings.md gives each default."""
 
     heartbeat_ms: NotRequired[Annotated[int, _ms(20, 10_000)]]
+    grant_ms: NotRequired[Annotated[int, _ms(50, 60_000)]]
     control_timeout_ms: NotRequired[Annotated[int, _ms(50, 60_000)]]
     configuration_limit_ms: NotRequired[Annotated[int, _ms(500, 7_000)]]
     balancer_grace_ms: NotRequired[Annotated[int, _ms(0, 600_000)]]
--- a/packages/node/src/endivewick_node/proxy_node.py
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -63,6 +63,7 @@
         name=settings["name"],
         boot=uuid.uuid4().hex[:12],
         address=settings["cluster"]["address"],
+        http_address=settings["http"]["address"],
         data_centre=settings["data_centre"],
         control_addresses=[member["address"] for member in settings["control"]["members"]],
         session_key=bytes.fromhex(settings["session_key"]),
