--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -5,16 +5,11 @@
 """
 
 from ..contracts import Contract
-from ..exceptions import (
-    OVERLOADED,
-    SESSION_LOST,
-    UNKNOWN_CUSTOMER,
-    Failure,
-)
+from ..exceptions import OVERLOADED, UNKNOWN_CUSTOMER, Failure
 from ..messages import ForwardedRequest
-from ..positions import ZERO, Position, survives
-from . import answers, classes, dispatch, once, transactions
-from .effects import Effect
+from ..positions import Position
+from . import answers, classes, dispatch, once, replicas, transactions
+from .effects import Count, Effect
 from .queueing import FairQueue
 from .state import Home, ProxyState, lease_holds
 from .work import Origin, Work
@@ -31,14 +26,16 @@
     if contract is None:
         failure = Failure(UNKNOWN_CUSTOMER, f"customer {request.customer} has no contract here")
         return [answers.refuse(state, now_ms, home, origin, failure)]
+    if origin in home.taken:
+        return [Count("home.doubled_requests")]
+    home.taken[origin] = now_ms
     work = _work(state, now_ms, origin, request, contract)
     if _must_wait(state, work):
         return [answers.not_home(state, now_ms, origin, request)]
     if request.operation == "issue_ids":
         return [once.issue(state, now_ms, home, work)]
-    fault = _session_fault(state, home, work)
-    if fault is not None:
-        return [answers.refuse(state, now_ms, home, origin, fault)]
+    if not replicas.session_holds(state, home, work):
+        return [answers.refuse(state, now_ms, home, origin, replicas.LOST)]
     if work.transaction:
         return transactions.admit(state, now_ms, home, work)
     return _admit_single(state, now_ms, home, work, contract)
@@ -104,20 +101,6 @@
     return work.operation == "begin" or (work.work_class == "long" and not work.transaction)
 
 
-def _session_fault(state: ProxyState, home: Home, work: Work) -> Failure | None:
-    """Refuse a session whose writes were lost at a fork, never answer it from older data."""
-    if work.wanted == ZERO:
-        return None
-    group = state.machine.groups[home.group]
-    if work.wanted.term <= group.term and survives(work.wanted, group.forks):
-        return None
-    message = (
-        "the session has seen writes that a change of primary lost; read the data again in a new "
-        "session, that is without a token"
-    )
-    return Failure(SESSION_LOST, message)
-
-
 def _overload(
     state: ProxyState, now_ms: int, home: Home, work: Work, contract: Contract
 ) -> Failure | None:
--- a/packages/core/src/endivewick_core/proxy/entry.py
+++ b/packages/core/src/endivewick_core/proxy/entry.py
@@ -32,7 +32,7 @@
 
 LATE_ANSWER_MS = 500
 REROUTE_MS = 50
-REPEATABLE = ("read", "issue_ids")
+REPEATABLE = ("read", "issue_ids", "begin")
 
 
 def handle_caller(state: ProxyState, event: CallerAsked) -> list[Effect]:
@@ -69,7 +69,8 @@
     entry = state.entries.get(answer.number)
     if entry is None or entry.stage is not EntryStage.SENT:
         return [Count("entry.late_answer")]
-    if (answer.group, answer.home_epoch) != (entry.group, entry.home_epoch):
+    expected = (entry.group, entry.home_epoch, entry.sent_ms)
+    if (answer.group, answer.home_epoch, answer.sent_at_ms) != expected:
         return [Count("entry.foreign_answer")]
     if answer.failure == "not_home":
         return _wait(state, now_ms, entry)
@@ -216,7 +217,7 @@
         message = f"group {entry.group} had no home within the deadline; send it again"
         return _fail(state, entry, Failure(NO_HOME, message, retry_after_ms=1_000))
     if entry.ask.operation in REPEATABLE:
-        message = "the read had no answer within its deadline; send it again"
+        message = "no answer came within the deadline; the request changes nothing, send it again"
         return _fail(state, entry, Failure(READ_FAILED, message))
     return _outcome_unknown(state, entry)
 
--- a/packages/core/src/endivewick_core/proxy/homes.py
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -7,7 +7,7 @@
 from ..commands import RegisterUpstream, ReleaseHome
 from ..exceptions import NOT_HOME, OUTCOME_UNKNOWN, Failure
 from ..messages import Announcement
-from . import answers, configuration, results
+from . import answers, configuration, once, replicas, results
 from .effects import CloseConnection, Effect, Note, Send
 from .events import UpstreamAnnounced
 from .state import Home, Instance, Phase, ProxyState
@@ -124,10 +124,21 @@
     home.phase = Phase.WAITING
     home.phase_since_ms = now_ms
     home.samples.clear()
+    effects = _refuse_lost_sessions(state, now_ms, home)
     if not group.primary:
-        return []
+        return effects
     text = f"term {group.term} of {home.group} has the primary {group.primary}"
-    return [Note("info", "primary_changed", text)]
+    return [*effects, Note("info", "primary_changed", text)]
+
+
+def _refuse_lost_sessions(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Refuse the waiting work of sessions whose writes the new term has lost."""
+    effects: list[Effect] = []
+    for queue in (home.urgent, home.writes, home.reads, home.long):
+        for work in queue.remove_if(lambda item: not replicas.session_holds(state, home, item)):
+            once.forget(home, work)
+            effects.append(answers.refuse(state, now_ms, home, work.origin, replicas.LOST))
+    return effects
 
 
 def _sync_instances(state: ProxyState, home: Home) -> None:
--- a/packages/core/src/endivewick_core/proxy/once.py
+++ b/packages/core/src/endivewick_core/proxy/once.py
@@ -28,6 +28,8 @@
 from .state import Home, OnceRecord, ProxyState
 from .work import Work
 
+DOUBLED_LIMIT_MS = 10_000
+
 
 def issue(state: ProxyState, now_ms: int, home: Home, work: Work) -> ForwardAnswer:
     """Issue the request ids that a caller asked for."""
@@ -85,7 +87,10 @@
 
 
 def sweep(home: Home, now_ms: int) -> None:
-    """Drop the records whose request ids have expired."""
+    """Drop the records whose request ids have expired, and forwards too old to be doubled."""
+    forgotten = [key for key, at_ms in home.taken.items() if now_ms - at_ms >= DOUBLED_LIMIT_MS]
+    for origin in forgotten:
+        del home.taken[origin]
     expired = [key for key, item in home.once.items() if now_ms >= item.expires_ms]
     for key in expired:
         if home.once[key].answer is not None:
--- a/packages/core/src/endivewick_core/proxy/replicas.py
+++ b/packages/core/src/endivewick_core/proxy/replicas.py
@@ -5,11 +5,17 @@
 at the moment the read is sent to the upstream.
 """
 
-from ..positions import Position, covers
+from ..exceptions import SESSION_LOST, Failure
+from ..positions import ZERO, Position, covers, survives
 from .state import Home, Instance, PrimarySample, ProxyState
 from .work import Work
 
 SAMPLES_KEPT = 2_000
+LOST = Failure(
+    SESSION_LOST,
+    "the session has seen writes that a change of primary lost; read the data again in a new "
+    "session, that is without a token",
+)
 
 
 def note_position(instance: Instance, position: Position) -> None:
@@ -59,6 +65,17 @@
     return age is not None and age <= contract.max_staleness_ms
 
 
+def session_holds(state: ProxyState, home: Home, work: Work) -> bool:
+    """Tell whether what the session has seen is part of the group's present history.
+
+    A session whose writes were lost at a fork must never be answered from the older data.
+    """
+    if work.wanted == ZERO:
+        return True
+    group = state.machine.groups[home.group]
+    return work.wanted.term <= group.term and survives(work.wanted, group.forks)
+
+
 def any_replica(state: ProxyState, home: Home, work: Work, now_ms: int) -> bool:
     """Tell whether some replica may serve the read, free or not."""
     return any(
--- a/packages/core/src/endivewick_core/proxy/results.py
+++ b/packages/core/src/endivewick_core/proxy/results.py
@@ -8,7 +8,6 @@
 from ..exceptions import (
     OUTCOME_UNKNOWN,
     READ_FAILED,
-    SESSION_LOST,
     TRANSACTION_LOST,
     UPSTREAM_ERROR,
     Failure,
@@ -203,13 +202,14 @@
 ) -> list[Effect]:
     position = Position(answer.term, answer.offset)
     group = state.machine.groups[home.group]
+    if not replicas.session_holds(state, home, work):
+        return _refuse(state, now_ms, home, work, replicas.LOST)
     reply = answers.success(state, now_ms, home, work, instance.name, answer, answer.value)
     if instance.name == group.primary:
         if not _from_primary(state, now_ms, home, instance, answer):
             return _repeat_read(state, now_ms, home, work)
         if not covers(position, work.wanted):
-            message = "the primary no longer holds what the session has seen; start a new session"
-            return _refuse(state, now_ms, home, work, Failure(SESSION_LOST, message))
+            return _refuse(state, now_ms, home, work, replicas.LOST)
         return _deliver(state, now_ms, home, work, reply)
     if answer.term == group.term and replicas.is_valid(state, home, position, work, work.sent_ms):
         return _deliver(state, now_ms, home, work, reply)
--- a/packages/core/src/endivewick_core/proxy/state.py
+++ b/packages/core/src/endivewick_core/proxy/state.py
@@ -11,7 +11,7 @@
 from ..tokens import SessionToken
 from .events import Ask
 from .queueing import FairQueue
-from .work import Work
+from .work import Origin, Work
 
 
 class ProxySettings(NamedTuple):
@@ -157,6 +157,7 @@
     held: dict[str, int] = field(default_factory=dict)
     transactions: dict[str, Transaction] = field(default_factory=dict)
     once: dict[str, OnceRecord] = field(default_factory=dict)
+    taken: dict[Origin, int] = field(default_factory=dict)
     samples: deque[PrimarySample] = field(default_factory=deque)
     awaiting_replica: list[tuple[Work, ForwardedAnswer]] = field(default_factory=list)
     mean_run_ms: float = 5.0
