Show each checker to fail on a broken decision, and search the quorum's states

Cause: a checker that never fails proves nothing. Change: for each of the nine promises a decision is broken inside the test and the checker finds it; the same scenario passes on the product's own decision. A random search drives the quorum through crashes, cuts, freezes, lost disks and lost messages and checks after every step that no index is committed twice with other content, no term has two leaders and no group two holders. Broken runs found: read_your_writes, replaced_primary, transactions, whole_answers, not_run, at_most_once, leaving, graceful_stop, configuration (stale and reverted), two leaders, lost changes where a wiped disk keeps its identity. Ruled out: counting a disk lost within the 5 s before the first is replaced as a case to survive; two of three disks are then gone. The matrix checks there that nothing reverts.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Everything that a fresh machine with Python 3.11 needs: `make demo` and `make test`.
 PYTHON ?= python3
 BIN := .venv/bin
+WORKERS ?= 4
 PACKAGES := core node ctl bench
 
 .PHONY: install demo test check format
@@ -17,7 +18,7 @@
 	$(BIN)/python -m endivewick_bench.demo
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(WORKERS)
 
 check: install
 	$(BIN)/black --quiet --check packages tests
--- a/packages/bench/src/endivewick_bench/checkers.py
+++ b/packages/bench/src/endivewick_bench/checkers.py
@@ -21,9 +21,10 @@
     ``kind`` is ``invoke``, ``answer``, ``upstream_began``, ``upstream_ran``,
     ``upstream_committed``, ``upstream_leaving``, ``upstream_returned``, ``promoted``,
     ``configuration_accepted``, ``configuration_in_force``, ``process_started``,
-    ``drain_started``, ``process_stopped`` or ``messages_lost``. ``tag`` names one attempt of a
-    request, ``request_id`` the request over all its attempts. ``outcome`` is ``ok``, ``cut`` for a
-    connection that ended without an answer, or a failure type; ``ran`` is what the answer said.
+    ``drain_started``, ``process_stopped``, ``fault_began`` or ``messages_lost``. ``tag`` names one
+    attempt of a request, ``request_id`` the request over all its attempts. ``outcome`` is ``ok``,
+    ``cut`` for a connection that ended without an answer, or a failure type; ``ran`` is what the
+    answer said.
     """
 
     at_ms: float
@@ -240,36 +241,42 @@
 
 
 def check_graceful_stop(history: list[Record]) -> list[Violation]:
-    """A planned stop cuts off no request that the stopping proxy took.
+    """A planned stop cuts off no request, whether the stopping proxy took it or is its home.
 
-    Left out are requests during which a process was killed or messages were lost, and those sent
-    to the proxy after its end: what cut them off is not the stop.
+    Left out are requests that a fault may have ended instead: those during which a process was
+    killed or messages were lost, those sent to a proxy after its end, and at other proxies those
+    answered after any ``fault_began``.
     """
     stops: dict[str, float] = {}
     ended: dict[str, float] = {}
     killed: list[float] = []
-    lossy_ms = float("inf")
+    lossy_ms = fault_ms = float("inf")
     for record in history:
         if record.kind == "drain_started":
-            stops[record.source] = record.at_ms
-        if record.kind == "process_stopped":
+            stops.setdefault(record.source, record.at_ms)
+        elif record.kind == "process_stopped":
             killed.append(record.at_ms)
             ended.setdefault(record.source, record.at_ms)
-        if record.kind == "messages_lost":
+        elif record.kind == "messages_lost":
             lossy_ms = min(lossy_ms, record.at_ms)
+        elif record.kind == "fault_began":
+            fault_ms = min(fault_ms, record.at_ms)
     violations: list[Violation] = []
+    first_ms = min(stops.values(), default=float("inf"))
     for invoke, answer in attempts_of(history):
-        began_ms = stops.get(invoke.source)
-        if began_ms is None or (answer is not None and answer.at_ms < began_ms):
-            continue
         end_ms = answer.at_ms if answer else float("inf")
-        if invoke.at_ms >= ended.get(invoke.source, float("inf")) or end_ms >= lossy_ms:
+        if answer is not None and answer.outcome not in ("cut", "outcome_unknown"):
+            continue
+        if end_ms < stops.get(invoke.source, first_ms) or end_ms >= lossy_ms:
+            continue
+        if invoke.source not in stops and end_ms >= fault_ms:
+            continue
+        if invoke.at_ms >= ended.get(invoke.source, float("inf")):
             continue
         if any(invoke.at_ms <= at_ms <= end_ms for at_ms in killed):
             continue
-        if answer is None or answer.outcome in ("cut", "outcome_unknown"):
-            text = f"{invoke.tag} was cut off by the planned stop of {invoke.source}"
-            violations.append(Violation("graceful_stop", text, answer or invoke))
+        text = f"{invoke.tag} was cut off by the planned stop of {', '.join(stops)}"
+        violations.append(Violation("graceful_stop", text, answer or invoke))
     return violations
 
 
@@ -285,7 +292,7 @@
             in_force.pop(record.source, None)
         elif record.kind == "configuration_in_force":
             if record.revision < in_force.get(record.source, 0):
-                text = f"went back from {in_force[record.source]} to {record.revision}"
+                text = f"went back from {in_force.get(record.source, 0)} to {record.revision}"
                 violations.append(Violation("configuration", text, record))
             in_force[record.source] = record.revision
         elif record.kind == "answer" and record.outcome == "ok" and record.revision:
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/load.py
@@ -0,0 +1,148 @@
+"""The load command: callers against a running proxy path, with CPU per statement.
+
+It starts a system on loopback, sends statements on a number of connections for a bounded time, and
+prints statements a second, latency percentiles and the processor time that each proxy spent per
+statement. Results can be kept as JSON.
+"""
+
+import itertools
+import json
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import trio
+from absl import app, flags
+from endivewick_node.clock import now_ms
+from hdrh.histogram import HdrHistogram
+
+from . import cluster as cl
+from .http_client import ConnectionLost, HttpClient
+from .processes import cpu_seconds, resident_kb
+
+_SECONDS = flags.DEFINE_float("seconds", 5.0, "How long to send.", upper_bound=120.0)
+_CONNECTIONS = flags.DEFINE_integer("connections", 16, "Caller connections.", upper_bound=500)
+_WRITES = flags.DEFINE_float("writes", 0.1, "The share of writes.")
+_THROUGH = flags.DEFINE_enum("through", "home", ["home", "entry"], "Which proxy takes the load.")
+_RUN_MS = flags.DEFINE_float("run_ms", 0.0, "The run time of a statement.")
+_SLOTS = flags.DEFINE_integer("slots", 64, "Slots of an upstream, so that it is no limit.")
+_OUT = flags.DEFINE_string("out", "", "A file for the result as JSON.")
+
+CUSTOMER = "load"
+MICROSECONDS = 1_000_000
+HIGHEST_US = 60 * MICROSECONDS
+PERCENTILES = (50.0, 99.0, 99.9)
+CONTRACT = {"group": "main", "max_staleness_ms": 2_000, "connections": 64, "surge_share": 1.0}
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the callers saw; latencies are in microseconds."""
+
+    ok: int = 0
+    failed: dict[str, int] = field(default_factory=dict)
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, HIGHEST_US, 3))
+
+
+async def caller(address: str, number: int, counts: Counts, end_ms: int, writes: float) -> None:
+    """Send statements one after the other on one connection until ``end_ms``."""
+    client = HttpClient(address)
+    token = ""
+    every = round(1 / writes) if writes else 0
+    for serial in itertools.count(1):
+        if now_ms() >= end_ms:
+            break
+        is_write = bool(every) and serial % every == 0
+        op = {"op": "set", "value": serial} if is_write else {"op": "get"}
+        body = {
+            "customer": CUSTOMER,
+            "kind": "write" if is_write else "read",
+            "statement": {"name": "load", "key": f"k{number}", **op},
+        }
+        started = trio.current_time()
+        try:
+            reply = await client.call("POST", "/v1/statements", body, token)
+        except ConnectionLost:
+            counts.failed["cut"] = counts.failed.get("cut", 0) + 1
+            continue
+        counts.latency.record_value(int((trio.current_time() - started) * MICROSECONDS))
+        token = reply.token or token
+        if reply.status == 200:
+            counts.ok += 1
+        else:
+            error = str(reply.body.get("error"))
+            counts.failed[error] = counts.failed.get(error, 0) + 1
+    client.close()
+
+
+async def home_of(cluster: cl.Cluster, group: str) -> str:
+    """Return the proxy that holds a group."""
+    with trio.fail_after(cl.READY_TIMEOUT_S):
+        while True:
+            status = await cl.leader_status(cluster)
+            for row in (status or {}).get("groups", []):
+                if row["name"] == group and row["home"]:
+                    return str(row["home"])
+            await trio.sleep(cl.POLL_S)
+
+
+async def measure() -> dict[str, Any]:
+    """Run the load; return the result."""
+    upstream = {"slots": _SLOTS.value, "connections": 200, "run_ms": _RUN_MS.value}
+    async with cl.running(cl.SMALL, upstream=upstream) as cluster:
+        await cl.put_contract(cluster, CUSTOMER, CONTRACT, "load-1")
+        await cl.wait_serving(cluster, CUSTOMER)
+        home = await home_of(cluster, "main")
+        entries = [name for name in cluster.proxy_addresses if name != home]
+        taker = home if _THROUGH.value == "home" else entries[0]
+        watched = {"home": cluster.processes[home], "entry": cluster.processes[taker]}
+        counts = Counts()
+        await _send(cluster.proxy_addresses[taker], Counts(), 1.0)
+        before = {role: cpu_seconds(process) for role, process in watched.items()}
+        await _send(cluster.proxy_addresses[taker], counts, _SECONDS.value)
+        spent = {role: cpu_seconds(process) - before[role] for role, process in watched.items()}
+        return _result(counts, spent, {r: resident_kb(p) for r, p in watched.items()})
+
+
+async def _send(address: str, counts: Counts, seconds: float) -> None:
+    end_ms = now_ms() + int(seconds * 1000)
+    async with trio.open_nursery() as nursery:
+        for number in range(_CONNECTIONS.value):
+            nursery.start_soon(caller, address, number, counts, end_ms, _WRITES.value)
+
+
+def _result(counts: Counts, spent: dict[str, float], memory: dict[str, int]) -> dict[str, Any]:
+    total = counts.ok + sum(counts.failed.values())
+    result: dict[str, Any] = {
+        "through": _THROUGH.value,
+        "connections": _CONNECTIONS.value,
+        "writes": _WRITES.value,
+        "seconds": _SECONDS.value,
+        "statements": total,
+        "statements_per_second": round(total / _SECONDS.value),
+        "failed": counts.failed,
+    }
+    for percentile in PERCENTILES:
+        value_us = counts.latency.get_value_at_percentile(percentile)
+        result[f"p{percentile:g}_us"] = value_us
+    for role, seconds in spent.items():
+        result[f"{role}_cpu_us_per_statement"] = round(seconds / max(1, total) * MICROSECONDS, 1)
+        result[f"{role}_cpu_share"] = round(seconds / _SECONDS.value, 3)
+        result[f"{role}_resident_kb"] = memory[role]
+    return result
+
+
+def main(arguments: list[str]) -> None:
+    """Run the load command."""
+    if len(arguments) > 1:
+        sys.exit("the load command takes flags only")
+    result = trio.run(measure)
+    text = json.dumps(result, indent=2)
+    print(text)
+    if _OUT.value:
+        Path(_OUT.value).write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+"""Shared fixtures, and the closing tables of the proofs."""
+
+from collections import Counter
+
+import pytest
+from endivewick_bench.checkers import CHECKERS
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the fault matrix as a table of promises by faults, with the number of cells run."""
+    cells: Counter[tuple[str, str]] = Counter()
+    steps = 0
+    for reports in terminalreporter.stats.values():
+        for report in reports:
+            for name, value in getattr(report, "user_properties", []):
+                if name == "cell":
+                    cells[tuple(value)] += 1
+                if name == "steps":
+                    steps += value
+    if steps:
+        terminalreporter.write_line(f"control search: {steps} steps explored")
+    if not cells:
+        return
+    promises = list(CHECKERS)
+    terminalreporter.write_line("fault matrix: cells run per promise (-: not proved)")
+    width = max(len(fault) for _, fault in cells)
+    header = "".join(f"{promise[:11]:>12}" for promise in promises)
+    terminalreporter.write_line(f"{'':<{width}}{header}")
+    for fault in sorted({fault for _, fault in cells}):
+        row = "".join(f"{cells[(promise, fault)] or '-':>12}" for promise in promises)
+        terminalreporter.write_line(f"{fault:<{width}}{row}")
+
+
+@pytest.fixture
+def anyio_backend():
+    """Run asynchronous tests on trio."""
+    return "trio"
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -23,7 +23,7 @@
 from endivewick_core.proxy import effects as px
 from endivewick_core.proxy import events as pe
 from endivewick_core.proxy import reducer as proxy_reducer
-from endivewick_core.proxy.state import ProxySettings, ProxyState
+from endivewick_core.proxy.state import ProxySettings, ProxyState, lease_holds
 from endivewick_node.control_node import restore_state
 from endivewick_node.storage import Stored, StoredSnapshot, StoredVote
 
@@ -86,6 +86,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.silent: set[Any] = set()
         self.loss = 0.0
+        self.steps = 0
         self.watch: Callable[[Process, Any], None] | None = None
         self.committed: dict[int, Any] = {}
         self.faults: list[str] = []
@@ -246,6 +247,7 @@
         self.after(1 + self.random.randrange(TICK_MS), tick)
 
     def step(self, process: Process, event: Any) -> None:
+        self.steps += 1
         reducer = control_reducer if process.disk is not None else proxy_reducer
         self._carry_out(process, reducer.reduce(process.state, event))
 
@@ -264,10 +266,26 @@
             getattr(self, f"_on_{type(effect).__name__}")(process, effect)
         if process.disk is not None:
             self._check_committed(process)
-        elif process.state.machine.revision != process.revision:
+            return
+        self._check_homes()
+        if process.state.machine.revision != process.revision:
             process.revision = process.state.machine.revision
             self.record("configuration_in_force", process.name, revision=process.revision)
 
+    def _check_homes(self) -> None:
+        """Check that no group has two holders with valid leases, each by its own clock."""
+        holders: dict[str, str] = {}
+        for process in self.processes.values():
+            if process.disk is not None or not process.alive:
+                continue
+            if not lease_holds(process.state, self.clock(process)):
+                continue
+            for group in process.state.homes:
+                if group in holders:
+                    both = f"{holders[group]} and {process.name}"
+                    self.faults.append(f"{both} hold {group} at {self.now}")
+                holders[group] = process.name
+
     def _check_committed(self, process: Process) -> None:
         state: ControlState = process.state
         for entry in state.log.entries:
@@ -454,7 +472,7 @@
         if database.role != "primary":
             return 409, "read_only"
         if effect.path == "/begin":
-            upstream.transactions[key] = []
+            upstream.transactions.setdefault(key, [])
         elif effect.path == "/rollback":
             upstream.transactions.pop(key, None)
         elif effect.path == "/commit":
@@ -463,6 +481,8 @@
                 self._apply(upstream, statement)
             tags = [statement["tag"] for statement in statements]
             self.record("upstream_committed", upstream.name, upstream=upstream.name, value=tags)
+        elif body["in_transaction"] and key not in upstream.transactions:
+            return 409, "no transaction is open on this connection"
         elif body["in_transaction"]:
             upstream.transactions[key].append(body["statement"])
         else:
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -12,6 +12,7 @@
 from endivewick_core.codec import decode
 from endivewick_core.commands import COMMANDS, Promote, PutContract
 from endivewick_core.messages import HeartbeatReply, ProxyHeartbeat
+from endivewick_core.proxy.events import DrainRequested
 from workload import CUSTOMER, Operator, Session, home_of, ready_driver
 
 WARM_UP_MS = 600
@@ -113,6 +114,7 @@
     "membership: new voter added": (_note("voter_added"), "wipe_member"),
     "membership: repaired": (_repaired, "wipe_member"),
     "election: vote saved": (_effect("SaveVote"), "kill_leader"),
+    "upstream: leaving": (_note("upstream_state"), "leave"),
     "home: assigned": (_note("homes_assigned"), "kill_home"),
     "home: taken": (_note("home_taken"), "kill_home"),
     "home: released": (_note("home_released"), "drain_home"),
@@ -215,8 +217,6 @@
 
 def drain_home(driver: Driver) -> None:
     """Begin the planned stop of the proxy that holds the group."""
-    from endivewick_core.proxy.events import DrainRequested
-
     process = driver.processes[_home(driver)]
     driver.record("drain_started", process.name)
     driver.step(process, DrainRequested(driver.clock(process)))
@@ -274,6 +274,8 @@
         driver.kill(_leader(driver))
     elif action == "kill_home":
         driver.kill(_home(driver))
+    elif action == "leave":
+        _leave(driver, driver.processes[_home(driver)])
     elif action == "drain_home":
         drain_home(driver)
     elif action == "wipe_member":
@@ -295,6 +297,8 @@
         if reached or not reaches(process, effect):
             return
         reached.append(process.name)
+        if FAULTS[fault] is not _drain:
+            driver.record("fault_began", process.name)
         freeze = FAULTS[fault] is _freeze_actor
         if freeze and step == "request: answered to caller":
             # The stop between an entry's check and its send is not provable: docs/PROOFS.md.
@@ -308,6 +312,9 @@
     driver.watch = None
     if twice and reached:
         driver.run(TWICE_AFTER_MS)
+        if "disk" in fault:
+            # Right after the repair of the first disk.
+            driver.run_until(lambda: _all_vote(driver), STEP_LIMIT_MS)
         again = driver.processes[reached[0]]
         if again.alive and not again.frozen:
             FAULTS[fault](driver, again)
@@ -315,6 +322,18 @@
     return _finish(driver, step, fault, bool(reached), sessions, operators)
 
 
+def _all_vote(driver: Driver) -> bool:
+    """Tell whether each control process votes, and the change that says so is committed."""
+    leader = driver.leader()
+    if leader is None:
+        return False
+    state = driver.processes[leader].state
+    identities = {member.member_id for member in state.membership.voters}
+    present = {p.disk.identity for p in driver.processes.values() if p.disk is not None}
+    settled = not state.memberships or state.memberships[-1][0] <= state.commit_index
+    return identities == present and settled
+
+
 def _finish(
     driver: Driver,
     step: str,
@@ -369,3 +388,31 @@
         if CUSTOMER not in process.state.machine.contracts:
             faults.append(f"{process.name} lost the contract of {CUSTOMER}")
     return faults
+
+
+def _any(history: list[Record], **fields: Any) -> bool:
+    return any(
+        all(getattr(item, name) == value for name, value in fields.items()) for item in history
+    )
+
+
+def _resent(history: list[Record]) -> bool:
+    attempts: dict[str, int] = {}
+    for item in history:
+        if item.kind == "invoke" and item.request_id:
+            attempts[item.request_id] = attempts.get(item.request_id, 0) + 1
+    return any(number > 1 for number in attempts.values())
+
+
+# Whether a history puts a promise to the test at all.
+EXERCISED: dict[str, Callable[[list[Record]], bool]] = {
+    "read_your_writes": lambda history: _any(history, operation="read", outcome="ok"),
+    "replaced_primary": lambda history: _any(history, kind="promoted"),
+    "transactions": lambda history: _any(history, kind="upstream_committed"),
+    "whole_answers": lambda history: _any(history, kind="answer", outcome="ok"),
+    "not_run": lambda history: _any(history, kind="answer", ran="not_run"),
+    "at_most_once": _resent,
+    "leaving": lambda history: _any(history, kind="upstream_leaving"),
+    "graceful_stop": lambda history: _any(history, kind="drain_started"),
+    "configuration": lambda history: _any(history, kind="configuration_accepted"),
+}
--- a/tests/workload.py
+++ b/tests/workload.py
@@ -1,5 +1,6 @@
 """Callers and operators for the driver: sessions that record what they ask and what they get."""
 
+from functools import partial
 from itertools import count
 from typing import Any
 
@@ -166,16 +167,30 @@
 
         self.send("begin", begun)
 
+    def commit(self, identity: str, label: str, key: str) -> None:
+        def committed(effect: Any) -> None:
+            refused = effect is not None and effect.failure is not None
+            if refused and effect.failure.type.name == "draining":
+                self.driver.after(THINK_MS, partial(self.commit, identity, label, key))
+            else:
+                self.pause()
+
+        self.send("commit", committed, transaction=identity, label=label, key=key)
+
     def in_transaction(self, identity: str, label: str, key: str, left: int) -> None:
         if not left:
-            self.send("commit", None, transaction=identity, label=label, key=key)
+            self.commit(identity, label, key)
             return
 
         def written(effect: Any) -> None:
-            if effect is None or effect.failure is not None:
+            if effect is not None and effect.failure is None:
+                self.in_transaction(identity, label, key, left - 1)
+            elif effect is not None and effect.failure.type.name == "draining":
+                self.driver.after(
+                    THINK_MS, partial(self.in_transaction, identity, label, key, left)
+                )
+            else:
                 self.pause()
-                return
-            self.in_transaction(identity, label, key, left - 1)
 
         value = next(self.values)
         self.send("write", written, transaction=identity, label=label, key=key, value=value)
