--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -1,6 +1,6 @@
 """Durable state of a control process: identity, vote, snapshot and log.
 
-Every record is ``length, checksum, payload``. Entries that are appended together are one record,
+Every record is ``length, inverted length, checksum, payload``. Entries that are appended together are one record,
 and nothing is reported as stored before ``fdatasync`` returned. On loading, a record that ends
 beyond the file is a write that was cut short and is removed; a whole record whose checksum fails is
 corruption of synced data, and the process refuses to start.
@@ -19,7 +19,8 @@
 
 from .exceptions import StorageCorrupt, StorageFailed
 
-_HEADER = struct.Struct("<IQ")
+_HEADER = struct.Struct("<IIQ")
+_LENGTH_MASK = 0xFFFFFFFF
 IDENTITY_FILE = "identity"
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
@@ -65,7 +66,9 @@
 
 def _record(value: object) -> bytes:
     payload = msgspec.msgpack.encode(value)
-    return _HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + payload
+    length = len(payload)
+    digest = xxhash.xxh3_64_intdigest(payload)
+    return _HEADER.pack(length, length ^ _LENGTH_MASK, digest) + payload
 
 
 class Storage:
@@ -169,11 +172,13 @@
     def _payload(self, name: str, data: bytes, offset: int) -> tuple[bytes | None, int]:
         """Return the payload at ``offset`` and its end, or None where the write was cut short."""
         start = offset + _HEADER.size
-        if start > len(data):
+        if start > len(data) or not any(data[offset:]):
             return None, offset
-        length, checksum = _HEADER.unpack_from(data, offset)
+        length, inverted, checksum = _HEADER.unpack_from(data, offset)
+        if length ^ _LENGTH_MASK != inverted:
+            raise StorageCorrupt(self._advice(f"{name} is corrupt at byte {offset}"))
         payload = data[start : start + length]
-        if len(payload) < length or not any(data[offset:]):
+        if len(payload) < length:
             return None, offset
         if xxhash.xxh3_64_intdigest(payload) != checksum:
             raise StorageCorrupt(self._advice(f"{name} is corrupt at byte {offset}"))
