--- a/packages/core/src/endivewick_core/proxy/failover.py
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -108,7 +108,9 @@
     highest_term = max(item.position.term for item in home.instances.values())
     term = max(group.term, highest_term) + 1
     command = Promote(home.group, home.epoch, term, best.name, best.position.offset)
-    return configuration.propose(state, now_ms, command)
+    text = f"proposes {best.name} as the primary of {home.group} in term {term}"
+    effects = configuration.propose(state, now_ms, command)
+    return [Note("info", "promotion_proposed", text), *effects] if effects else []
 
 
 def _switch_over(state: ProxyState, now_ms: int, home: Home, instance: Instance) -> list[Effect]:
--- a/packages/node/src/endivewick_node/http_server.py
+++ b/packages/node/src/endivewick_node/http_server.py
@@ -138,7 +138,8 @@
         self.busy = False
         if self.closing:
             return
-        if not self.writer.write(encode_answer(answer, self.ending)):
+        last = self.ending or (self.server.is_draining and not self.waiting)
+        if not self.writer.write(encode_answer(answer, last)):
             self.server.close(self)
             return
         self.server.serve_next(self)
@@ -198,6 +199,7 @@
         self._tls = tls
         self._listener = sockets.listen(section["address"], "http.address")
         self._slow: set[Connection] = set()
+        self.is_draining = False
         poller.add(self._listener, sockets.READABLE, self._accept)
 
     def stop_listening(self) -> None:
--- a/packages/node/src/endivewick_node/proxy_node.py
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -105,6 +105,7 @@
 
     def drain(self) -> None:
         """Begin a planned stop: finish what runs, hand the homes over, then end."""
+        self._server.is_draining = True
         self._reduce(ev.DrainRequested(now_ms()))
 
     def _reduce(self, event: ev.Event) -> None:
--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -1,9 +1,9 @@
 """Durable state of a control process: identity, vote, snapshot and log.
 
-Every record is ``length, inverted length, checksum, payload``. Entries that are appended together are one record,
-and nothing is reported as stored before ``fdatasync`` returned. On loading, a record that ends
-beyond the file is a write that was cut short and is removed; a whole record whose checksum fails is
-corruption of synced data, and the process refuses to start.
+Every record is ``length, inverted length, checksum, payload``. Entries that are appended together
+are one record, and nothing is reported as stored before ``fdatasync`` returned. On loading, a
+record that ends beyond the file is a write that was cut short and is removed; a record whose length
+or checksum does not fit is corruption of synced data, and the process refuses to start.
 """
 
 import fcntl
