Carry the sender's address in each message between processes

Cause: a proxy that was frozen and thawed ended with a zmq error. While it was frozen its peers connected again; on the thaw zmq renamed the older pipes, so messages on them came from an identity that zmq had made up, and the answer was sent to that as an address. Ruled out: the lease (the group had moved on), and the load itself, which only made it likely. Change: a message has two parts, the sender's address and the frame; identities are not used. An address that can't be connected to drops the message and counts it.

--- a/packages/bench/src/endivewick_bench/cluster.py
+++ b/packages/bench/src/endivewick_bench/cluster.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -325,7 +325,10 @@
 async def running(site: Site, keep: bool = False, **options: Any) -> AsyncIterator[Cluster]:
     """Run a bootstrapped system in a folder of its own, and end it."""
     folder = Path(tempfile.mkdtemp(prefix="endivewick-"))
+    prepare: Callable[[Cluster], None] | None = options.pop("prepare", None)
     cluster = plan(site, folder, options.pop("net", default_net()), **options)
+    if prepare is not None:
+        prepare(cluster)
     try:
         start_all(cluster)
         await bootstrap(cluster)
--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -1,8 +1,9 @@
 """Messages between endivewick processes over zmq.
 
 Each process binds one ROUTER for what it receives, and connects one DEALER per process that it
-sends to. A DEALER's identity is the sender's own address. A message to a process that can't be
-reached is dropped and counted: every protocol here repeats what matters.
+sends to. A message has two parts, the sender's address and the frame: zmq's own identities change
+when a peer connects again. A message to a process that can't be reached is dropped and counted:
+every protocol here repeats what matters.
 """
 
 from collections.abc import Callable
@@ -28,12 +29,12 @@
         """Bind the ROUTER; raise AddressInUse where the address can't be bound."""
         self._context = zmq.Context()
         self._address = section["address"]
+        self._sender = self._address.encode()
         self._routes = section.get("routes", {})
         self._dropped = dropped
         self._dealers: dict[str, zmq.Socket[bytes]] = {}
         self._router: zmq.Socket[bytes] = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
-        self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._router.setsockopt(zmq.RCVHWM, SEND_LIMIT)
         try:
             self._router.bind(f"tcp://{self._address}")
@@ -46,19 +47,18 @@
         """Queue a frame for the process at ``address``; tell whether it was taken."""
         dealer = self._dealers.get(address)
         if dealer is None:
-            dealer = self._connect(address)
+            try:
+                dealer = self._connect(address)
+            except zmq.ZMQError:
+                self._dropped()
+                return False
         try:
-            dealer.send(frame, zmq.NOBLOCK)
+            dealer.send_multipart((self._sender, frame), zmq.NOBLOCK)
         except zmq.Again:
             self._dropped()
             return False
         return True
 
-    def connect(self, address: str) -> None:
-        """Connect to a process ahead of the first message."""
-        if address not in self._dealers:
-            self._connect(address)
-
     async def receive(self, handle: Callable[[str, bytes], None]) -> None:
         """Pass every received frame with its sender's address to ``handle``."""
         descriptor = int(self._router.getsockopt(zmq.FD))
@@ -78,25 +78,28 @@
     def _drain(self, handle: Callable[[str, bytes], None]) -> int:
         for taken in range(FRAMES_PER_TURN):
             try:
-                identity, frame = self._router.recv_multipart(zmq.NOBLOCK)
+                _, sender, frame = self._router.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return taken
             except ValueError:
                 self._dropped()
                 continue
-            handle(identity.decode(errors="replace"), frame)
+            handle(sender.decode(errors="replace"), frame)
         return FRAMES_PER_TURN
 
     def _connect(self, address: str) -> "zmq.Socket[bytes]":
         dealer: zmq.Socket[bytes] = self._context.socket(zmq.DEALER)
         dealer.setsockopt(zmq.LINGER, 0)
-        dealer.setsockopt(zmq.IDENTITY, self._address.encode())
         dealer.setsockopt(zmq.SNDHWM, SEND_LIMIT)
         dealer.setsockopt(zmq.IMMEDIATE, 1)
         dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_LIMIT_MS)
         dealer.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         dealer.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        dealer.connect(f"tcp://{self._routes.get(address, address)}")
+        try:
+            dealer.connect(f"tcp://{self._routes.get(address, address)}")
+        except zmq.ZMQError:
+            dealer.close()
+            raise
         self._dealers[address] = dealer
         return dealer
