--- a/packages/bench/src/endivewick_bench/gaps.py
+++ b/packages/bench/src/endivewick_bench/gaps.py
@@ -77,6 +77,7 @@
             relays = _relays(cluster)
             for relay in relays.values():
                 nursery.start_soon(relay.serve)
+                nursery.start_soon(relay.replication().serve)
             for group in site.groups:
                 contract = {**CONTRACT, "group": group}
                 await cl.put_contract(cluster, group, contract, f"gaps-{group}")
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/measures.py
@@ -0,0 +1,248 @@
+"""The four measures of the brief, at a user's sizes, each next to a baseline in the same run.
+
+``gap``: the failover gap. ``crest``: goodput and latency per class at 1, 2, 4 and 8 times
+saturation. ``blocking``: how long short work waits behind long work. ``replicas``: the share of
+reads that replicas serve. Results are kept as JSON, and as plots.
+"""
+
+import json
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import trio
+from absl import app, flags
+
+from . import cluster as cl
+from . import gaps
+from .cluster import Cluster, Site
+from .open_loop import Crowd, Shape, Tally
+from .replica_reads import measure_replica_reads
+
+_SITE = flags.DEFINE_enum("site", "nile", ["nile", "lakeshore"], "Whose sizes.")
+_MEASURES = flags.DEFINE_list("measures", ["gap", "crest", "blocking", "replicas"], "Which ones.")
+_ROUNDS = flags.DEFINE_integer("rounds", 20, "Failovers of the gap.", upper_bound=100)
+_SECONDS = flags.DEFINE_float("seconds", 5.0, "How long each load lasts.", upper_bound=60.0)
+_SEED = flags.DEFINE_integer("seed", 1, "The seed of the callers.")
+_OUT = flags.DEFINE_string("out", "", "A file for the result as JSON.")
+
+SITES = {"nile": cl.NILE, "lakeshore": cl.LAKESHORE}
+LEVELS = (1, 2, 4, 8)
+RUN_MS = 20.0
+PURCHASE_SHARE = 0.2
+BROWSE_DEADLINE_MS = 1_000
+PURCHASE_DEADLINE_MS = 2_000
+NO_LIMIT = 1_000_000
+NO_DEADLINE_MS = 600_000
+SHORT_RUN_MS = 5.0
+LONG_RUN_MS = 2_000.0
+SHORT_RATE = 100.0
+LONG_RATE = 6.0
+NO_LONG_CLASS_MS = 600_000
+
+
+def saturation_rate(site: Site) -> float:
+    """Return the rate of the crest's mix that the upstreams of one group can just serve.
+
+    Purchases need the primary's slots, browsing the replicas'; the scarcer one decides.
+    """
+    slot_rate = site.slots * 1_000 / RUN_MS
+    return min(slot_rate / PURCHASE_SHARE, slot_rate * (site.instances - 1) / (1 - PURCHASE_SHARE))
+
+
+async def put_contracts(cluster: Cluster, group: str, customers: list[str], **changes: Any) -> None:
+    """Put one contract per customer, and wait until each serves."""
+    contract = {
+        "group": group,
+        "max_staleness_ms": 2_000,
+        "connections": 40,
+        "surge_share": 0.5,
+        **changes,
+    }
+    for customer in customers:
+        await cl.put_contract(cluster, customer, contract, f"measure-{customer}")
+    for customer in customers:
+        await cl.wait_serving(cluster, customer)
+
+
+def one_group(site: Site) -> Site:
+    """Return the site with its first group only, so that the machine is no limit."""
+    return site._replace(groups=site.groups[:1])
+
+
+def crest_shapes(limited: bool) -> list[Shape]:
+    """Return purchases and browsing; without limits the deadlines refuse nothing."""
+    shapes = [
+        Shape(
+            "purchase",
+            PURCHASE_SHARE,
+            "buyers",
+            "write",
+            "short",
+            RUN_MS,
+            PURCHASE_DEADLINE_MS,
+            PURCHASE_DEADLINE_MS,
+            with_request_id=True,
+        ),
+        Shape(
+            "browse",
+            1 - PURCHASE_SHARE,
+            "browsers",
+            "read",
+            "short",
+            RUN_MS,
+            BROWSE_DEADLINE_MS,
+            BROWSE_DEADLINE_MS,
+        ),
+    ]
+    if limited:
+        return shapes
+    return [shape._replace(deadline_ms=NO_DEADLINE_MS) for shape in shapes]
+
+
+async def measure_crest(site: Site, seconds: float, seed: int) -> dict[str, Any]:
+    """Drive the crest with and without admission control."""
+    result: dict[str, Any] = {"saturation_per_second": saturation_rate(site)}
+    for name, limited in (("with_limits", True), ("baseline_no_admission", False)):
+        proxy = {} if limited else {"queue_limit": NO_LIMIT}
+        levels: dict[str, Any] = {}
+        for level in LEVELS:
+            async with cl.running(one_group(site), proxy=proxy) as cluster:
+                levels[str(level)] = await _crest_level(cluster, level, limited, seconds, seed)
+            row = levels[str(level)]
+            print(f"{name} x{level}: {row['goodput_per_second']}/s", flush=True)
+        peak = max(row["goodput_per_second"] for row in levels.values())
+        last = levels[str(LEVELS[-1])]["goodput_per_second"]
+        result[name] = {"levels": levels, "last_of_peak": round(last / peak, 3)}
+    return result
+
+
+async def _crest_level(
+    cluster: Cluster, level: int, limited: bool, seconds: float, seed: int
+) -> dict[str, Any]:
+    shapes = crest_shapes(limited)
+    site = cluster.site
+    share = 0.5 if limited else 1.0
+    await put_contracts(cluster, site.groups[0], ["buyers", "browsers"], surge_share=share)
+    crowd = Crowd(list(cluster.proxy_addresses.values()), Random(seed))
+    rate = saturation_rate(site) * level
+    await crowd.stock_request_ids("buyers", int(rate * PURCHASE_SHARE * seconds * 1.5) + 100)
+    tallies = await crowd.run(shapes, rate, seconds)
+    wrongly = await _refused_but_ran(cluster, tallies)
+    good = sum(tally.good for tally in tallies.values())
+    return {
+        "rate_per_second": rate,
+        "goodput_per_second": round(good / seconds, 1),
+        "unsent": crowd.unsent,
+        "refused_but_ran": wrongly,
+        "classes": {name: tally.row(seconds) for name, tally in tallies.items()},
+    }
+
+
+async def _refused_but_ran(cluster: Cluster, tallies: dict[str, Tally]) -> int:
+    """Count the writes that were refused as not run and that an upstream ran all the same."""
+    ran: set[str] = set()
+    for name in cluster.upstream_addresses:
+        ran |= set((await cl.report(cluster, name))["ran"])
+    return sum(tag in ran for tally in tallies.values() for tag in tally.refused_tags)
+
+
+async def measure_blocking(site: Site, seconds: float, seed: int) -> dict[str, Any]:
+    """Run short work without and with long reports, with and without classes."""
+    result: dict[str, Any] = {}
+    plain = {"long_run_ms": NO_LONG_CLASS_MS}
+    for name, proxy, work_class in (
+        ("with_classes", {}, "long"),
+        ("learnt_classes", {}, ""),
+        ("baseline_one_class", plain, "short"),
+    ):
+        rows: dict[str, Any] = {}
+        for load, with_long in (("short_only", False), ("with_long", True)):
+            async with cl.running(one_group(site), proxy=proxy) as cluster:
+                rows[load] = await _blocking_load(cluster, work_class, with_long, seconds, seed)
+        before, after = rows["short_only"]["p99_ms"], rows["with_long"]["p99_ms"]
+        rows["p99_ratio"] = round(after / before, 2)
+        result[name] = rows
+        print(f"{name}: short p99 {before} ms alone, {after} ms beside long work", flush=True)
+    return result
+
+
+async def _blocking_load(
+    cluster: Cluster, work_class: str, with_long: bool, seconds: float, seed: int
+) -> dict[str, Any]:
+    await put_contracts(cluster, cluster.site.groups[0], ["inspectors", "reporters"])
+    deadline_ms = 30_000
+    short = Shape(
+        "short", SHORT_RATE, "inspectors", "read", "", SHORT_RUN_MS, deadline_ms, deadline_ms
+    )
+    report = Shape(
+        "report",
+        LONG_RATE if with_long else 0.0,
+        "reporters",
+        "read",
+        work_class,
+        LONG_RUN_MS,
+        deadline_ms,
+        deadline_ms,
+    )
+    crowd = Crowd(list(cluster.proxy_addresses.values()), Random(seed))
+    shapes = [short, report] if with_long else [short]
+    rate = sum(shape.share for shape in shapes)
+    if with_long:
+        await crowd.run([report], LONG_RATE, LONG_RUN_MS * 2 / 1000)
+    tallies = await crowd.run(shapes, rate, seconds)
+    row = tallies["short"].row(seconds)
+    if with_long:
+        row["reports"] = tallies["report"].row(seconds)
+    return row
+
+
+async def _gap(site: Site) -> dict[str, Any]:
+    return await gaps.measure(site, _ROUNDS.value)
+
+
+async def _crest(site: Site) -> dict[str, Any]:
+    return await measure_crest(site, _SECONDS.value, _SEED.value)
+
+
+async def _blocking(site: Site) -> dict[str, Any]:
+    return await measure_blocking(site, _SECONDS.value, _SEED.value)
+
+
+async def _replicas(site: Site) -> dict[str, Any]:
+    return await measure_replica_reads(one_group(site), _SECONDS.value, _SEED.value)
+
+
+MEASURES: dict[str, Callable[[Site], Awaitable[dict[str, Any]]]] = {
+    "gap": _gap,
+    "crest": _crest,
+    "blocking": _blocking,
+    "replicas": _replicas,
+}
+
+
+async def _run_all(site: Site) -> dict[str, Any]:
+    command = f"python -m endivewick_bench.measures --site={site.name} --seed={_SEED.value}"
+    command += f" --rounds={_ROUNDS.value} --seconds={_SECONDS.value:g}"
+    result: dict[str, Any] = {"command": command, "site": site.name}
+    for name in _MEASURES.value:
+        result[name] = await MEASURES[name](site)
+    return result
+
+
+def main(arguments: list[str]) -> None:
+    """Run the measures."""
+    unknown = set(_MEASURES.value) - set(MEASURES)
+    if len(arguments) > 1 or unknown:
+        sys.exit(f"--measures takes {', '.join(MEASURES)}")
+    result = trio.run(_run_all, SITES[_SITE.value])
+    text = json.dumps(result, indent=2)
+    print(text)
+    if _OUT.value:
+        Path(_OUT.value).write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/bench/src/endivewick_bench/relay.py
+++ b/packages/bench/src/endivewick_bench/relay.py
@@ -9,6 +9,8 @@
 import trio
 from endivewick_node.conf import split_address
 
+from .standins.database import admin_address
+
 CHUNK_BYTES = 65_536
 
 
@@ -27,6 +29,10 @@
         host, port = split_address(self.listen_address)
         await trio.serve_tcp(self._relay, port, host=host)
 
+    def replication(self) -> "Relay":
+        """Return the relay of the same upstream's replication, which a cut leaves alone."""
+        return Relay(admin_address(self.listen_address), admin_address(self.target_address))
+
     def cut(self, to_target: bool = True, from_target: bool = True) -> None:
         """Cut the link."""
         self.cut_to_target, self.cut_from_target = to_target, from_target
--- a/packages/bench/src/endivewick_bench/rounds.py
+++ b/packages/bench/src/endivewick_bench/rounds.py
@@ -102,6 +102,8 @@
         async with trio.open_nursery() as nursery:
             for relay in bench.to_control + bench.from_control + list(bench.to_upstreams.values()):
                 nursery.start_soon(relay.serve)
+            for relay in bench.to_upstreams.values():
+                nursery.start_soon(relay.replication().serve)
             cl.start_all(cluster)
             await cl.bootstrap(cluster)
             yield bench
--- a/packages/bench/src/endivewick_bench/sessions.py
+++ b/packages/bench/src/endivewick_bench/sessions.py
@@ -66,7 +66,7 @@
         proxy = self.random.choice(sorted(self.healthy) or list(self.proxies))
         label = options.get("label") or self.name
         tag = f"{label}/{next(self.serial)}"
-        key = options.get("key") or f"{self.name}.{self.renewals}"
+        key = options.get("key") or self.own_key()
         path, body = self._request(operation, key, tag, options)
         transaction = options.get("transaction", "")
         shared: dict[str, Any] = {
@@ -120,6 +120,10 @@
                 return
         await self.send("commit", **shared)
 
+    def own_key(self) -> str:
+        """Return the key that this session alone writes."""
+        return f"{self.name}.{self.renewals}"
+
     def serial_ahead(self) -> int:
         """Return the number that the next attempt will have."""
         number = next(self.serial)
