Detect a killed primary by its refusals, and never propose it

Cause: a killed primary whose address still accepts connections (a relay, a balancer) was noticed only after 1,000 ms of silence, since a refusal was counted only while connecting. Counting it until the first answer then showed a second fault: the dead primary had been heard within the last second and has the highest position, so the home proposed it again, 27 times in one second. Ruled out: the order of the promotion, which took 74 ms as before. Change: a connection that ends before its first answer counts as refused; an upstream that refuses is no candidate.

--- a/packages/core/src/endivewick_core/proxy/failover.py
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -75,7 +75,7 @@
 
 
 def _unreachable(state: ProxyState, now_ms: int, home: Home, instance: Instance) -> bool:
-    if instance.refused >= REFUSALS_TO_REPLACE and not instance.idle:
+    if _refuses(instance):
         return True
     heard_ms = max(instance.heard_ms, home.since_ms)
     if home.phase is Phase.WAITING:
@@ -83,6 +83,11 @@
     return now_ms - heard_ms > state.settings.unreachable_ms
 
 
+def _refuses(instance: Instance) -> bool:
+    """Tell whether an upstream ends every new connection before it answers a ping."""
+    return instance.refused >= REFUSALS_TO_REPLACE and not instance.idle
+
+
 def _replace(state: ProxyState, now_ms: int, home: Home, instance: Instance | None) -> list[Effect]:
     """Revoke the grant, end what runs on the old primary and propose another."""
     set_phase(home, Phase.REPLACING, now_ms)
@@ -156,6 +161,7 @@
         for item in home.instances.values()
         if item is not excluded
         and not item.leaving
+        and not _refuses(item)
         and item.heard_ms
         and now_ms - item.heard_ms <= limit_ms
     ]
--- a/packages/core/src/endivewick_core/proxy/results.py
+++ b/packages/core/src/endivewick_core/proxy/results.py
@@ -38,7 +38,6 @@
     home, instance, connection = connections.find(state, event.connection)
     if home is None or instance is None or connection is None:
         return [CloseConnection(event.connection)]
-    instance.refused = 0
     connection.state = ConnectionState.CHECKING
     connection.opened_ms = event.now_ms
     return [connections.order(event.now_ms, connection, "ping", {})]
@@ -69,7 +68,7 @@
     home, instance, connection = connections.find(state, event.connection)
     if home is None or instance is None or connection is None:
         return []
-    if connection.state is ConnectionState.OPENING:
+    if not connection.heard_ms:
         instance.refused += 1
         instance.next_open_ms = event.now_ms + connections.OPEN_RETRY_MS
     return lose_connection(state, event.now_ms, home, instance, connection)
@@ -150,6 +149,7 @@
 ) -> None:
     answer = event.answer
     instance.heard_ms = event.now_ms
+    instance.refused = 0
     connection.heard_ms = event.now_ms
     if answer.role:
         instance.role = answer.role
