Keep short work apart from long work, declared or learnt

Cause 1: long work could hold two of an instance's three slots, which left short work a third of its capacity. Cause 2: an undeclared read that ran over a second was cut off as silent, run again and failed after three attempts; so it never finished and its class was never learnt. Cause 3: a statement of unknown run time stood before its own customer's short work in the queue. Ruled out: more statements in flight than slots to hide 20 ms of latency; that would move the queue into the upstream, where nothing keeps short and long work apart. Change: long work takes a third of the slots (at least one); work that has run for 250 ms is long from then on, and so is what waits of its kind; unknown statements have their own queue and never take the last slot; a grant lasts 200 ms, so a promotion waits less.

--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -10,7 +10,6 @@
 from ..positions import Position
 from . import answers, classes, dispatch, once, replicas, transactions
 from .effects import Count, Effect
-from .queueing import FairQueue
 from .state import Home, ProxyState, lease_holds
 from .work import Origin, Work
 
@@ -54,19 +53,10 @@
     if overload is not None:
         once.forget(home, work)
         return [answers.refuse(state, now_ms, home, work.origin, overload)]
-    queue_for(home, work).push(work)
+    classes.queue_for(state, home, work).push(work)
     return dispatch.dispatch(state, now_ms, home)
 
 
-def queue_for(home: Home, work: Work) -> FairQueue:
-    """Return the queue that work of this kind waits in."""
-    if work.work_class == "long":
-        return home.long
-    if work.needs_primary:
-        return home.writes
-    return home.reads
-
-
 def _work(
     state: ProxyState,
     now_ms: int,
@@ -91,6 +81,7 @@
         now_ms + request.deadline_ms,
         key,
         needs_primary=needs_primary,
+        declared=bool(request.work_class),
     )
 
 
@@ -105,7 +96,7 @@
     state: ProxyState, now_ms: int, home: Home, work: Work, contract: Contract
 ) -> Failure | None:
     settings = state.settings
-    queue = queue_for(home, work)
+    queue = classes.queue_for(state, home, work)
     share = max(1, int(contract.surge_share * settings.queue_limit))
     slots = max(1, sum(instance.slots for instance in home.instances.values()))
     if work.needs_primary:
--- a/packages/core/src/endivewick_core/proxy/classes.py
+++ b/packages/core/src/endivewick_core/proxy/classes.py
@@ -4,7 +4,9 @@
 
 import xxhash
 
-from .state import ProxyState
+from .queueing import FairQueue
+from .state import Home, ProxyState
+from .work import Work
 
 RUN_TIMES_KEPT = 10_000
 RUN_TIME_GAIN = 0.2
@@ -16,6 +18,11 @@
     return xxhash.xxh3_64_intdigest(f"{customer}\0{name}".encode())
 
 
+def is_known(state: ProxyState, key: int) -> bool:
+    """Tell whether a statement of this key has run before."""
+    return key in state.run_times_ms
+
+
 def learnt_class(state: ProxyState, key: int) -> str:
     """Return the class of a statement whose caller declared none."""
     run_ms = state.run_times_ms.get(key, 0.0)
@@ -28,3 +35,43 @@
     state.run_times_ms[key] = known_ms + (run_ms - known_ms) * RUN_TIME_GAIN
     if len(state.run_times_ms) > RUN_TIMES_KEPT:
         del state.run_times_ms[next(iter(state.run_times_ms))]
+
+
+def queue_for(state: ProxyState, home: Home, work: Work) -> FairQueue:
+    """Return the queue that work of this kind waits in.
+
+    Statements whose run time is not known have a queue of their own, so that they don't hold up
+    what their customer sends behind them.
+    """
+    if work.work_class == "long":
+        return home.long
+    if not work.declared and not is_known(state, work.learn_key):
+        return home.unknown
+    if work.needs_primary:
+        return home.writes
+    return home.reads
+
+
+def reclassify(state: ProxyState, now_ms: int, home: Home) -> None:
+    """Treat running work as long once it has run for long, and what waits of its kind too."""
+    limit_ms = state.settings.long_run_ms
+    found: set[int] = set()
+    for instance in home.instances.values():
+        for connection in instance.connections.values():
+            work = connection.work
+            if work is None or work.declared or work.work_class == "long":
+                continue
+            if now_ms - work.sent_ms <= limit_ms or work.operation not in ("read", "write"):
+                continue
+            work.work_class = "long"
+            state.run_times_ms[work.learn_key] = float(now_ms - work.sent_ms)
+            found.add(work.learn_key)
+            if not work.holds_long:
+                work.holds_long = True
+                instance.running_long += 1
+    if not found:
+        return
+    for queue in (home.reads, home.writes, home.unknown):
+        for work in queue.remove_if(lambda item: item.learn_key in found and not item.declared):
+            work.work_class = "long"
+            home.long.push(work)
--- a/packages/core/src/endivewick_core/proxy/dispatch.py
+++ b/packages/core/src/endivewick_core/proxy/dispatch.py
@@ -2,13 +2,14 @@
 
 Transactions go first on the primary, then writes, then reads that only the primary may serve; one
 such read goes ahead after ``WRITES_IN_ROW`` writes, so that writes can't starve reads. Long work
-never takes an upstream's last slot.
+takes a share of an upstream's slots only, and statements whose run time is not known yet never take
+the last one.
 """
 
 from collections.abc import Callable
 
 from ..exceptions import DEADLINE_EXCEEDED, Failure
-from . import answers, connections, once, replicas, transactions
+from . import answers, classes, connections, once, replicas, transactions
 from .effects import Effect, SendUpstream
 from .queueing import FairQueue
 from .state import (
@@ -28,12 +29,12 @@
 
 def dispatch(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
     """Start as much waiting work as slots and connections allow."""
-    if not _waiting(home) or not lease_holds(state, now_ms):
+    if not home.queued or not lease_holds(state, now_ms):
         return []
     effects: list[Effect] = []
     primary = state.machine.groups[home.group].primary
     for instance in sorted(home.instances.values(), key=_load):
-        while instance.running < instance.slots and _waiting(home):
+        while instance.running < instance.slots and home.queued:
             started = _start_next(state, now_ms, home, instance, instance.name == primary)
             if started is None:
                 break
@@ -44,7 +45,7 @@
 def expire_queues(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
     """Refuse the waiting work whose deadline passed; none of it ran."""
     effects: list[Effect] = []
-    for queue in (home.urgent, home.writes, home.reads, home.long):
+    for queue in home.queues:
         if not queue.size:
             continue
         for work in queue.remove_if(lambda item: now_ms >= item.deadline_ms):
@@ -55,16 +56,13 @@
 def release(home: Home, instance: Instance, work: Work) -> None:
     """Give back the slot and the customer's connection that work held."""
     instance.running -= 1
-    if work.work_class == "long":
+    if work.holds_long:
+        work.holds_long = False
         instance.running_long -= 1
     if not work.transaction:
         transactions.release_held(home, work.customer)
 
 
-def _waiting(home: Home) -> int:
-    return home.urgent.size + home.writes.size + home.reads.size + home.long.size
-
-
 def _load(instance: Instance) -> int:
     return instance.running
 
@@ -76,7 +74,7 @@
         if not is_active(state, home, now_ms):
             return None
         return _start_on_primary(state, now_ms, home, instance)
-    if instance.leaving or not (home.reads.size or home.long.size):
+    if instance.leaving:
         return None
 
     def fits(work: Work) -> bool:
@@ -84,9 +82,14 @@
             state, home, instance, work, now_ms
         )
 
-    started = _start_from(home.reads, now_ms, home, instance, fits)
-    if started is None and _long_may_start(instance):
-        started = _start_from(home.long, now_ms, home, instance, fits)
+    def fits_unknown(work: Work) -> bool:
+        return work.operation == "read" and fits(work)
+
+    started = _start_from(state, home.reads, now_ms, home, instance, fits)
+    if started is None and _unknown_may_start(instance):
+        started = _start_from(state, home.unknown, now_ms, home, instance, fits_unknown)
+    if started is None and _long_may_start(state, instance):
+        started = _start_from(state, home.long, now_ms, home, instance, fits)
     return started
 
 
@@ -102,30 +105,34 @@
     def fits_write(work: Work) -> bool:
         return _within_contract(state, home, work)
 
-    def fits_read(work: Work) -> bool:
-        return _within_contract(state, home, work) and not replicas.any_replica(
-            state, home, work, now_ms
-        )
-
-    def fits_long(work: Work) -> bool:
-        return fits_write(work) if work.operation != "read" else fits_read(work)
+    def fits_any(work: Work) -> bool:
+        if not _within_contract(state, home, work):
+            return False
+        return work.operation != "read" or not replicas.any_replica(state, home, work, now_ms)
 
     if home.writes_in_row >= WRITES_IN_ROW:
         home.writes_in_row = 0
-        started = _start_from(home.reads, now_ms, home, instance, fits_read)
+        started = _start_from(state, home.reads, now_ms, home, instance, fits_any)
         if started is not None:
             return started
-    started = _start_from(home.writes, now_ms, home, instance, fits_write)
+    started = _start_from(state, home.writes, now_ms, home, instance, fits_write)
     if started is not None:
         home.writes_in_row += 1
         return started
-    started = _start_from(home.reads, now_ms, home, instance, fits_read)
-    if started is None and _long_may_start(instance):
-        started = _start_from(home.long, now_ms, home, instance, fits_long)
+    started = _start_from(state, home.reads, now_ms, home, instance, fits_any)
+    if started is None and _unknown_may_start(instance):
+        started = _start_from(state, home.unknown, now_ms, home, instance, fits_any)
+    if started is None and _long_may_start(state, instance):
+        started = _start_from(state, home.long, now_ms, home, instance, fits_any)
     return started
 
 
-def _long_may_start(instance: Instance) -> bool:
+def _long_may_start(state: ProxyState, instance: Instance) -> bool:
+    return instance.running_long < max(1, int(instance.slots * state.settings.long_share))
+
+
+def _unknown_may_start(instance: Instance) -> bool:
+    """Tell whether a statement of unknown run time may take a slot; never the last one."""
     return instance.running_long < max(1, instance.slots - 1)
 
 
@@ -140,7 +147,12 @@
 
 
 def _start_from(
-    queue: FairQueue, now_ms: int, home: Home, instance: Instance, fits: Callable[[Work], bool]
+    state: ProxyState,
+    queue: FairQueue,
+    now_ms: int,
+    home: Home,
+    instance: Instance,
+    fits: Callable[[Work], bool],
 ) -> SendUpstream | None:
     if not queue.size:
         return None
@@ -152,17 +164,22 @@
         connections.make_idle(instance, connection)
         return None
     home.held[work.customer] = home.held.get(work.customer, 0) + 1
-    return _send(now_ms, instance, connection, work)
+    known = work.declared or classes.is_known(state, work.learn_key)
+    return _send(now_ms, instance, connection, work, known)
 
 
 def _send_pinned(now_ms: int, home: Home, instance: Instance, work: Work) -> SendUpstream | None:
     transaction = home.transactions[work.transaction]
-    return _send(now_ms, instance, instance.connections[transaction.connection], work)
+    connection = instance.connections[transaction.connection]
+    return _send(now_ms, instance, connection, work, known=True)
 
 
-def _send(now_ms: int, instance: Instance, connection: Connection, work: Work) -> SendUpstream:
+def _send(
+    now_ms: int, instance: Instance, connection: Connection, work: Work, known: bool
+) -> SendUpstream:
     instance.running += 1
-    if work.work_class == "long":
+    work.holds_long = work.work_class == "long" or not known
+    if work.holds_long:
         instance.running_long += 1
     connection.state = ConnectionState.BUSY
     connection.work = work
--- a/packages/core/src/endivewick_core/proxy/homes.py
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -135,7 +135,7 @@
 def _refuse_lost_sessions(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
     """Refuse the waiting work of sessions whose writes the new term has lost."""
     effects: list[Effect] = []
-    for queue in (home.urgent, home.writes, home.reads, home.long):
+    for queue in home.queues:
         for work in queue.remove_if(lambda item: not replicas.session_holds(state, home, item)):
             once.forget(home, work)
             effects.append(answers.refuse(state, now_ms, home, work.origin, replicas.LOST))
@@ -166,7 +166,7 @@
     """Hand work that was not sent back to its entry, which waits for the next home."""
     effects: list[Effect] = []
     failure = Failure(NOT_HOME, f"{state.settings.name} gave up group {home.group}")
-    for queue in (home.urgent, home.writes, home.reads, home.long):
+    for queue in home.queues:
         for work in queue.remove_if(lambda item: True):
             effects.append(answers.refuse(state, now_ms, home, work.origin, failure))
     return effects
--- a/packages/core/src/endivewick_core/proxy/results.py
+++ b/packages/core/src/endivewick_core/proxy/results.py
@@ -15,7 +15,6 @@
 from ..messages import ForwardedAnswer
 from ..positions import Position, covers
 from . import answers, classes, connections, dispatch, once, replicas, transactions
-from .admission import queue_for
 from .effects import CloseConnection, Count, Effect
 from .events import UpstreamAnswer, UpstreamAnswered, UpstreamBroke, UpstreamOpened
 from .state import (
@@ -96,6 +95,7 @@
     """Close the connections whose answer is overdue, and those of idle transactions."""
     settings = state.settings
     effects: list[Effect] = []
+    classes.reclassify(state, now_ms, home)
     for instance in home.instances.values():
         for connection in list(instance.connections.values()):
             waited_ms = now_ms - connection.sent_ms
@@ -296,7 +296,7 @@
             return _unknown(state, now_ms, home, work)
         return _transaction_lost(state, now_ms, home, work)
     if work.operation == "begin" and now_ms < work.deadline_ms:
-        queue_for(home, work).push_front(work)
+        classes.queue_for(state, home, work).push_front(work)
         return []
     if work.operation == "read":
         return _repeat_read(state, now_ms, home, work)
@@ -304,9 +304,15 @@
 
 
 def _repeat_read(state: ProxyState, now_ms: int, home: Home, work: Work) -> list[Effect]:
-    """Run a read again within its deadline and its number of attempts."""
+    """Run a read again within its deadline and its number of attempts.
+
+    A short attempt that took too long may be long work, so it runs again as such.
+    """
+    if not work.declared and now_ms - work.sent_ms >= state.settings.long_run_ms:
+        classes.learn(state, work.learn_key, now_ms - work.sent_ms)
+        work.work_class = "long"
     if work.attempts < READ_ATTEMPTS and now_ms < work.deadline_ms:
-        queue_for(home, work).push_front(work)
+        classes.queue_for(state, home, work).push_front(work)
         return [Count("reads.retries")]
     message = "no upstream answered the read; send it again"
     return _refuse(state, now_ms, home, work, Failure(READ_FAILED, message))
--- a/packages/core/src/endivewick_core/proxy/state.py
+++ b/packages/core/src/endivewick_core/proxy/state.py
@@ -25,7 +25,7 @@
     control_addresses: list[str]
     session_key: bytes
     heartbeat_ms: int = 250
-    grant_ms: int = 400
+    grant_ms: int = 200
     control_timeout_ms: int = 500
     configuration_limit_ms: int = 4_000
     balancer_grace_ms: int = 1_000
@@ -37,6 +37,7 @@
     connection_age_ms: int = 600_000
     short_attempt_ms: int = 1_000
     long_run_ms: int = 250
+    long_share: float = 0.34
     queue_limit: int = 512
     waiting_limit: int = 1_000
     transaction_idle_ms: int = 10_000
@@ -154,6 +155,7 @@
     urgent: FairQueue = field(default_factory=FairQueue)
     writes: FairQueue = field(default_factory=FairQueue)
     reads: FairQueue = field(default_factory=FairQueue)
+    unknown: FairQueue = field(default_factory=FairQueue)
     long: FairQueue = field(default_factory=FairQueue)
     held: dict[str, int] = field(default_factory=dict)
     transactions: dict[str, Transaction] = field(default_factory=dict)
@@ -168,6 +170,16 @@
     serial: int = 0
     sweep_due_ms: int = 0
 
+    @property
+    def queues(self) -> tuple[FairQueue, ...]:
+        """All queues of waiting work."""
+        return (self.urgent, self.writes, self.reads, self.unknown, self.long)
+
+    @property
+    def queued(self) -> int:
+        """How much work waits."""
+        return sum(queue.size for queue in self.queues)
+
 
 class EntryStage(StrEnum):
     """Where a caller's request stands at its entry."""
--- a/packages/core/src/endivewick_core/proxy/work.py
+++ b/packages/core/src/endivewick_core/proxy/work.py
@@ -19,7 +19,11 @@
 
 @dataclass(slots=True)
 class Work:
-    """One piece of work in a home, from admission to its answer."""
+    """One piece of work in a home, from admission to its answer.
+
+    ``declared`` tells whether the caller gave the class, ``holds_long`` whether the work counts
+    against the long slots of the upstream that runs it.
+    """
 
     origin: Origin
     operation: str
@@ -36,3 +40,5 @@
     sent_ms: int = 0
     attempts: int = 0
     needs_primary: bool = False
+    declared: bool = False
+    holds_long: bool = False
--- a/packages/node/src/endivewick_node/conf.py
+++ b/packages/node/src/endivewick_node/conf.py
@@ -100,6 +100,7 @@
     connection_age_ms: NotRequired[Annotated[int, _ms(1_000, 86_400_000)]]
     short_attempt_ms: NotRequired[Annotated[int, _ms(10, 600_000)]]
     long_run_ms: NotRequired[Annotated[int, _ms(1, 600_000)]]
+    long_share: NotRequired[Annotated[float, Field(gt=0, lt=1)]]
     queue_limit: NotRequired[Annotated[int, Field(ge=1, le=1_000_000)]]
     waiting_limit: NotRequired[Annotated[int, Field(ge=1, le=1_000_000)]]
     transaction_idle_ms: NotRequired[Annotated[int, _ms(100, 3_600_000)]]
--- a/packages/node/src/endivewick_node/proxy_node.py
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -298,7 +298,7 @@
                 "group": home.group,
                 "home_epoch": home.epoch,
                 "phase": str(home.phase),
-                "queued": home.writes.size + home.reads.size + home.long.size,
+                "queued": home.queued,
                 "transactions": len(home.transactions),
                 "request_ids": len(home.once),
                 "upstreams": [
