Keep goodput flat past saturation, and finish what runs past its deadline

The expected wait counted all slots of a group and the mean run time of all its work, so browsing queued for longer than its deadline; work was then started that could not end in time. Cause 2: work that ran at its deadline lost its connection, whose reopening costs 30 ms, and made its siblings suspect, although the upstream was only busy. Ruled out: the request ids of purchases (purchases were unaffected at that load). Change: the expected wait counts the slots and the learnt run time that the work will use and may fill 80% of the deadline; work that can't end in time is refused before it starts; work that runs past its deadline is answered and keeps its connection until its answer or one more second, and a late answer to a request id is kept for its resend. Homes look only at groups that a change touched, and placement skips groups that have a live home.

--- a/packages/bench/src/endivewick_bench/measures.py
+++ b/packages/bench/src/endivewick_bench/measures.py
@@ -47,10 +47,13 @@
 def saturation_rate(site: Site) -> float:
     """Return the rate of the crest's mix that the upstreams of one group can just serve.
 
-    Purchases need the primary's slots, browsing the replicas'; the scarcer one decides.
+    Purchases need the primary's slots, browsing the replicas', which stand in other regions and
+    hold a slot for the way there and back too; the scarcer one decides.
     """
-    slot_rate = site.slots * 1_000 / RUN_MS
-    return min(slot_rate / PURCHASE_SHARE, slot_rate * (site.instances - 1) / (1 - PURCHASE_SHARE))
+    purchases = site.slots * 1_000 / RUN_MS
+    browsing = site.slots * 1_000 / (RUN_MS + 2 * site.region_latency_ms)
+    replicas = site.instances - 1
+    return min(purchases / PURCHASE_SHARE, browsing * replicas / (1 - PURCHASE_SHARE))
 
 
 async def put_contracts(cluster: Cluster, group: str, customers: list[str], **changes: Any) -> None:
--- a/packages/core/src/endivewick_core/control/placement.py
+++ b/packages/core/src/endivewick_core/control/placement.py
@@ -14,6 +14,7 @@
 from .state import ControlState, ProxyLease
 
 GROUPS_PER_COMMAND = 500
+PLACEMENT_INTERVAL_MS = 100
 
 
 def check_homes(state: ControlState, now_ms: int) -> list[Effect]:
@@ -21,16 +22,22 @@
     leading = state.leading
     if leading is None or state.commit_index < leading.start_index:
         return []
+    if now_ms < leading.placement_due_ms:
+        return []
+    leading.placement_due_ms = now_ms + PLACEMENT_INTERVAL_MS
     leases.forget_leases(state, now_ms)
-    live = [
-        lease
-        for lease in leading.leases.values()
-        if not lease.draining and not leases.expired(state, now_ms, lease)
-    ]
+    holding = {
+        key: lease
+        for key, lease in leading.leases.items()
+        if not leases.expired(state, now_ms, lease)
+    }
+    live = [lease for lease in holding.values() if not lease.draining]
     if not live:
         return []
     chosen: dict[tuple[str, str], list[tuple[str, int]]] = {}
     for group in state.machine.groups.values():
+        if (group.home, group.home_boot) in holding:
+            continue
         if group.name in leading.assigning or not _may_assign(state, now_ms, group):
             continue
         lease = _choose(state, group, live)
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -97,6 +97,7 @@
     round_number: int = 0
     round_started_ms: int = 0
     round_wanted: bool = True
+    placement_due_ms: int = 0
     progress: dict[str, Progress] = field(default_factory=dict)
     leases: dict[tuple[str, str], ProxyLease] = field(default_factory=dict)
     heartbeats: list[WaitingHeartbeat] = field(default_factory=list)
--- a/packages/core/src/endivewick_core/exceptions.py
+++ b/packages/core/src/endivewick_core/exceptions.py
@@ -40,11 +40,9 @@
 NO_HOME = FailureType("no_home", 503, "not_run")
 NOT_HOME = FailureType("not_home", 503, "not_run")
 OVERLOADED = FailureType("overloaded", 503, "not_run")
-CONNECTION_LIMIT = FailureType("connection_limit", 429, "not_run")
 DEADLINE_EXCEEDED = FailureType("deadline_exceeded", 504, "not_run")
 OUTCOME_UNKNOWN = FailureType("outcome_unknown", 504, "outcome_unknown")
 READ_FAILED = FailureType("read_failed", 502, "outcome_unknown")
-STALENESS_UNAVAILABLE = FailureType("staleness_unavailable", 503, "not_run")
 REQUEST_ID_INVALID = FailureType("request_id_invalid", 400, "not_run")
 REQUEST_ID_EXPIRED = FailureType("request_id_expired", 409, "not_run")
 REQUEST_ID_REUSED = FailureType("request_id_reused", 409, "not_run")
@@ -78,11 +76,9 @@
     NO_HOME,
     NOT_HOME,
     OVERLOADED,
-    CONNECTION_LIMIT,
     DEADLINE_EXCEEDED,
     OUTCOME_UNKNOWN,
     READ_FAILED,
-    STALENESS_UNAVAILABLE,
     REQUEST_ID_INVALID,
     REQUEST_ID_EXPIRED,
     REQUEST_ID_REUSED,
--- a/packages/core/src/endivewick_core/machine.py
+++ b/packages/core/src/endivewick_core/machine.py
@@ -78,6 +78,8 @@
 class Machine:
     """The configuration at one revision of the control log.
 
+    ``members`` lists the upstreams of each group; it follows from ``upstreams``.
+
     Control members keep the records of changes. Proxies don't: they get a refused command as an
     empty one, so they need no records to reach the same configuration.
     """
@@ -88,6 +90,7 @@
     groups: dict[str, Group] = field(default_factory=dict)
     changes: dict[str, ChangeRecord] = field(default_factory=dict)
     keeps_changes: bool = True
+    members: dict[str, list[str]] = field(default_factory=dict)
 
 
 class _Stored(NamedTuple):
@@ -113,7 +116,10 @@
 def decode_machine(data: bytes) -> Machine:
     """Return the machine of a snapshot."""
     stored = _stored_decoder.decode(data)
-    return Machine(*stored)
+    machine = Machine(*stored)
+    for upstream in machine.upstreams.values():
+        machine.members.setdefault(upstream.group, []).append(upstream.name)
+    return machine
 
 
 def decode_configuration(data: bytes) -> Machine:
@@ -141,6 +147,17 @@
     return handler(machine, index, command)
 
 
+def touched_groups(machine: Machine, command: Any) -> list[str]:
+    """Return the groups whose home must look at an applied command."""
+    if isinstance(command, RegisterUpstream | AdoptPrimary | Promote | ReleaseHome):
+        return [command.group]
+    if isinstance(command, AssignHomes):
+        return [name for name, _ in command.groups]
+    if isinstance(command, SetUpstream) and command.upstream in machine.upstreams:
+        return [machine.upstreams[command.upstream].group]
+    return []
+
+
 def _once(
     machine: Machine,
     index: int,
@@ -202,6 +219,10 @@
 def _register(machine: Machine, index: int, command: RegisterUpstream) -> ChangeResult:
     known = machine.upstreams.get(command.upstream)
     wanted, version = (known.wanted, known.version) if known else ("started", 0)
+    if known is not None and known.group != command.group:
+        machine.members[known.group].remove(known.name)
+    if known is None or known.group != command.group:
+        machine.members.setdefault(command.group, []).append(command.upstream)
     machine.upstreams[command.upstream] = Upstream(*command, wanted=wanted, version=version)
     _ensure_group(machine, command.group)
     return ChangeResult("", 0, index)
--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -10,9 +10,13 @@
 from ..positions import Position
 from . import answers, classes, dispatch, once, replicas, transactions
 from .effects import Count, Effect
+from .queueing import FairQueue
 from .state import Home, ProxyState, lease_holds
 from .work import Origin, Work
 
+# The part of a deadline that the expected wait may fill; the rest is for what was not expected.
+DEADLINE_SHARE = 0.8
+
 
 def admit(state: ProxyState, now_ms: int, address: str, request: ForwardedRequest) -> list[Effect]:
     """Take a request for a group that this proxy holds, or refuse it as not run."""
@@ -98,16 +102,26 @@
     settings = state.settings
     queue = classes.queue_for(state, home, work)
     share = max(1, int(contract.surge_share * settings.queue_limit))
-    slots = max(1, sum(instance.slots for instance in home.instances.values()))
-    if work.needs_primary:
-        slots = max(1, slots // max(1, len(home.instances)))
-    wait_ms = int(queue.size * home.mean_run_ms / slots)
+    wait_ms = _expected_wait_ms(state, home, work, queue)
+    limit_ms = DEADLINE_SHARE * (work.deadline_ms - now_ms)
     if queue.count_of(work.customer) >= share:
         message = f"customer {work.customer} has claimed its surge_share of the queue"
     elif queue.size >= settings.queue_limit:
         message = f"the queue of group {home.group} is full"
-    elif work.work_class != "long" and wait_ms > work.deadline_ms - now_ms:
+    elif work.work_class != "long" and wait_ms > limit_ms:
         message = f"the expected wait of {wait_ms} ms exceeds the deadline"
     else:
         return None
     return Failure(OVERLOADED, message, retry_after_ms=max(50, wait_ms))
+
+
+def _expected_wait_ms(state: ProxyState, home: Home, work: Work, queue: FairQueue) -> int:
+    """Return how long the work ahead and the work itself will take, by learnt run times."""
+    run_ms = classes.expected_run_ms(state, home, work)
+    primary = state.machine.groups[home.group].primary
+    slots = 0
+    for instance in home.instances.values():
+        on_primary = instance.name == primary
+        if on_primary == work.needs_primary and not instance.leaving:
+            slots += instance.slots
+    return int((queue.size / max(1, slots) + 1) * run_ms)
--- a/packages/core/src/endivewick_core/proxy/classes.py
+++ b/packages/core/src/endivewick_core/proxy/classes.py
@@ -37,6 +37,11 @@
         del state.run_times_ms[next(iter(state.run_times_ms))]
 
 
+def expected_run_ms(state: ProxyState, home: Home, work: Work) -> float:
+    """Return a statement's learnt run time, or the mean of the group's short work."""
+    return state.run_times_ms.get(work.learn_key, home.mean_run_ms)
+
+
 def queue_for(state: ProxyState, home: Home, work: Work) -> FairQueue:
     """Return the queue that work of this kind waits in.
 
--- a/packages/core/src/endivewick_core/proxy/configuration.py
+++ b/packages/core/src/endivewick_core/proxy/configuration.py
@@ -7,7 +7,7 @@
 
 from ..codec import CodecFault, decode, encode
 from ..commands import COMMANDS
-from ..machine import apply_command, decode_configuration
+from ..machine import apply_command, decode_configuration, touched_groups
 from ..messages import HeartbeatReply, LeaderHint, ProxyHeartbeat
 from . import homes
 from .effects import Count, Effect, Note, Send
@@ -103,9 +103,12 @@
 
 def _apply(state: ProxyState, now_ms: int, reply: HeartbeatReply) -> list[Effect]:
     before = state.machine.revision
+    touched: set[str] = set()
     if reply.machine and reply.machine_index > before:
         state.machine = decode_configuration(reply.machine)
         state.proposals.clear()
+        touched.update(state.machine.groups)
+        touched.update(state.homes)
     effects: list[Effect] = []
     for entry in reply.entries:
         if entry.log_index != state.machine.revision + 1:
@@ -115,7 +118,8 @@
             text = f"entry {entry.log_index} can't be read: {command.reason}; upgrade this process"
             effects.append(Note("error", "entry_unreadable", text))
         apply_command(state.machine, entry.log_index, command)
+        touched.update(touched_groups(state.machine, command))
         state.proposals.pop(entry.command, None)
-    if state.machine.revision > before:
-        effects += homes.configuration_changed(state, now_ms)
+    if touched:
+        effects += homes.configuration_changed(state, now_ms, sorted(touched))
     return effects
--- a/packages/core/src/endivewick_core/proxy/dispatch.py
+++ b/packages/core/src/endivewick_core/proxy/dispatch.py
@@ -38,7 +38,7 @@
             started = _start_next(state, now_ms, home, instance, instance.name == primary)
             if started is None:
                 break
-            effects.append(started)
+            effects += started
     return effects
 
 
@@ -69,7 +69,7 @@
 
 def _start_next(
     state: ProxyState, now_ms: int, home: Home, instance: Instance, is_primary: bool
-) -> SendUpstream | None:
+) -> list[Effect] | None:
     if is_primary:
         if not is_active(state, home, now_ms):
             return None
@@ -95,7 +95,7 @@
 
 def _start_on_primary(
     state: ProxyState, now_ms: int, home: Home, instance: Instance
-) -> SendUpstream | None:
+) -> list[Effect] | None:
     work = home.urgent.pop(lambda item: _pinned_here(home, instance, item))
     if work is not None:
         return _send_pinned(now_ms, home, instance, work)
@@ -153,7 +153,7 @@
     home: Home,
     instance: Instance,
     fits: Callable[[Work], bool],
-) -> SendUpstream | None:
+) -> list[Effect] | None:
     if not queue.size:
         return None
     connection = connections.take_idle(instance)
@@ -163,15 +163,18 @@
     if work is None:
         connections.make_idle(instance, connection)
         return None
-    home.held[work.customer] = home.held.get(work.customer, 0) + 1
     known = work.declared or classes.is_known(state, work.learn_key)
-    return _send(now_ms, instance, connection, work, known)
+    if known and now_ms + classes.expected_run_ms(state, home, work) > work.deadline_ms:
+        connections.make_idle(instance, connection)
+        return _expire(state, now_ms, home, work)
+    home.held[work.customer] = home.held.get(work.customer, 0) + 1
+    return [_send(now_ms, instance, connection, work, known)]
 
 
-def _send_pinned(now_ms: int, home: Home, instance: Instance, work: Work) -> SendUpstream | None:
+def _send_pinned(now_ms: int, home: Home, instance: Instance, work: Work) -> list[Effect] | None:
     transaction = home.transactions[work.transaction]
     connection = instance.connections[transaction.connection]
-    return _send(now_ms, instance, connection, work, known=True)
+    return [_send(now_ms, instance, connection, work, known=True)]
 
 
 def _send(
--- a/packages/core/src/endivewick_core/proxy/homes.py
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -13,20 +13,21 @@
 from .state import Home, Instance, Phase, ProxyState
 
 
-def configuration_changed(state: ProxyState, now_ms: int) -> list[Effect]:
-    """Bring the homes in line with a newer configuration."""
+def configuration_changed(state: ProxyState, now_ms: int, touched: list[str]) -> list[Effect]:
+    """Bring the homes of the groups that a newer configuration touched in line with it."""
     effects: list[Effect] = []
-    for home in list(state.homes.values()):
-        group = state.machine.groups.get(home.group)
+    for name in touched:
+        group = state.machine.groups.get(name)
+        home = state.homes.get(name)
         mine = group is not None and group.home_boot == state.settings.boot
-        if group is None or not mine or group.home_epoch != home.epoch:
+        if home is not None and (group is None or not mine or group.home_epoch != home.epoch):
             effects += _drop(state, now_ms, home)
-    for group in state.machine.groups.values():
-        if group.home_boot == state.settings.boot and group.name not in state.homes:
-            effects += _take(state, now_ms, group.name, group.home_epoch)
-    for home in state.homes.values():
-        _sync_instances(state, home)
-        effects += _follow_term(state, now_ms, home)
+        if group is None or not mine:
+            continue
+        if name not in state.homes:
+            effects += _take(state, now_ms, name, group.home_epoch)
+        _sync_instances(state, state.homes[name])
+        effects += _follow_term(state, now_ms, state.homes[name])
     return effects
 
 
@@ -144,9 +145,8 @@
 
 def _sync_instances(state: ProxyState, home: Home) -> None:
     """Bring the upstreams of a home in line with the configuration."""
-    for record in state.machine.upstreams.values():
-        if record.group != home.group:
-            continue
+    for name in state.machine.members.get(home.group, []):
+        record = state.machine.upstreams[name]
         known = home.instances.get(record.name)
         if known is None:
             known = Instance(record.name, record.address, record.slots, record.connection_cap)
--- a/packages/core/src/endivewick_core/proxy/results.py
+++ b/packages/core/src/endivewick_core/proxy/results.py
@@ -92,20 +92,20 @@
 
 
 def check_silent(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
-    """Close the connections whose answer is overdue, and those of idle transactions."""
-    settings = state.settings
+    """Answer work whose deadline passed, and close connections whose answer is overdue.
+
+    Work that runs past its deadline keeps its connection and its slot for a while, since the
+    upstream is still running it.
+    """
     effects: list[Effect] = []
     classes.reclassify(state, now_ms, home)
     for instance in home.instances.values():
         for connection in list(instance.connections.values()):
-            waited_ms = now_ms - connection.sent_ms
-            if connection.work is not None:
-                overdue = _work_overdue(state, now_ms, connection.work)
-            elif connection.state is ConnectionState.OPENING:
-                overdue = waited_ms >= settings.open_timeout_ms
-            else:
-                overdue = bool(connection.order) and waited_ms >= settings.ping_timeout_ms
-            if overdue:
+            work = connection.work
+            if work is not None and not work.answered and now_ms >= work.deadline_ms:
+                work.answered = True
+                effects += _end_overdue(state, now_ms, home, work)
+            if _overdue(state, now_ms, connection):
                 effects.append(Count("upstream.silent_connections"))
                 effects += lose_connection(state, now_ms, home, instance, connection)
     for number in transactions.idle_connections(state, home, now_ms):
@@ -132,12 +132,31 @@
     return effects
 
 
-def _work_overdue(state: ProxyState, now_ms: int, work: Work) -> bool:
-    if now_ms >= work.deadline_ms:
-        return True
-    if work.operation != "read" or work.work_class == "long" or work.transaction:
-        return False
-    return now_ms - work.sent_ms >= state.settings.short_attempt_ms
+def _overdue(state: ProxyState, now_ms: int, connection: Connection) -> bool:
+    """Tell whether a connection has been silent for too long."""
+    settings = state.settings
+    waited_ms = now_ms - connection.sent_ms
+    work = connection.work
+    if work is None and connection.state is ConnectionState.OPENING:
+        return waited_ms >= settings.open_timeout_ms
+    if work is None:
+        return bool(connection.order) and waited_ms >= settings.ping_timeout_ms
+    if work.transaction:
+        return work.answered
+    if work.answered:
+        return now_ms - work.deadline_ms >= settings.short_attempt_ms
+    is_short_read = work.operation == "read" and work.work_class != "long"
+    return is_short_read and waited_ms >= settings.short_attempt_ms
+
+
+def _end_overdue(state: ProxyState, now_ms: int, home: Home, work: Work) -> list[Effect]:
+    """Answer work that is still running at its deadline."""
+    if work.transaction and work.operation != "commit":
+        return _transaction_lost(state, now_ms, home, work)
+    if work.operation in ("read", "begin"):
+        message = "no upstream answered within the deadline; it changes nothing, send it again"
+        return _refuse(state, now_ms, home, work, Failure(READ_FAILED, message))
+    return _unknown(state, now_ms, home, work)
 
 
 def _note_upstream(
@@ -180,6 +199,8 @@
     work: Work,
     answer: UpstreamAnswer,
 ) -> list[Effect]:
+    if work.answered:
+        return _finish_late(state, now_ms, home, instance, connection, work, answer)
     if work.transaction:
         return _finish_in_transaction(state, now_ms, home, instance, connection, work, answer)
     if work.operation == "begin":
@@ -192,6 +213,26 @@
     return _finish_write(state, now_ms, home, instance, work, answer)
 
 
+def _finish_late(
+    state: ProxyState,
+    now_ms: int,
+    home: Home,
+    instance: Instance,
+    connection: Connection,
+    work: Work,
+    answer: UpstreamAnswer,
+) -> list[Effect]:
+    """Take an answer whose caller has one already; a resend of its request id gets this one."""
+    if work.transaction or work.operation == "begin":
+        return lose_connection(state, now_ms, home, instance, connection)
+    connections.make_idle(instance, connection)
+    ran = work.operation == "write" and answer.status == STATUS_OK
+    if ran and _from_primary(state, now_ms, home, instance, answer):
+        reply = answers.success(state, now_ms, home, work, instance.name, answer, answer.value)
+        once.record(home, work, reply)
+    return [Count("upstream.late_answer")]
+
+
 def _finish_read(
     state: ProxyState,
     now_ms: int,
@@ -291,6 +332,8 @@
 
 
 def _end_broken(state: ProxyState, now_ms: int, home: Home, work: Work) -> list[Effect]:
+    if work.answered:
+        return []
     if work.transaction:
         if work.operation == "commit":
             return _unknown(state, now_ms, home, work)
--- a/packages/core/src/endivewick_core/proxy/work.py
+++ b/packages/core/src/endivewick_core/proxy/work.py
@@ -22,7 +22,8 @@
     """One piece of work in a home, from admission to its answer.
 
     ``declared`` tells whether the caller gave the class, ``holds_long`` whether the work counts
-    against the long slots of the upstream that runs it.
+    against the long slots of the upstream that runs it, and ``answered`` whether its deadline
+    passed while it ran, so that its caller has an answer already.
     """
 
     origin: Origin
@@ -42,3 +43,4 @@
     needs_primary: bool = False
     declared: bool = False
     holds_long: bool = False
+    answered: bool = False
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -125,9 +125,9 @@
 def test_whole_answer_checker_finds_shared_connections(monkeypatch):
     real_send = dispatch._send
 
-    def send(now_ms, instance, connection, work):
+    def send(now_ms, instance, connection, work, known):
         instance.idle.append(connection.number)
-        return real_send(now_ms, instance, connection, work)
+        return real_send(now_ms, instance, connection, work, known)
 
     monkeypatch.setattr(dispatch, "_send", send)
     driver = ready_driver(SEED)
