Spread homes over proxies, and hand groups over where one holds too many

Cause: homes stayed where the last restarts had left them; after a rolling restart the proxy that restarted first held everything. Ruled out: moving every group to its first choice after each restart (twice the moves, each a pause). Change: no proxy is given more than 1.2 times its share; one that holds more is asked, every 5 s, to hand up to four groups over, which it does as in a planned stop. Before: a third proxy beside two held none of 24 groups.

--- a/packages/bench/src/endivewick_bench/slopes.py
+++ b/packages/bench/src/endivewick_bench/slopes.py
@@ -245,7 +245,7 @@
                 revision += 1
                 command = encode(contract_command(800_000 + revision))
                 entries = [LogEntry(3, revision, command)]
-            reply = HeartbeatReply(state.sequence, 2_000, revision, entries, 0, b"")
+            reply = HeartbeatReply(state.sequence, 2_000, revision, entries, 0, b"", [])
             message = decode(CODEC, encode(reply))
             reduce_proxy(state, ProxyReceived(now_ms, "10.0.0.9:7000", message))
 
--- a/packages/bench/src/endivewick_bench/spreading.py
+++ b/packages/bench/src/endivewick_bench/spreading.py
@@ -37,7 +37,7 @@
     """Return the size of a reply that carries one contract change."""
     command = PutContract("3f" * 16, "customer-12345", 7, "group-12345", 2_000, 20, 0.25, "primary")
     entry = LogEntry(12, 1_234_567, encode(command))
-    return len(encode(HeartbeatReply(1_234_567, 2_000, 1_234_567, [entry], 0, b"")))
+    return len(encode(HeartbeatReply(1_234_567, 2_000, 1_234_567, [entry], 0, b"", [])))
 
 
 def direct(node: int, level: int, size: int) -> list[tuple[int, int]]:
--- a/packages/core/src/endivewick_core/control/leases.py
+++ b/packages/core/src/endivewick_core/control/leases.py
@@ -109,8 +109,15 @@
     if lease_ms:
         state.leading.leases[key] = lease
     entries, machine_index, machine = _changes_since(state, revision, replies)
+    release = state.leading.surplus.pop(key, [])
     reply = HeartbeatReply(
-        heartbeat.sequence, lease_ms, state.commit_index, entries, machine_index, machine
+        heartbeat.sequence,
+        lease_ms,
+        state.commit_index,
+        entries,
+        machine_index,
+        machine,
+        release,
     )
     return Send(heartbeat.address, reply)
 
--- a/packages/core/src/endivewick_core/control/placement.py
+++ b/packages/core/src/endivewick_core/control/placement.py
@@ -1,9 +1,12 @@
 """Placement of homes: which proxy holds which group.
 
 A group goes to a live proxy by rendezvous hashing, so a change of one proxy moves only that proxy's
-groups. Proxies in the data centre of the group's primary come first.
+groups. Proxies in the data centre of the group's primary come first. No proxy is given more than
+its share with some room; one that holds more is asked to hand some over.
 """
 
+import math
+
 import xxhash
 
 from ..codec import encode
@@ -15,6 +18,9 @@
 
 GROUPS_PER_COMMAND = 500
 PLACEMENT_INTERVAL_MS = 100
+BALANCE_INTERVAL_MS = 5_000
+BALANCE_BATCH = 4
+SHARE_ROOM = 1.2
 
 
 def check_homes(state: ControlState, now_ms: int) -> list[Effect]:
@@ -35,21 +41,58 @@
     if not live:
         return []
     chosen: dict[tuple[str, str], list[tuple[str, int]]] = {}
-    for group in state.machine.groups.values():
-        if (group.home, group.home_boot) in holding:
-            continue
-        if group.name in leading.assigning or not _may_assign(state, now_ms, group):
-            continue
-        lease = _choose(state, group, live)
-        chosen.setdefault((lease.proxy, lease.boot), []).append((group.name, group.home_epoch + 1))
+    homeless = [
+        group
+        for group in state.machine.groups.values()
+        if (group.home, group.home_boot) not in holding
+        and group.name not in leading.assigning
+        and _may_assign(state, now_ms, group)
+    ]
     effects: list[Effect] = []
-    for key, groups in chosen.items():
-        effects += _assign(state, leading.leases[key], groups[:GROUPS_PER_COMMAND])
+    if homeless:
+        counts = {key: len(names) for key, names in _held(state).items()}
+        share = fair_share(state, len(live))
+        for group in homeless:
+            lease = _choose(state, group, live, counts, share)
+            key = (lease.proxy, lease.boot)
+            counts[key] = counts.get(key, 0) + 1
+            chosen.setdefault(key, []).append((group.name, group.home_epoch + 1))
+        for key, groups in chosen.items():
+            effects += _assign(state, leading.leases[key], groups[:GROUPS_PER_COMMAND])
+    elif now_ms >= leading.balance_due_ms:
+        leading.balance_due_ms = now_ms + BALANCE_INTERVAL_MS
+        leading.surplus = _surplus(state, live)
     if effects:
         effects += replication.start_round(state, now_ms)
     return effects
 
 
+def fair_share(state: ControlState, live_count: int) -> int:
+    """Return how many groups one proxy may hold."""
+    return max(1, math.ceil(SHARE_ROOM * len(state.machine.groups) / max(1, live_count)))
+
+
+def _held(state: ControlState) -> dict[tuple[str, str], list[str]]:
+    """Return the groups of each proxy process, those on their way to it included."""
+    held: dict[tuple[str, str], list[str]] = {}
+    for group in state.machine.groups.values():
+        held.setdefault((group.home, group.home_boot), []).append(group.name)
+    return held
+
+
+def _surplus(state: ControlState, live: list[ProxyLease]) -> dict[tuple[str, str], list[str]]:
+    """Return the groups that each proxy should hand over, a few at a time."""
+    share = fair_share(state, len(live))
+    held = _held(state)
+    surplus: dict[tuple[str, str], list[str]] = {}
+    for lease in live:
+        key = (lease.proxy, lease.boot)
+        names = held.get(key, [])
+        if len(names) > share:
+            surplus[key] = sorted(names)[: min(BALANCE_BATCH, len(names) - share)]
+    return surplus
+
+
 def _may_assign(state: ControlState, now_ms: int, group: Group) -> bool:
     assert state.leading is not None
     if not group.home:
@@ -60,14 +103,21 @@
     return leases.expired(state, now_ms, lease)
 
 
-def _choose(state: ControlState, group: Group, live: list[ProxyLease]) -> ProxyLease:
+def _choose(
+    state: ControlState,
+    group: Group,
+    live: list[ProxyLease],
+    counts: dict[tuple[str, str], int],
+    share: int,
+) -> ProxyLease:
     primary = state.machine.upstreams.get(group.primary)
     data_centre = primary.data_centre if primary else ""
     best = live[0]
-    best_score = (False, -1)
+    best_score = (False, False, -1)
     for lease in live:
+        has_room = counts.get((lease.proxy, lease.boot), 0) < share
         digest = xxhash.xxh3_64_intdigest(f"{group.name}/{lease.proxy}".encode())
-        score = (lease.data_centre == data_centre, digest)
+        score = (has_room, lease.data_centre == data_centre, digest)
         if score > best_score:
             best, best_score = lease, score
     return best
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -105,6 +105,8 @@
     changes: dict[int, WaitingChange] = field(default_factory=dict)
     proposals_in_flight: dict[bytes, int] = field(default_factory=dict)
     assigning: dict[str, int] = field(default_factory=dict)
+    surplus: dict[tuple[str, str], list[str]] = field(default_factory=dict)
+    balance_due_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -118,7 +118,8 @@
     """Renew the lease for ``lease_ms`` from the moment its heartbeat was sent.
 
     ``entries`` follow the revision of the heartbeat without a gap; ``machine`` replaces the whole
-    configuration at ``machine_index`` where entries no longer reach back.
+    configuration at ``machine_index`` where entries no longer reach back. ``release`` names groups
+    that the proxy should hand over, since it holds more than its share.
     """
 
     sequence: int
@@ -127,6 +128,7 @@
     entries: list[LogEntry]
     machine_index: int
     machine: bytes
+    release: list[str]
 
 
 class LeaderHint(NamedTuple):
--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -33,7 +33,7 @@
         return [Count("home.doubled_requests")]
     home.taken[origin] = now_ms
     work = _work(state, now_ms, origin, request, contract)
-    if _must_wait(state, work):
+    if _must_wait(state, home, work):
         return [answers.not_home(state, now_ms, origin, request)]
     if request.operation == "issue_ids":
         return [once.issue(state, now_ms, home, work)]
@@ -89,9 +89,9 @@
     )
 
 
-def _must_wait(state: ProxyState, work: Work) -> bool:
-    """Tell whether work would hold up the release of a group by a proxy that stops."""
-    if state.draining_since_ms is None:
+def _must_wait(state: ProxyState, home: Home, work: Work) -> bool:
+    """Tell whether work would hold up the release of a group that moves to another proxy."""
+    if state.draining_since_ms is None and not home.handing_over:
         return False
     return work.operation == "begin" or (work.work_class == "long" and not work.transaction)
 
--- a/packages/core/src/endivewick_core/proxy/configuration.py
+++ b/packages/core/src/endivewick_core/proxy/configuration.py
@@ -50,6 +50,9 @@
     state.control_address = sender
     state.control_heard_ms = now_ms
     effects = _apply(state, now_ms, reply)
+    for name in reply.release:
+        if name in state.homes:
+            state.homes[name].handing_over = True
     if state.machine.revision < reply.commit_index:
         state.heartbeat_due_ms = now_ms
         return effects
--- a/packages/core/src/endivewick_core/proxy/homes.py
+++ b/packages/core/src/endivewick_core/proxy/homes.py
@@ -1,7 +1,7 @@
 """Homes: taking a group, knowing its upstreams, and giving the group up.
 
-A home that drains goes on with short work until its long work and its transactions have ended, then
-lets the rest finish, closes its connections and only then releases the group.
+A home that drains or hands over goes on with short work until its long work and its transactions
+have ended, then lets the rest finish, closes its connections and only then releases the group.
 """
 
 from ..commands import RegisterUpstream, ReleaseHome
@@ -73,7 +73,7 @@
 
 def check_release(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
     """Give up a group once nothing of it runs here."""
-    if state.draining_since_ms is None:
+    if state.draining_since_ms is None and not home.handing_over:
         return []
     if not home.releasing and (_long_running(home) or home.transactions):
         return []
--- a/packages/core/src/endivewick_core/proxy/state.py
+++ b/packages/core/src/endivewick_core/proxy/state.py
@@ -165,6 +165,7 @@
     awaiting_replica: list[tuple[Work, ForwardedAnswer]] = field(default_factory=list)
     mean_run_ms: float = 5.0
     writes_in_row: int = 0
+    handing_over: bool = False
     releasing: bool = False
     granted_until_ms: int = 0
     serial: int = 0
