--- /dev/null
+++ b/packages/bench/src/endivewick_bench/plots.py
@@ -0,0 +1,76 @@
+"""Plots of the results under docs/measures, drawn from the JSON that the measures wrote."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from absl import app, flags  # noqa: E402
+from matplotlib import pyplot  # noqa: E402
+
+_FOLDER = flags.DEFINE_string("folder", "docs/measures", "Where the results are.")
+
+SITES = ("nile", "lakeshore")
+PARTS = ("detection", "revocation", "spreading", "promotion", "resumption")
+
+
+def plot_crest(result: dict[str, Any], path: Path) -> None:
+    """Draw goodput over the load, with and without admission control."""
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    for name, label in (
+        ("with_limits", "admission control"),
+        ("baseline_no_admission", "baseline: none"),
+    ):
+        levels = result["crest"][name]["levels"]
+        loads = [int(level) for level in levels]
+        axes.plot(loads, [row["goodput_per_second"] for row in levels.values()], "o-", label=label)
+    axes.set_xlabel("load (times saturation)")
+    axes.set_ylabel("good answers a second")
+    axes.set_ylim(bottom=0)
+    axes.set_title(f"Service at the crest, {result['site']}")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def plot_gap(result: dict[str, Any], path: Path) -> None:
+    """Draw the parts of the failover gap."""
+    figure, axes = pyplot.subplots(figsize=(6, 3))
+    for how in ("kill", "isolation"):
+        left = 0.0
+        for number, part in enumerate(PARTS):
+            width = result["gap"][how]["parts_median_ms"][part]
+            label = part if how == "kill" else None
+            axes.barh(how, width, left=left, color=f"C{number}", label=label)
+            left += width
+    axes.set_xlabel("milliseconds (median of each part)")
+    axes.set_title(f"Failover gap, {result['site']}")
+    axes.legend(fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def main(arguments: list[str]) -> None:
+    """Draw every plot whose result is there."""
+    if len(arguments) > 1:
+        sys.exit("the plots command takes flags only")
+    folder = Path(_FOLDER.value)
+    for site in SITES:
+        path = folder / f"{site}.json"
+        if not path.exists():
+            continue
+        result = json.loads(path.read_text())
+        if "crest" in result:
+            plot_crest(result, folder / f"{site}-crest.png")
+        if "gap" in result:
+            plot_gap(result, folder / f"{site}-gap.png")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/core/src/endivewick_core/machine.py
+++ b/packages/core/src/endivewick_core/machine.py
@@ -23,10 +23,9 @@
     SetUpstream,
 )
 from .contracts import Contract
-from .positions import Fork
+from .positions import FORKS_KEPT, Fork
 
 CHANGE_RECORDS_KEPT = 50_000
-FORKS_KEPT = 64
 
 
 class Upstream(NamedTuple):
--- a/packages/core/src/endivewick_core/positions.py
+++ b/packages/core/src/endivewick_core/positions.py
@@ -5,7 +5,7 @@
 lost.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -24,10 +24,16 @@
 
 
 ZERO = Position(0, 0)
+FORKS_KEPT = 64
 
 
-def survives(position: Position, forks: Iterable[Fork]) -> bool:
-    """Tell whether a position of an earlier term is part of the group's present history."""
+def survives(position: Position, forks: Sequence[Fork]) -> bool:
+    """Tell whether a position of an earlier term is part of the group's present history.
+
+    Only the last ``FORKS_KEPT`` forks are known; a position from before them counts as lost.
+    """
+    if len(forks) >= FORKS_KEPT and position.term < forks[0].term - 1:
+        return False
     for fork in forks:
         if fork.term > position.term and position.offset > fork.start_index:
             return False
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -1,6 +1,6 @@
 """Tests of log positions and forks."""
 
-from endivewick_core.positions import Fork, Position, covers, survives
+from endivewick_core.positions import FORKS_KEPT, Fork, Position, covers, survives
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -21,5 +21,11 @@
     assert_that(survives(Position(1, 5), [Fork(2, 7), Fork(3, 4)]), Equals(False))
 
 
+def test_position_from_before_the_known_forks_is_lost():
+    forks = [Fork(term, 1_000) for term in range(10, 10 + FORKS_KEPT)]
+    assert_that(survives(Position(8, 5), forks), Equals(False))
+    assert_that(survives(Position(9, 5), forks), Equals(True))
+
+
 def test_replica_of_an_older_term_covers_nothing_newer():
     assert_that(covers(Position(1, 100), Position(2, 3)), Equals(False))
