Place homes by consistent hashing, and answer heartbeats once a round

Cause: found by the slopes at the target's size. Giving 24,000 groups a home held the leader for over two minutes in one turn (a digest per group and proxy); a heartbeat cost 135 us at 3,800 proxies against 25 us at 512, since each message walked all that waited. Ruled out: the codec, whose part is flat in the number of proxies. Change: a hash ring per data centre with bounded loads; waiting heartbeats and reads are looked at only when a new round is confirmed.

--- a/packages/bench/src/endivewick_bench/slopes.py
+++ b/packages/bench/src/endivewick_bench/slopes.py
@@ -37,6 +37,7 @@
 from endivewick_core.proxy.events import Tick as ProxyTick
 from endivewick_core.proxy.reducer import reduce as reduce_proxy
 from endivewick_core.proxy.state import ProxySettings, ProxyState
+from endivewick_node.transport import Transport
 
 from . import cluster as cl
 from .http_client import HttpClient
@@ -45,7 +46,9 @@
 
 _OUT = flags.DEFINE_string("out", "", "A file for the result as JSON.")
 _SEED = flags.DEFINE_integer("seed", 1, "The seed of the failed members.")
-_PARTS = flags.DEFINE_list("parts", ["state", "control", "proxy", "spreading", "running"], "Which.")
+_PARTS = flags.DEFINE_list(
+    "parts", ["state", "control", "proxy", "spreading", "transport", "running"], "Which."
+)
 
 STATE_SIZES = (1_000, 2_000, 4_000, 8_000)
 PROXY_COUNTS = (6, 64, 512, 3_800)
@@ -53,6 +56,8 @@
 TARGET_UPSTREAMS = 72_000
 REPEATS = 200
 IDLE_S = 5.0
+MESSAGES = 10_000
+MESSAGE_BATCHES = (1, 10, 100)
 CALLERS = 1_000
 PAGE_KB = 4
 MICROSECONDS = 1_000_000
@@ -137,13 +142,19 @@
     return result
 
 
-def leading_state(machine: Machine) -> tuple[ControlState, int]:
-    """Return a control process that leads alone, with a configuration, and its clock."""
+def leading_state(machine: Machine, proxies: int) -> tuple[ControlState, int]:
+    """Return a control process that leads alone, with a configuration, and its clock.
+
+    The groups are spread over ``proxies``.
+    """
     settings = ControlSettings({"c": "10.0.0.9:7000"}, {"c": "10.0.0.9:8000"})
     state = ControlState(settings, Member("c#1", "c", "10.0.0.9:7000"))
     now_ms = 1_000_000
     reduce_control(state, OperatorRequested(now_ms, 1, BootstrapRequest()))
-    state.machine.groups.update(machine.groups)
+    for number, group in enumerate(machine.groups.values()):
+        home = f"proxy-{number % proxies:04}"
+        held = group._replace(home=home, home_boot=home, home_epoch=1)
+        state.machine.groups[group.name] = held
     state.machine.upstreams.update(machine.upstreams)
     state.machine.contracts.update(machine.contracts)
     for _ in range(4):
@@ -166,12 +177,14 @@
     machine = machine_of(TARGET_UPSTREAMS, TARGET_GROUPS)
     rows = []
     for proxies in PROXY_COUNTS:
-        state, now_ms = leading_state(machine)
+        state, now_ms = leading_state(machine, proxies)
         frames = [encode(heartbeat_of(n, state.commit_index)) for n in range(proxies)]
         spent: list[float] = []
         bytes_out = 0
-        for _ in range(max(2, 4_000 // proxies)):
+        assert state.leading is not None
+        for _ in range(max(5, 4_000 // proxies)):
             now_ms += 1_000
+            state.leading.placement_due_ms = now_ms + 1
             started = time.process_time()
             for frame in frames:
                 reduce_control(state, MessageReceived(now_ms, decode(CODEC, frame)))
@@ -180,12 +193,14 @@
                     bytes_out = len(encode(effect.message))
             spent.append(time.process_time() - started)
         placement_us = _placement_us(state, now_ms)
-        per_heartbeat = (min(spent) - placement_us / MICROSECONDS) / proxies * MICROSECONDS
+        assignment_ms = _assignment_ms(state, now_ms)
+        per_heartbeat = min(spent) / proxies * MICROSECONDS
         rows.append(
             {
                 "proxies": proxies,
                 "us_per_heartbeat": round(per_heartbeat, 1),
                 "placement_us_per_scan": round(placement_us),
+                "assign_all_groups_ms": assignment_ms,
                 "heartbeat_bytes": len(frames[0]),
                 "reply_bytes": bytes_out,
             }
@@ -202,6 +217,17 @@
     return cpu_us(scan, 20)
 
 
+def _assignment_ms(state: ControlState, now_ms: int) -> int:
+    """Return how long one turn takes that gives every group a home, as after a whole restart."""
+    assert state.leading is not None
+    for name, group in state.machine.groups.items():
+        state.machine.groups[name] = group._replace(home="", home_boot="")
+    state.leading.placement_due_ms = 0
+    started = time.process_time()
+    reduce_control(state, Tick(now_ms, 0.5))
+    return round((time.process_time() - started) * 1_000)
+
+
 def _change_us(machine: Machine) -> float:
     number = iter(range(10**9))
 
@@ -261,6 +287,43 @@
     }
 
 
+async def measure_transport() -> dict[str, Any]:
+    """Return the processor time of one message, sent and received, library threads included."""
+    sender = Transport({"address": f"{cl.default_net()}.240:7000"}, lambda: None)
+    receiver = Transport({"address": f"{cl.default_net()}.241:7000"}, lambda: None)
+    target = f"{cl.default_net()}.241:7000"
+    frame = encode(heartbeat_of(1, 1_000_000))
+    result: dict[str, Any] = {}
+    received = 0
+
+    def count(source: str, data: bytes) -> None:
+        nonlocal received
+        received += 1
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(receiver.receive, count)
+        while not received:
+            sender.send(target, frame)
+            await trio.sleep(cl.POLL_S)
+        for batch in MESSAGE_BATCHES:
+            received = 0
+            started = time.process_time()
+            for _ in range(MESSAGES // batch):
+                wanted = received + batch
+                for _ in range(batch):
+                    sender.send(target, frame)
+                while received < wanted:
+                    await trio.lowlevel.checkpoint()
+            spent = time.process_time() - started
+            result[f"us_per_message_in_batches_of_{batch}"] = round(
+                spent / received * MICROSECONDS, 1
+            )
+        nursery.cancel_scope.cancel()
+    sender.close()
+    receiver.close()
+    return result
+
+
 async def measure_running() -> dict[str, Any]:
     """Return what idle processes and idle callers cost on a running system."""
     async with cl.running(cl.SMALL) as cluster:
@@ -314,6 +377,7 @@
         "control": measure_control,
         "proxy": measure_proxy,
         "spreading": lambda: compare(_SEED.value),
+        "transport": lambda: trio.run(measure_transport),
         "running": lambda: trio.run(measure_running),
     }
     result: dict[str, Any] = {"command": f"python -m endivewick_bench.slopes --seed={_SEED.value}"}
--- a/packages/core/src/endivewick_core/control/leases.py
+++ b/packages/core/src/endivewick_core/control/leases.py
@@ -36,7 +36,7 @@
 def answer_heartbeats(state: ControlState, now_ms: int, confirmed: int) -> list[Effect]:
     """Answer the heartbeats whose round has a quorum."""
     leading = state.leading
-    if leading is None or state.commit_index < leading.start_index:
+    if leading is None:
         return []
     waiting = leading.heartbeats
     leading.heartbeats = [item for item in waiting if item.round_number > confirmed]
--- a/packages/core/src/endivewick_core/control/operators.py
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -63,7 +63,7 @@
 def answer_reads(state: ControlState, now_ms: int, confirmed: int) -> list[Effect]:
     """Answer the reads whose round has a quorum."""
     leading = state.leading
-    if leading is None or state.commit_index < leading.start_index:
+    if leading is None:
         return []
     ready = [read for read in leading.reads if read.round_number <= confirmed]
     leading.reads = [read for read in leading.reads if read.round_number > confirmed]
--- a/packages/core/src/endivewick_core/control/placement.py
+++ b/packages/core/src/endivewick_core/control/placement.py
@@ -1,11 +1,12 @@
 """Placement of homes: which proxy holds which group.
 
-A group goes to a live proxy by rendezvous hashing, so a change of one proxy moves only that proxy's
+A group goes to a live proxy by consistent hashing, so a change of one proxy moves only that proxy's
 groups. Proxies in the data centre of the group's primary come first. No proxy is given more than
 its share with some room; one that holds more is asked to hand some over.
 """
 
 import math
+from bisect import bisect_left
 
 import xxhash
 
@@ -52,8 +53,9 @@
     if homeless:
         counts = {key: len(names) for key, names in _held(state).items()}
         share = fair_share(state, len(live))
+        rings = _rings(live)
         for group in homeless:
-            lease = _choose(state, group, live, counts, share)
+            lease = _choose(state, group, rings, counts, share)
             key = (lease.proxy, lease.boot)
             counts[key] = counts.get(key, 0) + 1
             chosen.setdefault(key, []).append((group.name, group.home_epoch + 1))
@@ -103,24 +105,44 @@
     return leases.expired(state, now_ms, lease)
 
 
+def _rings(live: list[ProxyLease]) -> dict[str, list[tuple[int, ProxyLease]]]:
+    """Return a hash ring of all live proxies, under an empty name, and one per data centre."""
+    rings: dict[str, list[tuple[int, ProxyLease]]] = {"": []}
+    for lease in live:
+        place = (_digest(lease.proxy), lease)
+        rings[""].append(place)
+        rings.setdefault(lease.data_centre, []).append(place)
+    for ring in rings.values():
+        ring.sort()
+    return rings
+
+
 def _choose(
     state: ControlState,
     group: Group,
-    live: list[ProxyLease],
+    rings: dict[str, list[tuple[int, ProxyLease]]],
     counts: dict[tuple[str, str], int],
     share: int,
 ) -> ProxyLease:
+    """Return the next proxy with room on the ring, in the primary's data centre if there is one."""
     primary = state.machine.upstreams.get(group.primary)
-    data_centre = primary.data_centre if primary else ""
-    best = live[0]
-    best_score = (False, False, -1)
-    for lease in live:
-        has_room = counts.get((lease.proxy, lease.boot), 0) < share
-        digest = xxhash.xxh3_64_intdigest(f"{group.name}/{lease.proxy}".encode())
-        score = (has_room, lease.data_centre == data_centre, digest)
-        if score > best_score:
-            best, best_score = lease, score
-    return best
+    start = _digest(group.name)
+    for name in (primary.data_centre if primary else "", ""):
+        ring = rings.get(name, [])
+        first = bisect_left(ring, start, key=_place)
+        for step in range(len(ring)):
+            lease = ring[(first + step) % len(ring)][1]
+            if counts.get((lease.proxy, lease.boot), 0) < share:
+                return lease
+    return rings[""][0][1]
+
+
+def _place(item: tuple[int, ProxyLease]) -> int:
+    return item[0]
+
+
+def _digest(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 def _assign(state: ControlState, lease: ProxyLease, groups: list[tuple[str, int]]) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -65,8 +65,12 @@
 
 
 def _answer_confirmed(state: ControlState, now_ms: int) -> list[Effect]:
-    if state.leading is None:
+    leading = state.leading
+    if leading is None or state.commit_index < leading.start_index:
         return []
     confirmed = replication.confirmed_round(state)
+    if confirmed <= leading.answered_round:
+        return []
+    leading.answered_round = confirmed
     effects = leases.answer_heartbeats(state, now_ms, confirmed)
     return effects + operators.answer_reads(state, now_ms, confirmed)
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -97,6 +97,7 @@
     round_number: int = 0
     round_started_ms: int = 0
     round_wanted: bool = True
+    answered_round: int = 0
     placement_due_ms: int = 0
     progress: dict[str, Progress] = field(default_factory=dict)
     leases: dict[tuple[str, str], ProxyLease] = field(default_factory=dict)
