--- a/packages/core/src/endivewick_core/control/leases.py
+++ b/packages/core/src/endivewick_core/control/leases.py
@@ -139,8 +139,8 @@
         return [], 0, b""
     gap = state.commit_index - revision
     if revision < state.log.start_index or gap > ENTRIES_PER_REPLY:
-        machine = encode_machine(state.machine, with_changes=False)
-        return [], state.commit_index, machine
+        machine_index, machine = _snapshot(state)
+        return [], machine_index, machine
     if revision not in replies:
         entries = state.log.slice(revision, gap)
         replies[revision] = [_without_refused(state, entry) for entry in entries]
@@ -150,3 +150,18 @@
 def _without_refused(state: ControlState, entry: LogEntry) -> LogEntry:
     """Return the entry as proxies get it: empty where its command changed nothing."""
     return entry._replace(command=b"") if entry.log_index in state.refused else entry
+
+
+def _snapshot(state: ControlState) -> tuple[int, bytes]:
+    """Return a snapshot for proxies, made anew only when the log no longer follows on from it.
+
+    Many proxies start at once when a data centre comes back.
+    """
+    leading = state.leading
+    assert leading is not None
+    index, data = leading.snapshot
+    gap = state.commit_index - index
+    if not data or index < state.log.start_index or gap > ENTRIES_PER_REPLY:
+        data = encode_machine(state.machine, with_changes=False)
+        leading.snapshot = (state.commit_index, data)
+    return leading.snapshot
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -98,6 +98,7 @@
     round_started_ms: int = 0
     round_wanted: bool = True
     answered_round: int = 0
+    snapshot: tuple[int, bytes] = (0, b"")
     placement_due_ms: int = 0
     progress: dict[str, Progress] = field(default_factory=dict)
     leases: dict[tuple[str, str], ProxyLease] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/machine.py
+++ b/packages/core/src/endivewick_core/machine.py
@@ -5,6 +5,7 @@
 draws no random number.
 """
 
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
@@ -115,12 +116,25 @@
 def decode_machine(data: bytes) -> Machine:
     """Return the machine of a snapshot."""
     stored = _stored_decoder.decode(data)
-    machine = Machine(*stored)
-    for upstream in machine.upstreams.values():
-        machine.members.setdefault(upstream.group, []).append(upstream.name)
+    machine = Machine(stored.revision, changes=stored.changes)
+    for contract in stored.contracts.values():
+        shared_contract = Contract(*map(_shared, contract))
+        machine.contracts[shared_contract.customer] = shared_contract
+    for upstream in stored.upstreams.values():
+        shared_upstream = Upstream(*map(_shared, upstream))
+        machine.upstreams[shared_upstream.name] = shared_upstream
+        machine.members.setdefault(shared_upstream.group, []).append(shared_upstream.name)
+    for group in stored.groups.values():
+        shared_group = Group(*map(_shared, group))
+        machine.groups[shared_group.name] = shared_group
     return machine
 
 
+def _shared(value: Any) -> Any:
+    """Return the one copy of a text that many records hold, such as a group's name."""
+    return sys.intern(value) if isinstance(value, str) else value
+
+
 def decode_configuration(data: bytes) -> Machine:
     """Return the machine of a snapshot for a proxy, which keeps no change records."""
     machine = decode_machine(data)
--- a/packages/core/src/endivewick_core/proxy/connections.py
+++ b/packages/core/src/endivewick_core/proxy/connections.py
@@ -93,10 +93,11 @@
 
 
 def ping_due(state: ProxyState, now_ms: int, instance: Instance) -> list[Effect]:
-    """Ping an upstream on one idle connection, and every suspect or long idle one."""
+    """Ping an upstream that is not heard otherwise, and every suspect or long idle connection."""
     settings = state.settings
     effects: list[Effect] = []
-    regular = now_ms - instance.pinged_ms >= settings.ping_ms
+    known_ms = max(instance.pinged_ms, instance.heard_ms)
+    regular = now_ms - known_ms >= settings.ping_ms
     for number in list(instance.idle):
         connection = instance.connections[number]
         stale = now_ms - connection.heard_ms >= settings.idle_check_ms
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -16,7 +16,7 @@
 from endivewick_core.control.placement import fair_share
 from endivewick_core.control.reducer import reduce
 from endivewick_core.control.state import ControlSettings, ControlState
-from endivewick_core.machine import apply_command
+from endivewick_core.machine import apply_command, decode_configuration
 from endivewick_core.messages import HeartbeatReply, Member, ProxyHeartbeat
 from matrix import PROXIES
 from testtools.assertions import assert_that
@@ -162,3 +162,27 @@
 def pairs(history):
     invoked = {item.tag: item for item in history if item.kind == "invoke"}
     return [(invoked[item.tag], item) for item in history if item.kind == "answer"]
+
+
+def test_starting_proxies_share_one_snapshot_and_catch_up(leader):
+    """The snapshot was once encoded for each of them, which held the leader up."""
+    leader.state.log.compact(leader.state.commit_index)
+    late = ProxyHeartbeat("late", "late", "late", "late", "d1", 1, 0, False, [])
+    replies = []
+    for _ in range(2):
+        leader.now_ms += STEP_MS
+        reduce(leader.state, MessageReceived(leader.now_ms, late))
+        for effect in reduce(leader.state, Tick(leader.now_ms, 0.5)):
+            if isinstance(effect, Send):
+                replies.append(effect.message)
+    assert_that(replies[0].machine is replies[1].machine, Equals(True))
+    machine = decode_configuration(replies[1].machine)
+    assert_that(machine.revision, Equals(replies[1].machine_index))
+    follow = late._replace(revision=replies[1].machine_index)
+    leader.now_ms += STEP_MS
+    reduce(leader.state, MessageReceived(leader.now_ms, follow))
+    for effect in reduce(leader.state, Tick(leader.now_ms, 0.5)):
+        if isinstance(effect, Send):
+            indexes = [entry.log_index for entry in effect.message.entries]
+            wanted = list(range(follow.revision + 1, effect.message.commit_index + 1))
+            assert_that(indexes, Equals(wanted))
