--- a/packages/bench/src/endivewick_bench/load.py
+++ b/packages/bench/src/endivewick_bench/load.py
@@ -6,10 +6,7 @@
 """
 
 import itertools
-import json
-import sys
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 import trio
@@ -19,6 +16,7 @@
 
 from . import cluster as cl
 from .http_client import ConnectionLost, HttpClient
+from .output import refuse_words, show_result
 from .processes import cpu_seconds, resident_kb
 
 _SECONDS = flags.DEFINE_float("seconds", 5.0, "How long to send.", upper_bound=120.0)
@@ -135,13 +133,9 @@
 
 def main(arguments: list[str]) -> None:
     """Run the load command."""
-    if len(arguments) > 1:
-        sys.exit("the load command takes flags only")
+    refuse_words(arguments)
     result = trio.run(measure)
-    text = json.dumps(result, indent=2)
-    print(text)
-    if _OUT.value:
-        Path(_OUT.value).write_text(text + "\n")
+    show_result(result, _OUT.value)
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/endivewick_bench/measures.py
+++ b/packages/bench/src/endivewick_bench/measures.py
@@ -5,10 +5,8 @@
 reads that replicas serve. Results are kept as JSON, and as plots.
 """
 
-import json
 import sys
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -19,6 +17,7 @@
 from . import gaps
 from .cluster import Cluster, Site
 from .open_loop import Crowd, Shape, Tally
+from .output import refuse_words, show_result
 from .replica_reads import measure_replica_reads
 
 _SITE = flags.DEFINE_enum("site", "nile", ["nile", "lakeshore"], "Whose sizes.")
@@ -236,14 +235,11 @@
 
 def main(arguments: list[str]) -> None:
     """Run the measures."""
-    unknown = set(_MEASURES.value) - set(MEASURES)
-    if len(arguments) > 1 or unknown:
+    refuse_words(arguments)
+    if set(_MEASURES.value) - set(MEASURES):
         sys.exit(f"--measures takes {', '.join(MEASURES)}")
     result = trio.run(_run_all, SITES[_SITE.value])
-    text = json.dumps(result, indent=2)
-    print(text)
-    if _OUT.value:
-        Path(_OUT.value).write_text(text + "\n")
+    show_result(result, _OUT.value)
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/endivewick_bench/plots.py
+++ b/packages/bench/src/endivewick_bench/plots.py
@@ -1,7 +1,6 @@
 """Plots of the results under docs/measures, drawn from the JSON that the measures wrote."""
 
 import json
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +11,8 @@
 from absl import app, flags  # noqa: E402
 from matplotlib import pyplot  # noqa: E402
 
+from .output import refuse_words  # noqa: E402
+
 _FOLDER = flags.DEFINE_string("folder", "docs/measures", "Where the results are.")
 
 SITES = ("nile", "lakeshore")
@@ -58,8 +59,7 @@
 
 def main(arguments: list[str]) -> None:
     """Draw every plot whose result is there."""
-    if len(arguments) > 1:
-        sys.exit("the plots command takes flags only")
+    refuse_words(arguments)
     folder = Path(_FOLDER.value)
     for site in SITES:
         path = folder / f"{site}.json"
--- a/packages/bench/src/endivewick_bench/restart.py
+++ b/packages/bench/src/endivewick_bench/restart.py
@@ -1,8 +1,5 @@
 """Hundreds of changes, then a restart of every process: the configuration and the time it took."""
 
-import json
-import sys
-from pathlib import Path
 from typing import Any
 
 import trio
@@ -10,6 +7,7 @@
 from endivewick_node.clock import now_ms
 
 from . import cluster as cl
+from .output import refuse_words, show_result
 
 _CHANGES = flags.DEFINE_integer("changes", 500, "How many changes.", upper_bound=10_000)
 _OUT = flags.DEFINE_string("out", "", "A file for the result as JSON.")
@@ -64,12 +62,8 @@
 
 def main(arguments: list[str]) -> None:
     """Run the restart as a command."""
-    if len(arguments) > 1:
-        sys.exit("the restart command takes flags only")
-    text = json.dumps(trio.run(measure, _CHANGES.value), indent=2)
-    print(text)
-    if _OUT.value:
-        Path(_OUT.value).write_text(text + "\n")
+    refuse_words(arguments)
+    show_result(trio.run(measure, _CHANGES.value), _OUT.value)
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/endivewick_bench/rounds.py
+++ b/packages/bench/src/endivewick_bench/rounds.py
@@ -5,7 +5,6 @@
 and exits with 1 where a promise was broken.
 """
 
-import json
 import shutil
 import signal
 import sys
@@ -26,6 +25,7 @@
 from . import cluster as cl
 from .checkers import Record, Violation, check_all, read_history
 from .cluster import Cluster
+from .output import refuse_words, show_result
 from .relay import Relay
 from .sessions import Recorder, Session
 
@@ -440,13 +440,9 @@
 
 def main(arguments: list[str]) -> None:
     """Run the rounds as a command."""
-    if len(arguments) > 1:
-        sys.exit("the rounds command takes flags only")
+    refuse_words(arguments)
     result = trio.run(main_async)
-    text = json.dumps(result, indent=2)
-    print(text)
-    if _OUT.value:
-        Path(_OUT.value).write_text(text + "\n")
+    show_result(result, _OUT.value)
     sys.exit(1 if result["violations"] else 0)
 
 
--- a/packages/bench/src/endivewick_bench/slopes.py
+++ b/packages/bench/src/endivewick_bench/slopes.py
@@ -5,13 +5,10 @@
 """
 
 import gc
-import json
-import sys
 import time
 import tracemalloc
 from collections.abc import Callable
 from functools import partial
-from pathlib import Path
 from typing import Any
 
 import trio
@@ -42,6 +39,7 @@
 
 from . import cluster as cl
 from .http_client import HttpClient
+from .output import refuse_words, show_result
 from .processes import cpu_seconds, resident_kb
 from .spreading import compare
 
@@ -374,8 +372,7 @@
 
 def main(arguments: list[str]) -> None:
     """Measure the slopes."""
-    if len(arguments) > 1:
-        sys.exit("the slopes command takes flags only")
+    refuse_words(arguments)
     parts: dict[str, Callable[[], dict[str, Any]]] = {
         "state": measure_state,
         "control": measure_control,
@@ -388,10 +385,7 @@
     for name in _PARTS.value:
         result[name] = parts[name]()
         print(f"{name}: done", flush=True)
-    text = json.dumps(result, indent=2)
-    print(text)
-    if _OUT.value:
-        Path(_OUT.value).write_text(text + "\n")
+    show_result(result, _OUT.value)
 
 
 if __name__ == "__main__":
--- a/packages/ctl/src/endivewick_ctl/contracts.py
+++ b/packages/ctl/src/endivewick_ctl/contracts.py
@@ -2,19 +2,16 @@
 
 import difflib
 import json
-import time
-import uuid
 from pathlib import Path
 from typing import Any
 
 import jsonc
 
+from .changes import send_change, show_change
 from .client import Target, ask_leader
-from .exceptions import NOT_IN_FORCE, USAGE, CommandFailed
+from .exceptions import USAGE, CommandFailed
 from .render import print_json, print_table
 
-IN_FORCE_LIMIT_S = 8.0
-POLL_S = 0.1
 CONTRACT_COLUMNS = (
     "customer",
     "version",
@@ -51,20 +48,9 @@
     contract = read_contract(path)
     if replaces_version is None:
         replaces_version = _version_in_force(target, customer)
-    body = {
-        "change_id": change_id or uuid.uuid4().hex,
-        "replaces_version": replaces_version,
-        "contract": contract,
-    }
-    answer = ask_leader(target, "PUT", f"/v1/contracts/{customer}", body)
-    if wait:
-        answer["in_force"] = wait_in_force(target, answer["revision"])
-    if as_json:
-        print_json({**answer, "change_id": body["change_id"]})
-        return
-    print(f"{customer}: version {answer['version']} accepted (change {body['change_id']})")
-    for line in answer.get("in_force", []):
-        print(f"  {line}")
+    content = {"replaces_version": replaces_version, "contract": contract}
+    answer = send_change(target, f"/v1/contracts/{customer}", content, change_id, wait)
+    show_change(customer, answer, as_json)
 
 
 def get(target: Target, customer: str, as_json: bool) -> None:
@@ -101,26 +87,6 @@
     print("\n".join(lines) if lines else "no difference")
 
 
-def wait_in_force(target: Target, revision: int) -> list[str]:
-    """Wait until every proxy that may take work has ``revision``; return a line on each other."""
-    end_s = time.monotonic() + IN_FORCE_LIMIT_S
-    behind: list[str] = []
-    while time.monotonic() < end_s:
-        proxies = ask_leader(target, "GET", "/v1/status").get("proxies", [])
-        alive = [row for row in proxies if row["alive"]]
-        behind = [row["name"] for row in alive if row["revision"] < revision]
-        if alive and not behind:
-            gone = [row["name"] for row in proxies if not row["alive"]]
-            lines = [f"in force at {len(alive)} proxies"]
-            return lines + [f"{name} has no lease and takes no work" for name in gone]
-        time.sleep(POLL_S)
-    raise CommandFailed(
-        NOT_IN_FORCE,
-        f"accepted, but not yet in force at {', '.join(behind) or 'any proxy'}",
-        "run endivewickctl status; a proxy that stays behind stops taking work by itself",
-    )
-
-
 def _version_in_force(target: Target, customer: str) -> int:
     contracts = ask_leader(target, "GET", "/v1/contracts")["contracts"]
     versions = [row["version"] for row in contracts if row["customer"] == customer]
--- a/packages/ctl/src/endivewick_ctl/upstreams.py
+++ b/packages/ctl/src/endivewick_ctl/upstreams.py
@@ -1,9 +1,7 @@
 """The upstream commands: start, stop and list."""
 
-import uuid
-
+from .changes import send_change, show_change
 from .client import Target, ask_leader
-from .contracts import wait_in_force
 from .exceptions import REFUSED, CommandFailed
 from .render import print_json, print_table
 
@@ -29,18 +27,9 @@
         names = ", ".join(sorted(row["name"] for row in upstreams)) or "none yet"
         message = f"no upstream {name} has announced itself"
         raise CommandFailed(REFUSED, message, f"known upstreams: {names}")
-    body = {
-        "change_id": change_id or uuid.uuid4().hex,
-        "replaces_version": known[0]["version"],
-        "wanted": wanted,
-    }
-    answer = ask_leader(target, "PUT", f"/v1/upstreams/{name}", body)
-    if wait:
-        answer["in_force"] = wait_in_force(target, answer["revision"])
-    if as_json:
-        print_json({**answer, "change_id": body["change_id"]})
-        return
-    print(f"{name}: {wanted}, version {answer['version']} (change {body['change_id']})")
+    content = {"replaces_version": known[0]["version"], "wanted": wanted}
+    answer = send_change(target, f"/v1/upstreams/{name}", content, change_id, wait)
+    show_change(f"{name} {wanted}", answer, as_json)
 
 
 def list_all(target: Target, as_json: bool) -> None:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -26,9 +26,9 @@
 from endivewick_core.proxy.state import ProxySettings, ProxyState, lease_holds
 from endivewick_node.control_node import restore_state
 from endivewick_node.storage import Stored, StoredSnapshot, StoredVote
+from fake_upstream import GROUP, Upstream, execute, replicate
 
 TICK_MS = 20
-GROUP = "main"
 RUN_MS = 3
 REPLICATE_MS = 10
 ANNOUNCE_MS = 250
@@ -60,20 +60,6 @@
     revision: int = 0
 
 
-@dataclass
-class Upstream:
-    """A fake upstream: a stand-in's database without its process."""
-
-    name: str
-    database: Database
-    alive: bool = True
-    frozen: bool = False
-    lag_ms: int = 0
-    leaving: bool = False
-    transactions: dict[Any, list[dict[str, Any]]] = field(default_factory=dict)
-    pending: list[Callable[[], None]] = field(default_factory=list)
-
-
 class Driver:
     """The whole of a small system: control processes, proxies and one group's upstreams."""
 
@@ -432,7 +418,7 @@
                 return
             if not upstream.alive or key not in self.connections:
                 return
-            status, value = self._execute(upstream, key, effect)
+            status, value = execute(upstream, key, effect, self._apply, self.record)
             database = upstream.database
             answer = pe.UpstreamAnswer(
                 status, database.term, len(database.log), database.role, value
@@ -449,70 +435,13 @@
 
         self.after(run_ms, finish)
 
-    def _execute(self, upstream: Upstream, key: Any, effect: px.SendUpstream) -> tuple[int, Any]:
-        database, body = upstream.database, effect.body
-        if effect.path == "/promote":
-            if body["term"] >= database.term:
-                database.term, database.role, database.primary = body["term"], "primary", ""
-                self.record(
-                    "promoted",
-                    upstream.name,
-                    group=GROUP,
-                    term=database.term,
-                    upstream=upstream.name,
-                )
-            return 200, None
-        if effect.path == "/follow":
-            if body["term"] > database.term or database.role == "primary":
-                database.truncate(body["start_index"])
-            database.role, database.primary = "replica", body["primary"]
-            return 200, None
-        if effect.path == "/statement" and body["statement"]["op"] == "get":
-            wanted = body["statement"]["key"]
-            return 200, {"key": wanted, "value": database.data.get(wanted, 0)}
-        if effect.path in ("/ping",):
-            return 200, None
-        if database.role != "primary":
-            return 409, "read_only"
-        if effect.path == "/begin":
-            upstream.transactions.setdefault(key, [])
-        elif effect.path == "/rollback":
-            upstream.transactions.pop(key, None)
-        elif effect.path == "/commit":
-            statements = upstream.transactions.pop(key, [])
-            for statement in statements:
-                self._apply(upstream, statement)
-            tags = [statement["tag"] for statement in statements]
-            self.record("upstream_committed", upstream.name, upstream=upstream.name, value=tags)
-        elif body["in_transaction"] and key not in upstream.transactions:
-            return 409, "no transaction is open on this connection"
-        elif body["in_transaction"]:
-            upstream.transactions[key].append(body["statement"])
-        else:
-            self._apply(upstream, body["statement"])
-            return 200, {"key": body["statement"]["key"], "value": body["statement"]["value"]}
-        return 200, None
-
     def _apply(self, upstream: Upstream, statement: dict[str, Any]) -> None:
         upstream.database.write(statement["key"], statement["value"])
         name = upstream.name
         self.record("upstream_ran", name, upstream=name, group=GROUP, tag=statement["tag"])
 
     def _replicate(self) -> None:
-        for upstream in self.upstreams.values():
-            source = self.upstreams.get(upstream.database.primary)
-            if source is None or not upstream.alive or upstream.frozen or upstream.lag_ms:
-                continue
-            reachable = source.alive and not source.frozen
-            if not reachable or (source.name, upstream.name) in self.cuts:
-                continue
-            mine, theirs = upstream.database, source.database
-            if theirs.role != "primary" or theirs.log[: len(mine.log)] != mine.log:
-                continue
-            for item in theirs.log[len(mine.log) :]:
-                mine.log.append(item)
-                mine.data[item.key] = item.value
-            mine.term = max(mine.term, theirs.term)
+        replicate(self.upstreams, self.cuts)
         self.after(REPLICATE_MS, self._replicate)
 
     def _announce(self, name: str) -> None:
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -8,13 +8,22 @@
 from functools import partial
 from typing import Any, NamedTuple
 
-from driver import GROUP, Driver, Process
+from driver import Driver, Process
 from endivewick_bench.checkers import Record, Violation, check_all
-from endivewick_core.codec import decode
-from endivewick_core.commands import COMMANDS, Promote, PutContract
-from endivewick_core.messages import HeartbeatReply, ProxyHeartbeat
-from endivewick_core.proxy.events import DrainRequested
-from workload import CUSTOMER, Operator, Session, home_of, ready_driver
+from faults import (
+    FAULTS,
+    PROXIES,
+    drain,
+    drain_home,
+    follower_now,
+    freeze_actor,
+    home_now,
+    leader_now,
+    leave,
+    primary_of,
+)
+from steps import STEPS
+from workload import CUSTOMER, Operator, Session, ready_driver
 
 WARM_UP_MS = 600
 STEP_LIMIT_MS = 9_000
@@ -23,7 +32,6 @@
 END_MS = 500
 RECOVERY_LIMIT_MS = 12_000
 SESSIONS = 2
-PROXIES = ["p0", "p1", "p2"]
 
 
 class Scenario(NamedTuple):
@@ -38,221 +46,6 @@
     history: list[Record]
 
 
-def _name(effect: Any) -> str:
-    return type(effect).__name__
-
-
-def _sends(path: str, in_transaction: bool | None = None) -> Callable[[Process, Any], bool]:
-    def reached(process: Process, effect: Any) -> bool:
-        if _name(effect) != "SendUpstream" or effect.path != path:
-            return False
-        return in_transaction is None or effect.body["in_transaction"] == in_transaction
-
-    return reached
-
-
-def _effect(name: str) -> Callable[[Process, Any], bool]:
-    return lambda process, effect: _name(effect) == name
-
-
-def _note(name: str) -> Callable[[Process, Any], bool]:
-    return lambda process, effect: _name(effect) == "Note" and effect.name == name
-
-
-def _proposes(kind: type) -> Callable[[Process, Any], bool]:
-    def reached(process: Process, effect: Any) -> bool:
-        if _name(effect) != "Send" or not isinstance(effect.message, ProxyHeartbeat):
-            return False
-        return any(isinstance(decode(COMMANDS, p), kind) for p in effect.message.proposals)
-
-    return reached
-
-
-def _appends(kind: type) -> Callable[[Process, Any], bool]:
-    def reached(process: Process, effect: Any) -> bool:
-        if _name(effect) != "AppendEntries":
-            return False
-        return any(isinstance(decode(COMMANDS, e.command), kind) for e in effect.entries)
-
-    return reached
-
-
-def _spreads(process: Process, effect: Any) -> bool:
-    is_reply = _name(effect) == "Send" and isinstance(effect.message, HeartbeatReply)
-    return is_reply and bool(effect.message.entries)
-
-
-def _repaired(process: Process, effect: Any) -> bool:
-    """Reached when the new identity votes and the change that made it a voter is committed."""
-    state = process.state
-    if process.disk is None or state.leading is None or not state.memberships:
-        return False
-    index, membership = state.memberships[-1]
-    identities = {member.member_id for member in membership.voters}
-    replaced = len(identities) == 3 and any(not item.endswith("#0") for item in identities)
-    return replaced and index <= state.commit_index
-
-
-# A step, what reaches it, and what is done to make it happen.
-STEPS: dict[str, tuple[Callable[[Process, Any], bool], str]] = {
-    "request: forwarded": (_effect("Forward"), ""),
-    "request: sent to upstream": (_sends("/statement", False), ""),
-    "request: answered by home": (_effect("ForwardAnswer"), ""),
-    "request: answered to caller": (_effect("AnswerCaller"), ""),
-    "transaction: begun": (_sends("/begin"), ""),
-    "transaction: statement": (_sends("/statement", True), ""),
-    "transaction: commit": (_sends("/commit"), ""),
-    "failover: grant revoked": (_note("primary_unreachable"), "kill_primary"),
-    "failover: proposed": (_proposes(Promote), "kill_primary"),
-    "failover: committed": (_appends(Promote), "kill_primary"),
-    "failover: ordered": (_sends("/promote"), "kill_primary"),
-    "failover: active": (_note("primary_active"), "kill_primary"),
-    "change: appended": (_appends(PutContract), ""),
-    "change: answered": (_effect("AnswerOperator"), ""),
-    "change: spread": (_spreads, ""),
-    "change: snapshot": (_effect("SaveSnapshot"), ""),
-    "membership: learner added": (_note("learner_added"), "wipe_member"),
-    "membership: old voter removed": (_note("voter_removed"), "wipe_member"),
-    "membership: new voter added": (_note("voter_added"), "wipe_member"),
-    "membership: repaired": (_repaired, "wipe_member"),
-    "election: vote saved": (_effect("SaveVote"), "kill_leader"),
-    "upstream: leaving": (_note("upstream_state"), "leave"),
-    "home: assigned": (_note("homes_assigned"), "kill_home"),
-    "home: taken": (_note("home_taken"), "kill_home"),
-    "home: released": (_note("home_released"), "drain_home"),
-}
-
-
-def _primary(driver: Driver) -> str:
-    for process in driver.processes.values():
-        if process.disk is None and process.alive and GROUP in process.state.machine.groups:
-            return process.state.machine.groups[GROUP].primary or "u0"
-    return "u0"
-
-
-def _home(driver: Driver) -> str:
-    return home_of(driver) or "p0"
-
-
-def _leader(driver: Driver) -> str:
-    return driver.leader() or "c0"
-
-
-def _follower(driver: Driver) -> str:
-    return next(name for name in sorted(driver.control_settings.members) if name != _leader(driver))
-
-
-def _entry(driver: Driver) -> str:
-    return next(name for name in PROXIES if name != _home(driver))
-
-
-def _kill_primary(driver: Driver, actor: Process) -> None:
-    driver.kill_upstream(_primary(driver))
-
-
-def _isolate_primary(driver: Driver, actor: Process) -> None:
-    name = _primary(driver)
-    for proxy in PROXIES:
-        driver.cut(proxy, name)
-
-
-def _lag_replicas(driver: Driver, actor: Process) -> None:
-    for upstream in driver.upstreams.values():
-        if upstream.name != _primary(driver):
-            upstream.lag_ms = 1
-
-
-def _freeze_primary(driver: Driver, actor: Process) -> None:
-    driver.freeze(_primary(driver))
-
-
-def _kill_actor(driver: Driver, actor: Process) -> None:
-    driver.kill(actor.name)
-
-
-def _freeze_actor(driver: Driver, actor: Process) -> None:
-    driver.freeze(actor.name)
-
-
-def _isolate_actor(driver: Driver, actor: Process) -> None:
-    driver.isolate(actor.name)
-
-
-def _kill_home(driver: Driver, actor: Process) -> None:
-    driver.kill(_home(driver))
-
-
-def _kill_entry(driver: Driver, actor: Process) -> None:
-    driver.kill(_entry(driver))
-
-
-def _isolate_leader(driver: Driver, actor: Process) -> None:
-    driver.isolate(_leader(driver))
-
-
-def _kill_leader(driver: Driver, actor: Process) -> None:
-    driver.kill(_leader(driver))
-
-
-def _lose_disk(driver: Driver, actor: Process) -> None:
-    driver.restart(_follower(driver), wipe=True)
-
-
-def _lose_leader_disk(driver: Driver, actor: Process) -> None:
-    driver.restart(_leader(driver), wipe=True)
-
-
-def _restart_all(driver: Driver, actor: Process) -> None:
-    for name in list(driver.processes):
-        driver.restart(name)
-
-
-def _silence(driver: Driver, actor: Process) -> None:
-    driver.silent.update(driver.connections)
-
-
-def _leave(driver: Driver, actor: Process) -> None:
-    name = _primary(driver)
-    driver.upstreams[name].leaving = True
-    driver.record("upstream_leaving", name, upstream=name)
-
-
-def drain_home(driver: Driver) -> None:
-    """Begin the planned stop of the proxy that holds the group."""
-    process = driver.processes[_home(driver)]
-    driver.record("drain_started", process.name)
-    driver.step(process, DrainRequested(driver.clock(process)))
-
-
-def _drain(driver: Driver, actor: Process) -> None:
-    driver.after(1, lambda: drain_home(driver))
-
-
-def _lossy(driver: Driver, actor: Process) -> None:
-    driver.loss = 0.15
-    driver.record("messages_lost", "network")
-
-
-FAULTS: dict[str, Callable[[Driver, Process], None]] = {
-    "primary killed": _kill_primary,
-    "primary isolated": _isolate_primary,
-    "primary frozen": _freeze_primary,
-    "replicas lag": _lag_replicas,
-    "acting process killed": _kill_actor,
-    "acting process frozen past its leases": _freeze_actor,
-    "acting process isolated": _isolate_actor,
-    "home killed": _kill_home,
-    "entry killed": _kill_entry,
-    "control leader isolated": _isolate_leader,
-    "control leader killed": _kill_leader,
-    "disk of a follower lost": _lose_disk,
-    "disk of the leader lost": _lose_leader_disk,
-    "all processes restarted": _restart_all,
-    "connections silent": _silence,
-    "primary leaving": _leave,
-    "planned stop of the home": _drain,
-    "messages lost, doubled, reordered": _lossy,
-}
 # A second fault of the same kind, on what then has the same part.
 TWICE_AFTER_MS = 1_600
 
@@ -271,17 +64,17 @@
 
 def _start_step(driver: Driver, action: str) -> None:
     if action == "kill_primary":
-        driver.kill_upstream(_primary(driver))
+        driver.kill_upstream(primary_of(driver))
     elif action == "kill_leader":
-        driver.kill(_leader(driver))
+        driver.kill(leader_now(driver))
     elif action == "kill_home":
-        driver.kill(_home(driver))
+        driver.kill(home_now(driver))
     elif action == "leave":
-        _leave(driver, driver.processes[_home(driver)])
+        leave(driver, driver.processes[home_now(driver)])
     elif action == "drain_home":
         drain_home(driver)
     elif action == "wipe_member":
-        driver.restart(_follower(driver), wipe=True)
+        driver.restart(follower_now(driver), wipe=True)
 
 
 def run_scenario(step: str, fault: str, seed: int, twice: bool = False) -> Scenario:
@@ -299,9 +92,9 @@
         if reached or not reaches(process, effect):
             return
         reached.append(process.name)
-        if FAULTS[fault] is not _drain:
+        if FAULTS[fault] is not drain:
             driver.record("fault_began", process.name)
-        freeze = FAULTS[fault] is _freeze_actor
+        freeze = FAULTS[fault] is freeze_actor
         if freeze and step == "request: answered to caller":
             # The stop between an entry's check and its send is not provable: docs/PROOFS.md.
             driver.after(1, lambda: driver.freeze(process.name))
@@ -318,7 +111,7 @@
             # Right after the repair of the first disk.
             driver.run_until(lambda: _all_vote(driver), STEP_LIMIT_MS)
         again = driver.processes[reached[0]]
-        all_drain = FAULTS[fault] is _drain and STEPS[step][1] in ("drain_home", "kill_home")
+        all_drain = FAULTS[fault] is drain and STEPS[step][1] in ("drain_home", "kill_home")
         if again.alive and not again.frozen and not all_drain:
             FAULTS[fault](driver, again)
     driver.run(FAULT_MS)
--- /dev/null
+++ b/tests/steps.py
@@ -0,0 +1,94 @@
+"""The steps of the fault matrix: what reaches each, and what is done to make it happen."""
+
+from collections.abc import Callable
+from typing import Any
+
+from driver import Process
+from endivewick_core.codec import decode
+from endivewick_core.commands import COMMANDS, Promote, PutContract
+from endivewick_core.messages import HeartbeatReply, ProxyHeartbeat
+
+
+def _name(effect: Any) -> str:
+    return type(effect).__name__
+
+
+def _sends(path: str, in_transaction: bool | None = None) -> Callable[[Process, Any], bool]:
+    def reached(process: Process, effect: Any) -> bool:
+        if _name(effect) != "SendUpstream" or effect.path != path:
+            return False
+        return in_transaction is None or effect.body["in_transaction"] == in_transaction
+
+    return reached
+
+
+def _effect(name: str) -> Callable[[Process, Any], bool]:
+    return lambda process, effect: _name(effect) == name
+
+
+def _note(name: str) -> Callable[[Process, Any], bool]:
+    return lambda process, effect: _name(effect) == "Note" and effect.name == name
+
+
+def _proposes(kind: type) -> Callable[[Process, Any], bool]:
+    def reached(process: Process, effect: Any) -> bool:
+        if _name(effect) != "Send" or not isinstance(effect.message, ProxyHeartbeat):
+            return False
+        return any(isinstance(decode(COMMANDS, p), kind) for p in effect.message.proposals)
+
+    return reached
+
+
+def _appends(kind: type) -> Callable[[Process, Any], bool]:
+    def reached(process: Process, effect: Any) -> bool:
+        if _name(effect) != "AppendEntries":
+            return False
+        return any(isinstance(decode(COMMANDS, e.command), kind) for e in effect.entries)
+
+    return reached
+
+
+def _spreads(process: Process, effect: Any) -> bool:
+    is_reply = _name(effect) == "Send" and isinstance(effect.message, HeartbeatReply)
+    return is_reply and bool(effect.message.entries)
+
+
+def _repaired(process: Process, effect: Any) -> bool:
+    """Reached when the new identity votes and the change that made it a voter is committed."""
+    state = process.state
+    if process.disk is None or state.leading is None or not state.memberships:
+        return False
+    index, membership = state.memberships[-1]
+    identities = {member.member_id for member in membership.voters}
+    replaced = len(identities) == 3 and any(not item.endswith("#0") for item in identities)
+    return replaced and index <= state.commit_index
+
+
+# A step, what reaches it, and what is done to make it happen.
+STEPS: dict[str, tuple[Callable[[Process, Any], bool], str]] = {
+    "request: forwarded": (_effect("Forward"), ""),
+    "request: sent to upstream": (_sends("/statement", False), ""),
+    "request: answered by home": (_effect("ForwardAnswer"), ""),
+    "request: answered to caller": (_effect("AnswerCaller"), ""),
+    "transaction: begun": (_sends("/begin"), ""),
+    "transaction: statement": (_sends("/statement", True), ""),
+    "transaction: commit": (_sends("/commit"), ""),
+    "failover: grant revoked": (_note("primary_unreachable"), "kill_primary"),
+    "failover: proposed": (_proposes(Promote), "kill_primary"),
+    "failover: committed": (_appends(Promote), "kill_primary"),
+    "failover: ordered": (_sends("/promote"), "kill_primary"),
+    "failover: active": (_note("primary_active"), "kill_primary"),
+    "change: appended": (_appends(PutContract), ""),
+    "change: answered": (_effect("AnswerOperator"), ""),
+    "change: spread": (_spreads, ""),
+    "change: snapshot": (_effect("SaveSnapshot"), ""),
+    "membership: learner added": (_note("learner_added"), "wipe_member"),
+    "membership: old voter removed": (_note("voter_removed"), "wipe_member"),
+    "membership: new voter added": (_note("voter_added"), "wipe_member"),
+    "membership: repaired": (_repaired, "wipe_member"),
+    "election: vote saved": (_effect("SaveVote"), "kill_leader"),
+    "upstream: leaving": (_note("upstream_state"), "leave"),
+    "home: assigned": (_note("homes_assigned"), "kill_home"),
+    "home: taken": (_note("home_taken"), "kill_home"),
+    "home: released": (_note("home_released"), "drain_home"),
+}
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -17,6 +17,7 @@
     transactions,
 )
 from endivewick_core.proxy.state import ConnectionState, Instance
+from faults import primary_of
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 from workload import Operator, Session, home_of, ready_driver
@@ -85,7 +86,7 @@
     for name in PROXIES:
         if name != actor.name:
             driver.freeze(name)
-    driver.after(200, lambda: driver.kill_upstream(matrix._primary(driver)))
+    driver.after(200, lambda: driver.kill_upstream(primary_of(driver)))
 
 
 matrix.FAULTS_FOR_CHECKERS = {ENTRY_FROZEN: _freeze_entry}
