--- /dev/null
+++ b/packages/core/src/endivewick_core/proxy/acknowledgement.py
@@ -0,0 +1,50 @@
+"""When a write may be acknowledged: by the primary in force, where asked once a replica has it."""
+
+from ..messages import ForwardedAnswer
+from ..positions import Position, covers
+from . import outcomes
+from .effects import Effect
+from .events import UpstreamAnswer
+from .state import Home, Instance, ProxyState, is_active
+from .work import Work
+
+
+def check_awaiting(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
+    """Acknowledge the writes that a replica holds by now, as their contract asks."""
+    if not home.awaiting_replica:
+        return []
+    effects: list[Effect] = []
+    kept: list[tuple[Work, ForwardedAnswer]] = []
+    for work, answer in home.awaiting_replica:
+        if now_ms >= work.deadline_ms or not _still_primary(state, now_ms, home, answer):
+            effects += outcomes.unknown(state, now_ms, home, work)
+        elif replica_holds(state, home, Position(answer.term, answer.offset)):
+            effects += outcomes.deliver(state, now_ms, home, work, answer)
+        else:
+            kept.append((work, answer))
+    home.awaiting_replica = kept
+    return effects
+
+
+def from_primary(
+    state: ProxyState, now_ms: int, home: Home, instance: Instance, answer: UpstreamAnswer
+) -> bool:
+    """Tell whether an answer comes from the primary in force, under a valid lease."""
+    group = state.machine.groups[home.group]
+    in_force = (instance.name, answer.term) == (group.primary, group.term)
+    return in_force and answer.role == "primary" and is_active(state, home, now_ms)
+
+
+def _still_primary(state: ProxyState, now_ms: int, home: Home, answer: ForwardedAnswer) -> bool:
+    group = state.machine.groups[home.group]
+    in_force = (answer.upstream, answer.term) == (group.primary, group.term)
+    return in_force and is_active(state, home, now_ms)
+
+
+def replica_holds(state: ProxyState, home: Home, position: Position) -> bool:
+    """Tell whether a replica has reported a position at or past this one."""
+    primary = state.machine.groups[home.group].primary
+    for instance in home.instances.values():
+        if instance.name != primary and covers(instance.position, position):
+            return True
+    return False
--- a/packages/core/src/endivewick_core/proxy/reducer.py
+++ b/packages/core/src/endivewick_core/proxy/reducer.py
@@ -11,10 +11,12 @@
     LeaderHint,
 )
 from . import (
+    acknowledgement,
     admission,
     answers,
     configuration,
     connections,
+    deadlines,
     dispatch,
     entry,
     failover,
@@ -116,8 +118,8 @@
 
 
 def _tick_home(state: ProxyState, now_ms: int, home: Home) -> list[Effect]:
-    effects = results.check_silent(state, now_ms, home)
-    effects += results.check_awaiting(state, now_ms, home)
+    effects = deadlines.check_silent(state, now_ms, home)
+    effects += acknowledgement.check_awaiting(state, now_ms, home)
     effects += dispatch.expire_queues(state, now_ms, home)
     effects += failover.check_primary(state, now_ms, home)
     effects += failover.check_followers(state, now_ms, home)
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -12,8 +12,8 @@
     entry,
     homes,
     once,
+    outcomes,
     replicas,
-    results,
     transactions,
 )
 from endivewick_core.proxy.state import ConnectionState, Instance
@@ -140,7 +140,7 @@
 
 def test_not_run_checker_finds_refusals_of_work_that_ran(monkeypatch):
     claimed = FailureType("outcome_unknown", 504, "not_run")
-    monkeypatch.setattr(results, "OUTCOME_UNKNOWN", claimed)
+    monkeypatch.setattr(outcomes, "OUTCOME_UNKNOWN", claimed)
     monkeypatch.setattr(entry, "OUTCOME_UNKNOWN", claimed)
     found = run_matrix("request: answered by home", "acting process killed")
     assert_that(found, Contains("not_run"))
