Count each cell and step once, give transport tests addresses of their own, cover two more steps twice

Change: a loopback network per test process; only the report of the call counts; every fault twice now also at the steps of a leaving upstream and of a released home, whose cells were empty.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared fixtures, and the closing tables of the proofs."""
 
+import os
 from collections import Counter
 
 import pytest
@@ -12,6 +13,8 @@
     steps = 0
     for reports in terminalreporter.stats.values():
         for report in reports:
+            if getattr(report, "when", "") != "call":
+                continue
             for name, value in getattr(report, "user_properties", []):
                 if name == "cell":
                     cells[tuple(value)] += 1
@@ -32,6 +35,6 @@
 
 
 @pytest.fixture
-def anyio_backend():
-    """Run asynchronous tests on trio."""
-    return "trio"
+def loopback():
+    """Return a loopback network that no other test process uses, as its first three octets."""
+    return f"127.{160 + os.getpid() % 90}.{os.getpid() // 90 % 250}"
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -6,6 +6,13 @@
 from testtools.matchers import Equals
 
 SEED = 1
+TWICE_STEPS = (
+    "request: sent to upstream",
+    "failover: proposed",
+    "change: spread",
+    "upstream: leaving",
+    "home: released",
+)
 
 
 @pytest.mark.parametrize("step", matrix.STEPS)
@@ -21,7 +28,7 @@
 
 @pytest.mark.parametrize("fault", matrix.FAULTS)
 def test_every_fault_twice(fault, record_property):
-    for step in ("request: sent to upstream", "failover: proposed", "change: spread"):
+    for step in TWICE_STEPS:
         scenario = matrix.run_scenario(step, fault, SEED, twice=True)
         found = (scenario.violations, scenario.faults, scenario.recovered, scenario.reached)
         assert_that(found, Equals(([], [], True, True)), f"{step} / {fault}, twice")
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,5 +1,7 @@
 """Messages between processes: their sender, lost peers, and addresses that can't be reached."""
 
+from itertools import count
+
 import pytest
 import trio
 import zmq
@@ -8,9 +10,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
-FIRST = "127.0.0.1:37011"
-SECOND = "127.0.0.1:37012"
 WAIT_S = 10.0
+SERIALS = count(1)
 
 
 @pytest.fixture
@@ -19,9 +20,15 @@
 
 
 @pytest.fixture
-def pair(dropped):
+def addresses(loopback):
+    number = next(SERIALS)
+    return f"{loopback}.{number}:7001", f"{loopback}.{number}:7002"
+
+
+@pytest.fixture
+def pair(dropped, addresses):
     transports = [
-        Transport({"address": address}, lambda: dropped.append(1)) for address in (FIRST, SECOND)
+        Transport({"address": address}, lambda: dropped.append(1)) for address in addresses
     ]
     yield transports
     for transport in transports:
@@ -45,21 +52,23 @@
     return received
 
 
-def test_message_arrives_with_its_sender(pair):
+def test_message_arrives_with_its_sender(pair, addresses):
     first, second = pair
-    received = exchange(second, lambda: first.send(SECOND, b"frame"))
-    assert_that(received[0], Equals((FIRST, b"frame")))
+    own, target = addresses
+    received = exchange(second, lambda: first.send(target, b"frame"))
+    assert_that(received[0], Equals((own, b"frame")))
 
 
-def test_sender_is_kept_when_a_peer_connects_again(pair, dropped):
+def test_sender_is_kept_when_a_peer_connects_again(pair, dropped, addresses):
     """A peer that connected again was once known by an identity that zmq had made up."""
     first, second = pair
-    exchange(second, lambda: first.send(SECOND, b"one"))
+    own, target = addresses
+    exchange(second, lambda: first.send(target, b"one"))
     first.close()
-    again = Transport({"address": FIRST}, lambda: dropped.append(1))
-    received = exchange(second, lambda: again.send(SECOND, b"two"))
+    again = Transport({"address": own}, lambda: dropped.append(1))
+    received = exchange(second, lambda: again.send(target, b"two"))
     again.close()
-    assert_that({sender for sender, _ in received}, Equals({FIRST}))
+    assert_that({sender for sender, _ in received}, Equals({own}))
 
 
 @pytest.mark.parametrize("address", ["", "nonsense", "\x00\x8a1\x02", "127.0.0.1:port"])
@@ -73,19 +82,20 @@
     assert_that(dropped, Equals([1]))
 
 
-def test_message_of_the_wrong_shape_is_dropped(pair, dropped):
+def test_message_of_the_wrong_shape_is_dropped(pair, dropped, addresses):
     first, second = pair
+    _, target = addresses
     context = zmq.Context()
     stranger = context.socket(zmq.DEALER)
     stranger.setsockopt(zmq.LINGER, 0)
-    stranger.connect(f"tcp://{SECOND}")
+    stranger.connect(f"tcp://{target}")
     stranger.send(b"one part only")
-    exchange(second, lambda: first.send(SECOND, b"frame") if dropped else None)
+    exchange(second, lambda: first.send(target, b"frame") if dropped else None)
     context.destroy(linger=0)
     assert_that(dropped, Contains(1))
 
 
-def test_address_in_use_names_the_setting(pair):
+def test_address_in_use_names_the_setting(pair, addresses):
     with pytest.raises(AddressInUse) as caught:
-        Transport({"address": FIRST}, lambda: None)
+        Transport({"address": addresses[0]}, lambda: None)
     assert_that(str(caught.value), Contains("cluster.address"))
