--- a/packages/bench/src/endivewick_bench/plots.py
+++ b/packages/bench/src/endivewick_bench/plots.py
@@ -57,6 +57,47 @@
     pyplot.close(figure)
 
 
+def plot_blocking(result: dict[str, Any], path: Path) -> None:
+    """Draw the p99 of short work without and beside long reports."""
+    figure, axes = pyplot.subplots(figsize=(6, 3))
+    names = list(result["blocking"])
+    for offset, load, label in (
+        (-0.2, "short_only", "short work alone"),
+        (0.2, "with_long", "beside long reports"),
+    ):
+        values = [result["blocking"][name][load]["p99_ms"] for name in names]
+        axes.bar([place + offset for place in range(len(names))], values, 0.4, label=label)
+    axes.set_xticks(range(len(names)), [name.replace("_", " ") for name in names])
+    axes.set_yscale("log")
+    axes.set_ylabel("p99 of short work, ms (log)")
+    axes.set_title(f"Waiting behind long work, {result['site']}")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def plot_replicas(result: dict[str, Any], path: Path) -> None:
+    """Draw the share of reads that replicas served."""
+    figure, axes = pyplot.subplots(figsize=(5, 3))
+    names = list(result["replicas"])
+    axes.bar(names, [100 * result["replicas"][name]["share"] for name in names])
+    axes.set_ylabel("reads by replicas, %")
+    axes.set_ylim(0, 100)
+    axes.set_title(f"Replica reads beside a lagging replica, {result['site']}")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+PLOTS = {
+    "crest": plot_crest,
+    "gap": plot_gap,
+    "blocking": plot_blocking,
+    "replicas": plot_replicas,
+}
+
+
 def main(arguments: list[str]) -> None:
     """Draw every plot whose result is there."""
     refuse_words(arguments)
@@ -66,10 +107,9 @@
         if not path.exists():
             continue
         result = json.loads(path.read_text())
-        if "crest" in result:
-            plot_crest(result, folder / f"{site}-crest.png")
-        if "gap" in result:
-            plot_gap(result, folder / f"{site}-gap.png")
+        for name, plot in PLOTS.items():
+            if name in result:
+                plot(result, folder / f"{site}-{name}.png")
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/endivewick_bench/slopes.py
+++ b/packages/bench/src/endivewick_bench/slopes.py
@@ -30,11 +30,18 @@
     decode_configuration,
     encode_machine,
 )
-from endivewick_core.messages import CODEC, HeartbeatReply, LogEntry, Member, ProxyHeartbeat
+from endivewick_core.messages import (
+    CODEC,
+    GrantQuestion,
+    HeartbeatReply,
+    LogEntry,
+    Member,
+    ProxyHeartbeat,
+)
 from endivewick_core.proxy.events import MessageReceived as ProxyReceived
 from endivewick_core.proxy.events import Tick as ProxyTick
 from endivewick_core.proxy.reducer import reduce as reduce_proxy
-from endivewick_core.proxy.state import ProxySettings, ProxyState
+from endivewick_core.proxy.state import Home, Phase, ProxySettings, ProxyState
 from endivewick_node.transport import Transport
 
 from . import cluster as cl
@@ -283,12 +290,30 @@
     changed_us = cpu_us(beat(True), REPEATS)
     tick_us = cpu_us(lambda: reduce_proxy(state, ProxyTick(1)), REPEATS)
     return {
+        "grant_renewal_us": round(_grant_us(state), 1),
         "tick_us": round(tick_us, 1),
         "heartbeat_us": round(quiet_us, 1),
         "change_us": round(changed_us - quiet_us, 1),
     }
 
 
+def _grant_us(state: ProxyState) -> float:
+    """Return what a home spends on an entry's question for a fresh grant."""
+    group = next(iter(state.machine.groups))
+    state.homes[group] = Home(group, 1, 0, phase=Phase.ACTIVE)
+    state.lease_until_ms = 10**12
+    question = encode(GrantQuestion(group, 1, state.machine.groups[group].term, 5))
+
+    def ask() -> None:
+        message = decode(CODEC, question)
+        effects = reduce_proxy(state, ProxyReceived(10, "10.0.0.2:7000", message))
+        encode(effects[0].message)  # type: ignore[union-attr]
+
+    spent_us = cpu_us(ask, REPEATS)
+    del state.homes[group]
+    return spent_us
+
+
 async def measure_transport() -> dict[str, Any]:
     """Return the processor time of one message, sent and received, library threads included."""
     sender = Transport({"address": f"{cl.default_net()}.240:7000"}, lambda: None)
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -49,6 +49,24 @@
             await cl.put_contract(cluster, demo.CUSTOMER, demo.CONTRACT, "demo-1")
             await cl.wait_serving(cluster, demo.CUSTOMER)
             await demo.session(cluster)
+            await refuses_bad_input(cluster)
+
+    async def refuses_bad_input(cluster):
+        address = cluster.proxy_addresses["proxy-3"]
+        read = {"customer": demo.CUSTOMER, "kind": "read", "statement": {"op": "get", "key": "k"}}
+        write = {**read, "kind": "write", "request_id": "my own id"}
+        for body, token, error in (
+            (read, "nonsense", "token_invalid"),
+            ({**read, "customer": "nobody"}, None, "unknown_customer"),
+            (write, None, "request_id_invalid"),
+            ({**read, "transaction": "main:0:99"}, None, "transaction_lost"),
+            ({**read, "transaction": "x"}, None, "transaction_unknown"),
+            ({**read, "statement": {"op": "fail"}}, None, "upstream_error"),
+        ):
+            reply = await cl.call(address, "POST", "/v1/statements", body, token)
+            assert_that((reply.body.get("error"), error), Equals((error, error)))
+            reply = await cl.call(address, "POST", "/v1/statements", read)
+            assert_that(reply.status, Equals(200))
 
     trio.run(run)
 
