--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Everything that a fresh machine with Python 3.11 needs: `make demo` and `make test`.
 PYTHON ?= python3
 BIN := .venv/bin
-WORKERS ?= 4
+WORKERS ?= 6
 PACKAGES := core node ctl bench
 
 .PHONY: install demo test check format
