Choose a queue once per admission, save plots in one place, correct a docstring

Cause: read of the whole change. Admission looked the queue up twice for each statement; four plots ended in the same three lines; _held claimed to count assignments on their way, which it does not. Ruled out: merging the two checkers and the two tests that are alike in shape only.

--- a/packages/bench/src/endivewick_bench/plots.py
+++ b/packages/bench/src/endivewick_bench/plots.py
@@ -34,9 +34,7 @@
     axes.set_ylim(bottom=0)
     axes.set_title(f"Service at the crest, {result['site']}")
     axes.legend()
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    _save(figure, path)
 
 
 def plot_gap(result: dict[str, Any], path: Path) -> None:
@@ -52,9 +50,7 @@
     axes.set_xlabel("milliseconds (median of each part)")
     axes.set_title(f"Failover gap, {result['site']}")
     axes.legend(fontsize="small")
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    _save(figure, path)
 
 
 def plot_blocking(result: dict[str, Any], path: Path) -> None:
@@ -72,9 +68,7 @@
     axes.set_ylabel("p99 of short work, ms (log)")
     axes.set_title(f"Waiting behind long work, {result['site']}")
     axes.legend()
-    figure.tight_layout()
-    figure.savefig(path)
-    pyplot.close(figure)
+    _save(figure, path)
 
 
 def plot_replicas(result: dict[str, Any], path: Path) -> None:
@@ -85,6 +79,10 @@
     axes.set_ylabel("reads by replicas, %")
     axes.set_ylim(0, 100)
     axes.set_title(f"Replica reads beside a lagging replica, {result['site']}")
+    _save(figure, path)
+
+
+def _save(figure: Any, path: Path) -> None:
     figure.tight_layout()
     figure.savefig(path)
     pyplot.close(figure)
--- a/packages/core/src/endivewick_core/control/placement.py
+++ b/packages/core/src/endivewick_core/control/placement.py
@@ -75,7 +75,7 @@
 
 
 def _held(state: ControlState) -> dict[tuple[str, str], list[str]]:
-    """Return the groups of each proxy process, those on their way to it included."""
+    """Return the groups of each proxy process, by the committed configuration."""
     held: dict[tuple[str, str], list[str]] = {}
     for group in state.machine.groups.values():
         held.setdefault((group.home, group.home_boot), []).append(group.name)
--- a/packages/core/src/endivewick_core/proxy/admission.py
+++ b/packages/core/src/endivewick_core/proxy/admission.py
@@ -53,11 +53,12 @@
         return [answers.send(state, now_ms, home, work.origin, seen.answer)]
     if seen is not None:
         return [answers.refuse(state, now_ms, home, work.origin, seen)]
-    overload = _overload(state, now_ms, home, work, contract)
+    queue = classes.queue_for(state, home, work)
+    overload = _overload(state, now_ms, home, work, contract, queue)
     if overload is not None:
         once.forget(home, work)
         return [answers.refuse(state, now_ms, home, work.origin, overload)]
-    classes.queue_for(state, home, work).push(work)
+    queue.push(work)
     return dispatch.dispatch(state, now_ms, home)
 
 
@@ -97,10 +98,14 @@
 
 
 def _overload(
-    state: ProxyState, now_ms: int, home: Home, work: Work, contract: Contract
+    state: ProxyState,
+    now_ms: int,
+    home: Home,
+    work: Work,
+    contract: Contract,
+    queue: FairQueue,
 ) -> Failure | None:
     settings = state.settings
-    queue = classes.queue_for(state, home, work)
     share = max(1, int(contract.surge_share * settings.queue_limit))
     wait_ms = _expected_wait_ms(state, home, work, queue)
     limit_ms = DEADLINE_SHARE * (work.deadline_ms - now_ms)
