--- a/packages/core/src/endivewick_core/commands.py
+++ b/packages/core/src/endivewick_core/commands.py
@@ -96,6 +96,33 @@
     home_epoch: int
 
 
+class PutConfiguration(NamedTuple):
+    """Put a whole configuration in force where its version is the highest yet.
+
+    ``document`` is what the operator sent, compressed by ``documents.compress``, and ``services``
+    names the services in it.
+    """
+
+    version: int
+    services: list[str]
+    document: bytes
+
+
+class BeginFailover(NamedTuple):
+    """Reserve the index of this entry as the fencing token of one change of primary."""
+
+    service: str
+    holder: str
+
+
+class EndFailover(NamedTuple):
+    """Record that the change of primary with this fencing token is over."""
+
+    service: str
+    token: int
+    primary: str
+
+
 COMMANDS = build_codec(
     (
         StartTerm,
@@ -107,6 +134,9 @@
         Promote,
         AssignHomes,
         ReleaseHome,
+        PutConfiguration,
+        BeginFailover,
+        EndFailover,
     )
 )
 PROXY_COMMANDS = (RegisterUpstream, AdoptPrimary, Promote, ReleaseHome)
--- a/packages/core/src/endivewick_core/control/effects.py
+++ b/packages/core/src/endivewick_core/control/effects.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from ..messages import LogEntry
+from ..upstream_links import CloseConnection, OpenConnection, SendStatements
 
 
 class SaveVote(NamedTuple):
@@ -60,4 +61,59 @@
     text: str
 
 
-Effect = SaveVote | AppendEntries | TruncateLog | SaveSnapshot | Send | AnswerOperator | Note
+class AnswerConfiguration(NamedTuple):
+    """Answer a read of the configuration with its compressed document."""
+
+    number: int
+    document: bytes
+
+
+class RedirectOperator(NamedTuple):
+    """Send an operator on to the leader's operators' address."""
+
+    number: int
+    operator_address: str
+
+
+class AcknowledgeReport(NamedTuple):
+    """Acknowledge an upstream's report; later ones should go to ``report_to``."""
+
+    number: int
+    report_to: str
+
+
+class RefuseReport(NamedTuple):
+    """Tell an upstream that its report could not be kept, so that it reports elsewhere."""
+
+    number: int
+
+
+class OrderFailover(NamedTuple):
+    """Order the platform to make ``upstream`` the primary of ``service``.
+
+    The platform refuses a ``token`` lower than one that it has seen for the service.
+    """
+
+    service: str
+    upstream: str
+    holder: str
+    token: int
+
+
+Effect = (
+    SaveVote
+    | AppendEntries
+    | TruncateLog
+    | SaveSnapshot
+    | Send
+    | AnswerOperator
+    | Note
+    | AnswerConfiguration
+    | RedirectOperator
+    | AcknowledgeReport
+    | RefuseReport
+    | OrderFailover
+    | OpenConnection
+    | SendStatements
+    | CloseConnection
+)
--- a/packages/core/src/endivewick_core/control/events.py
+++ b/packages/core/src/endivewick_core/control/events.py
@@ -3,8 +3,12 @@
 ``now_ms`` is the process's monotonic clock; ``random`` is a draw from [0, 1).
 """
 
+from enum import StrEnum
 from typing import Any, NamedTuple
 
+from ..directory import UpstreamReport
+from ..upstream_links import ConnectionBroke, ConnectionOpened, ConnectionReplied
+
 
 class Tick(NamedTuple):
     """Time passed."""
@@ -64,4 +68,63 @@
     """Start a new cluster at this member."""
 
 
-Event = Tick | MessageReceived | OperatorRequested
+class PutConfigurationRequest(NamedTuple):
+    """Put a whole configuration in force; ``document`` is compressed and was checked."""
+
+    version: int
+    services: list[str]
+    document: bytes
+
+
+class GetConfiguration(NamedTuple):
+    """Read the newest configuration, confirmed by a quorum."""
+
+
+class ReportReceived(NamedTuple):
+    """An upstream reported itself; ``number`` names the request in the answer."""
+
+    now_ms: int
+    number: int
+    report: UpstreamReport
+
+
+class UpstreamLeft(NamedTuple):
+    """An upstream said goodbye."""
+
+    now_ms: int
+    number: int
+    upstream: str
+
+
+class FailoverOutcome(StrEnum):
+    """What the platform said to an order to change a primary.
+
+    ``ACCEPTED`` says that it will be done. ``REFUSED`` says that it won't, and ``UNANSWERED`` that
+    it may be done, even much later.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+
+
+class FailoverAnswered(NamedTuple):
+    """The platform answered the order with this fencing token, or did not."""
+
+    now_ms: int
+    service: str
+    token: int
+    outcome: FailoverOutcome
+
+
+Event = (
+    Tick
+    | MessageReceived
+    | OperatorRequested
+    | ReportReceived
+    | UpstreamLeft
+    | FailoverAnswered
+    | ConnectionOpened
+    | ConnectionReplied
+    | ConnectionBroke
+)
--- a/packages/core/src/endivewick_core/control/membership.py
+++ b/packages/core/src/endivewick_core/control/membership.py
@@ -12,7 +12,8 @@
 from .effects import Effect, Note, Send
 from .state import ControlState, Membership, Progress, Role, is_voter
 
-LOST_IDENTITY_MS = 5_000
+LOST_IDENTITY_MS = 5_000  # a voter that was not heard for so long may be replaced
+NO_LEADER_MS = 3_000  # a member that hears no leader for so long asks to be let in again
 
 
 def check_join(state: ControlState, now_ms: int) -> list[Effect]:
@@ -21,21 +22,26 @@
         return []
     state.join_due_ms = now_ms + state.settings.join_interval_ms
     known = state.membership.voters + state.membership.learners
-    if any(member.member_id == state.me.member_id for member in known):
+    is_member = any(member.member_id == state.me.member_id for member in known)
+    led = now_ms - state.leader_heard_ms < NO_LEADER_MS
+    if is_member and (state.settings.members or led):
         return []
     request = JoinRequest(state.me)
-    others = [a for name, a in state.settings.members.items() if name != state.me.name]
-    return [Send(address, request) for address in others]
+    return [Send(address, request) for address in _other_addresses(state)]
 
 
 def handle_join_request(state: ControlState, now_ms: int, request: JoinRequest) -> list[Effect]:
     """Say whether this process belongs to a cluster; as leader, start the join."""
     member = request.member
-    if state.settings.members.get(member.name) != member.address:
+    if member.member_id == state.me.member_id:
+        return []
+    if state.settings.members and state.settings.members.get(member.name) != member.address:
         text = f"{member.name} at {member.address} asked to join but is not in control.members"
         return [Note("warning", "join_refused", text)]
     reply = JoinReply(state.me, state.role is not Role.EMPTY)
     effects: list[Effect] = [Send(member.address, reply)]
+    if state.leading is None and not state.settings.members:
+        return effects + _pass_on(state, request)
     if state.leading is None or not _may_change(state):
         return effects
     known = state.membership.voters + state.membership.learners
@@ -66,12 +72,42 @@
         if progress is None or progress.match_index < state.commit_index:
             continue
         replaced = [item for item in state.membership.voters if item.name == learner.name]
-        if replaced and not _is_lost(state, now_ms, replaced[0]):
+        if replaced and state.settings.members and not _is_lost(state, now_ms, replaced[0]):
             continue
+        if not replaced and not state.settings.members:
+            if len(state.membership.voters) >= state.settings.voter_target:
+                replaced = _lost_voters(state, now_ms)
+                if not replaced:
+                    continue
         return _replace_or_add(state, now_ms, learner, replaced)
     return []
 
 
+def _other_addresses(state: ControlState) -> list[str]:
+    if state.settings.members:
+        others = state.settings.members
+        return [address for name, address in others.items() if name != state.me.name]
+    addresses = set(state.settings.seeds)
+    addresses.update(member.address for member in state.membership.voters)
+    addresses.update(state.spread.peers)
+    addresses.discard(state.me.address)
+    return sorted(addresses)
+
+
+def _pass_on(state: ControlState, request: JoinRequest) -> list[Effect]:
+    """Pass a join on to the leader, whom a process with an empty disk doesn't know."""
+    if not state.leader or state.leader == state.me.member_id:
+        return []
+    address = replication.member_address(state, state.leader)
+    return [Send(address, request)] if address else []
+
+
+def _lost_voters(state: ControlState, now_ms: int) -> list[Member]:
+    """Return one voter that is lost, for a learner at another address to replace."""
+    lost = [item for item in state.membership.voters if _is_lost(state, now_ms, item)]
+    return lost[:1]
+
+
 def _replace_or_add(
     state: ControlState, now_ms: int, learner: Member, replaced: list[Member]
 ) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/operators.py
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -5,7 +5,7 @@
 from returns.result import Failure as Failed
 
 from ..codec import encode
-from ..commands import PutContract, SetUpstream
+from ..commands import PutConfiguration, PutContract, SetUpstream
 from ..contracts import check_contract, contract_text, is_name
 from ..exceptions import (
     BOOTSTRAP_REFUSED,
@@ -20,13 +20,23 @@
     failure_body,
 )
 from ..machine import ChangeResult, Machine
-from . import replication
-from .effects import AnswerOperator, Effect, Note, SaveSnapshot, SaveVote
+from . import directory, replication
+from .effects import (
+    AnswerConfiguration,
+    AnswerOperator,
+    Effect,
+    Note,
+    RedirectOperator,
+    SaveSnapshot,
+    SaveVote,
+)
 from .events import (
     BootstrapRequest,
+    GetConfiguration,
     GetContracts,
     GetStatus,
     GetUpstreams,
+    PutConfigurationRequest,
     PutContractRequest,
     SetUpstreamRequest,
 )
@@ -50,8 +60,14 @@
         return _bootstrap(state, now_ms, number)
     if isinstance(request, GetStatus) and state.role is not Role.LEADER:
         return [AnswerOperator(number, 200, status_body(state, now_ms))]
+    if isinstance(request, PutConfigurationRequest):
+        known = state.machine.configuration.version
+        if request.version <= known:
+            return [AnswerOperator(number, 200, {"version": known})]
     if state.role is not Role.LEADER or state.leading is None:
-        return [_refuse(number, _not_leader(state))]
+        return [_send_on(state, now_ms, number)]
+    if isinstance(request, PutConfigurationRequest):
+        return _propose_configuration(state, now_ms, number, request)
     if isinstance(request, PutContractRequest | SetUpstreamRequest):
         return _propose_change(state, now_ms, number, request)
     waiting = WaitingRead(state.leading.round_number + 1, number, request)
@@ -157,6 +173,24 @@
     return Failure(NOT_LEADER, message, retry_after_ms=500, details=details)
 
 
+def _send_on(state: ControlState, now_ms: int, number: int) -> Effect:
+    """Redirect to a leader that was heard lately; refuse the request where none was."""
+    address = directory.operator_address(state, now_ms, state.leader.partition("#")[0])
+    heard_lately = now_ms - state.leader_heard_ms < 2 * state.settings.election_timeout_ms
+    if address and heard_lately and state.leader != state.me.member_id:
+        return RedirectOperator(number, address)
+    return _refuse(number, _not_leader(state))
+
+
+def _propose_configuration(
+    state: ControlState, now_ms: int, number: int, request: PutConfigurationRequest
+) -> list[Effect]:
+    assert state.leading is not None
+    effects = replication.propose(state, encode(PutConfiguration(*request)))
+    state.leading.changes[state.log.last_index] = WaitingChange(number, state.term)
+    return effects + replication.start_round(state, now_ms)
+
+
 def _propose_change(
     state: ControlState, now_ms: int, number: int, request: PutContractRequest | SetUpstreamRequest
 ) -> list[Effect]:
@@ -218,9 +252,14 @@
     }
 
 
-def _answer_read(state: ControlState, now_ms: int, read: WaitingRead) -> AnswerOperator:
+def _answer_read(state: ControlState, now_ms: int, read: WaitingRead) -> Effect:
     request = read.request
     machine = state.machine
+    if isinstance(request, GetConfiguration):
+        if machine.configuration.version:
+            return AnswerConfiguration(read.number, machine.configuration.document)
+        message = "no configuration was put yet; put one first"
+        return _refuse(read.number, Failure(NO_QUORUM, message))
     if isinstance(request, GetStatus):
         return AnswerOperator(read.number, 200, status_body(state, now_ms))
     if isinstance(request, GetUpstreams):
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/questions.py
@@ -0,0 +1,93 @@
+"""Questions to upstreams: their position, and the orders that a failover needs."""
+
+from ..directory import DirectoryEntry, UpstreamState
+from ..messages import PrimaryHealth
+from ..positions import ZERO
+from ..statements import BEGIN, ROLLBACK, Statement, UpstreamStatement
+from ..upstream_links import OpenConnection, SendStatements
+from .effects import Effect
+from .service_state import Asked, Question, WatchedConnection
+from .state import ControlState
+
+ASK_MS = 400  # a quarter of the shortest staleness that contracts commonly allow
+OVERDUE_MS = 600  # the longest round trip between regions, a lost packet and its repeat
+
+
+def services(state: ControlState) -> list[str]:
+    """Return the services of the configuration whose upstreams have reported."""
+    reported = {entry.report.service for entry in state.spread.directory.entries.values()}
+    return [name for name in state.machine.configuration.services if name in reported]
+
+
+def upstreams_of(state: ControlState, service: str) -> list[DirectoryEntry]:
+    """Return the upstreams of a service that have not said goodbye."""
+    return [
+        entry
+        for entry in state.spread.directory.entries.values()
+        if entry.report.service == service and entry.report.state is not UpstreamState.GONE
+    ]
+
+
+def primary_health(state: ControlState, now_ms: int) -> list[PrimaryHealth]:
+    """Return how this process finds each service's primary."""
+    health = []
+    for service, mark in state.watch.marks.items():
+        health.append(PrimaryHealth(service, mark.upstream, failing_ms(state, now_ms, service)))
+    return health
+
+
+def failing_ms(state: ControlState, now_ms: int, service: str) -> int:
+    """Return how long the primary's answers have been overdue, or 0."""
+    mark = state.watch.marks.get(service)
+    if mark is None:
+        return 0
+    age_ms = now_ms - mark.asked_ms
+    return age_ms - ASK_MS if age_ms > ASK_MS + OVERDUE_MS else 0
+
+
+def ask(
+    state: ControlState, now_ms: int, entry: DirectoryEntry, statement: Statement, kind: Question
+) -> list[Effect]:
+    """Ask an upstream once its connection is open and its last such question was answered."""
+    number = state.watch.by_upstream.get(entry.report.upstream)
+    if number is None:
+        return open_connection(state, now_ms, entry)
+    connection = state.watch.connections[number]
+    if not connection.is_open or any(item.question is kind for item in connection.asked):
+        return []
+    connection.asked.append(Asked(kind, now_ms))
+    return [SendStatements(number, [UpstreamStatement(statement)])]
+
+
+def ask_position(state: ControlState, now_ms: int, entry: DirectoryEntry) -> list[Effect]:
+    """Ask an upstream whether it leads, and for its position, where that is due."""
+    number = state.watch.by_upstream.get(entry.report.upstream)
+    if number is None:
+        return open_connection(state, now_ms, entry)
+    connection = state.watch.connections[number]
+    if not connection.is_open or now_ms - connection.asked_ms < ASK_MS:
+        return []
+    if any(item.question is Question.POSITION for item in connection.asked):
+        return []
+    connection.asked_ms = now_ms
+    connection.asked.append(Asked(Question.POSITION, now_ms))
+    connection.asked.append(Asked(Question.ROLLBACK, now_ms))
+    return [SendStatements(number, [UpstreamStatement(BEGIN), UpstreamStatement(ROLLBACK)])]
+
+
+def open_connection(state: ControlState, now_ms: int, entry: DirectoryEntry) -> list[Effect]:
+    """Open a connection for questions, but not right after one has failed."""
+    report = entry.report
+    watch = state.watch
+    if now_ms < watch.reopen_ms.get(report.upstream, 0):
+        return []
+    connection = WatchedConnection(watch.next_connection, report.upstream, report.service, now_ms)
+    watch.next_connection += 1
+    watch.connections[connection.number] = connection
+    watch.by_upstream[report.upstream] = connection.number
+    return [OpenConnection(connection.number, report.address, report.service, report.upstream)]
+
+
+def newest_term(state: ControlState, service: str) -> int:
+    """Return the highest term that any upstream of a service has shown."""
+    return max(state.watch.terms.get(service, 0), ZERO.term)
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -5,6 +5,9 @@
 from ..messages import (
     AppendReply,
     AppendRequest,
+    DirectoryQuestion,
+    DirectoryShare,
+    DirectoryShareReceived,
     JoinReply,
     JoinRequest,
     ProxyHeartbeat,
@@ -12,9 +15,28 @@
     VoteReply,
     VoteRequest,
 )
-from . import election, leases, membership, operators, placement, replication
+from ..upstream_links import ConnectionBroke, ConnectionOpened, ConnectionReplied
+from . import (
+    directory,
+    election,
+    failover,
+    leases,
+    membership,
+    operators,
+    placement,
+    replication,
+    watch,
+)
 from .effects import Effect, Note
-from .events import Event, MessageReceived, OperatorRequested, Tick
+from .events import (
+    Event,
+    FailoverAnswered,
+    MessageReceived,
+    OperatorRequested,
+    ReportReceived,
+    Tick,
+    UpstreamLeft,
+)
 from .state import ControlState, Role
 
 _HANDLERS: dict[type, Any] = {
@@ -26,6 +48,18 @@
     JoinRequest: membership.handle_join_request,
     JoinReply: membership.handle_join_reply,
     ProxyHeartbeat: leases.handle_heartbeat,
+    DirectoryQuestion: directory.handle_question,
+    DirectoryShare: directory.handle_share,
+    DirectoryShareReceived: directory.handle_share_received,
+}
+
+_EVENT_HANDLERS: dict[type, Any] = {
+    ReportReceived: directory.handle_report,
+    UpstreamLeft: directory.handle_left,
+    FailoverAnswered: failover.handle_answered,
+    ConnectionOpened: watch.handle_opened,
+    ConnectionReplied: watch.handle_replied,
+    ConnectionBroke: watch.handle_broke,
 }
 
 
@@ -35,7 +69,19 @@
         return _receive(state, event)
     if isinstance(event, OperatorRequested):
         return operators.handle_request(state, event.now_ms, event.number, event.request)
-    return _tick(state, event)
+    if isinstance(event, Tick):
+        return _tick(state, event) + _tick_services(state, event.now_ms)
+    effects: list[Effect] = _EVENT_HANDLERS[type(event)](state, event)
+    return effects
+
+
+def _tick_services(state: ControlState, now_ms: int) -> list[Effect]:
+    """Spread the directory, watch the primaries and replace those that fail."""
+    if not state.settings.voter_target:
+        return []
+    effects = directory.check_spread(state, now_ms)
+    effects += watch.check_watch(state, now_ms)
+    return effects + failover.check_failovers(state, now_ms)
 
 
 def _receive(state: ControlState, event: MessageReceived) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 from ..codec import CodecFault, decode
-from ..commands import COMMANDS, AssignHomes, ChangeMembership
+from ..commands import COMMANDS, AssignHomes, BeginFailover, ChangeMembership
 from ..machine import ChangeResult, Machine, apply_command, decode_machine, encode_machine
 from ..messages import AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest
-from . import election, operators
+from . import election, failover, operators
 from .effects import AppendEntries, Effect, Note, SaveSnapshot, Send, TruncateLog
 from .state import (
     ControlState,
@@ -198,7 +198,10 @@
     member = member_by_id(state, member_id)
     if member is not None:
         return member.address
-    return state.settings.members.get(member_id.partition("#")[0], "")
+    name = member_id.partition("#")[0]
+    if not state.settings.members:
+        return name
+    return state.settings.members.get(name, "")
 
 
 def _store_entries(state: ControlState, entries: list[LogEntry]) -> list[Effect]:
@@ -286,7 +289,7 @@
         if result.failure:
             state.refused.add(entry.log_index)
         if state.leading is not None:
-            effects += _after_apply(state, entry, command, result)
+            effects += _after_apply(state, now_ms, entry, command, result)
     return effects + _compact(state)
 
 
@@ -302,13 +305,15 @@
 
 
 def _after_apply(
-    state: ControlState, entry: LogEntry, command: Any, result: ChangeResult
+    state: ControlState, now_ms: int, entry: LogEntry, command: Any, result: ChangeResult
 ) -> list[Effect]:
     assert state.leading is not None
     state.leading.proposals_in_flight.pop(entry.command, None)
     if isinstance(command, AssignHomes):
         for name, _ in command.groups:
             state.leading.assigning.pop(name, None)
+    if isinstance(command, BeginFailover):
+        return failover.handle_begun(state, now_ms, entry.log_index, command)
     return operators.answer_change(state, entry.log_index, command, result)
 
 
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -0,0 +1,124 @@
+"""What a control process holds of services and upstreams: soft state, lost with the process."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..directory import Directory
+from ..messages import ControlPeer, PrimaryHealth
+from ..positions import Position
+
+
+class Question(StrEnum):
+    """What a statement of a watched connection was sent for."""
+
+    POSITION = "position"
+    ROLLBACK = "rollback"
+    PAUSE = "pause"
+    RESUME = "resume"
+
+
+class Asked(NamedTuple):
+    """A statement that has not been answered yet."""
+
+    question: Question
+    sent_ms: int
+
+
+@dataclass(slots=True)
+class WatchedConnection:
+    """A connection to an upstream, for questions only."""
+
+    number: int
+    upstream: str
+    service: str
+    opened_ms: int
+    is_open: bool = False
+    asked: deque[Asked] = field(default_factory=deque)
+    asked_ms: int = 0
+
+
+class Mark(NamedTuple):
+    """The newest position of a service's primary, and when it was asked for."""
+
+    upstream: str
+    asked_ms: int
+    position: Position
+
+
+@dataclass(slots=True)
+class WatchState:
+    """The watched connections by number and by upstream, and what they told."""
+
+    connections: dict[int, WatchedConnection] = field(default_factory=dict)
+    by_upstream: dict[str, int] = field(default_factory=dict)
+    reopen_ms: dict[str, int] = field(default_factory=dict)
+    marks: dict[str, Mark] = field(default_factory=dict)
+    failing_since_ms: dict[str, int] = field(default_factory=dict)
+    terms: dict[str, int] = field(default_factory=dict)
+    next_connection: int = 1
+
+
+class Stage(StrEnum):
+    """How far a failover has come."""
+
+    PROPOSED = "proposed"
+    PAUSING = "pausing"
+    ORDERED = "ordered"
+    PROMOTING = "promoting"
+    RESUMING = "resuming"
+
+
+@dataclass(slots=True)
+class Failover:
+    """A failover that this leader carries out."""
+
+    service: str
+    previous: str
+    reason: str
+    started_ms: int
+    stage: Stage = Stage.PROPOSED
+    token: int = 0
+    target: str = ""
+    ordered_ms: int = 0
+    order_in_flight: bool = False
+    received: dict[str, Position] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class FailoverState:
+    """The failovers under way, and the replicas that are still to be resumed."""
+
+    running: dict[str, Failover] = field(default_factory=dict)
+    to_resume: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class WaitingReport:
+    """A report whose acknowledgement waits until another control process has it."""
+
+    number: int
+    report_to: str
+    since_ms: int
+
+
+@dataclass(slots=True)
+class Peer:
+    """What another control process said in its last share."""
+
+    peer: ControlPeer
+    heard_ms: int
+    primaries: list[PrimaryHealth]
+
+
+@dataclass(slots=True)
+class DirectoryState:
+    """The directory and its spreading; ``boot`` names this run of the process to gateways."""
+
+    boot: str = ""
+    directory: Directory = field(default_factory=Directory)
+    peers: dict[str, Peer] = field(default_factory=dict)
+    waiting: dict[int, WaitingReport] = field(default_factory=dict)
+    next_serial: int = 1
+    share_due_ms: int = 0
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -7,15 +7,24 @@
 import msgspec
 
 from ..machine import Machine
-from ..messages import Member, ProxyHeartbeat
+from ..messages import ControlPeer, Member, ProxyHeartbeat
 from .log import Log
+from .service_state import DirectoryState, FailoverState, WatchState
 
 
 class ControlSettings(NamedTuple):
-    """The timing of the quorum and the table of control processes by name."""
+    """The timing of the quorum, and the other control processes.
+
+    ``members`` is the table of control processes by name. Where it is empty they are discovered:
+    each is named by its address, the first ones to ask are ``seeds``, and as many as
+    ``voter_target`` vote. ``me`` is how the other processes reach this one.
+    """
 
     members: dict[str, str]
     operator_addresses: dict[str, str]
+    seeds: tuple[str, ...] = ()
+    voter_target: int = 0
+    me: ControlPeer = ControlPeer("", "", "")
     heartbeat_ms: int = 100
     election_timeout_ms: int = 600
     lease_ms: int = 2_000
@@ -136,6 +145,9 @@
     join_due_ms: int = 0
     join_replies: dict[str, tuple[int, bool]] = field(default_factory=dict)
     leading: Leading | None = None
+    spread: DirectoryState = field(default_factory=DirectoryState)
+    watch: WatchState = field(default_factory=WatchState)
+    failover: FailoverState = field(default_factory=FailoverState)
 
     @property
     def membership(self) -> Membership:
--- a/packages/core/src/endivewick_core/exceptions.py
+++ b/packages/core/src/endivewick_core/exceptions.py
@@ -59,6 +59,9 @@
 NOT_LEADER = FailureType("not_leader", 503, "not_run")
 NO_QUORUM = FailureType("no_quorum", 503, "not_run")
 CHANGE_UNKNOWN = FailureType("change_outcome_unknown", 504, "outcome_unknown")
+NO_ANSWER = FailureType("no_answer", 504, "outcome_unknown")
+CONFIGURATION_INVALID = FailureType("configuration_invalid", 400, "not_run")
+REPORT_INVALID = FailureType("report_invalid", 400, "not_run")
 UNAUTHORIZED = FailureType("unauthorized", 401, "not_run")
 BOOTSTRAP_REFUSED = FailureType("bootstrap_refused", 409, "not_run")
 
@@ -97,6 +100,9 @@
     NO_QUORUM,
     CHANGE_UNKNOWN,
     BOOTSTRAP_REFUSED,
+    NO_ANSWER,
+    CONFIGURATION_INVALID,
+    REPORT_INVALID,
     UNAUTHORIZED,
 )
 FAILURES_BY_NAME = {failure.name: failure for failure in CALLER_FAILURES + OPERATOR_FAILURES}
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/answers.py
@@ -0,0 +1,99 @@
+"""Answers to sessions, each with its counter; refusals and unknown outcomes are logged."""
+
+from ..positions import Position
+from ..statements import Error, StatementKind, TransactionState, UpstreamReply
+from . import sessions
+from .effects import AnswerStatement, Decision, Effect, Served
+from .state import GatewayState, Request, Session
+
+
+def answer_own(session: Session) -> list[Effect]:
+    """Answer a statement that needs no upstream."""
+    return [AnswerStatement(session.number, (), "", None, session.state, session.position)]
+
+
+def refuse_own(
+    session: Session, statement: StatementKind, request_id: str, error: Error
+) -> list[Effect]:
+    """Refuse a statement that never reached an upstream."""
+    inputs: dict[str, object] = {"statement": statement.value, "text": error.text}
+    return [
+        Decision("warning", "refused", request_id, session.workspace, inputs, error.fault.value),
+        AnswerStatement(session.number, (), "", error, session.state, session.position),
+    ]
+
+
+def succeed(
+    state: GatewayState, now_ms: int, request: Request, reply: UpstreamReply
+) -> list[Effect]:
+    """Pass an upstream's success on."""
+    session = state.sessions[request.session]
+    state.requests.pop(request.serial, None)
+    session.current = None
+    session.active_ms = now_ms
+    effects: list[Effect] = [
+        AnswerStatement(
+            session.number, reply.rows, reply.proof, None, session.state, reply.position
+        ),
+        _served(now_ms, request, "ok"),
+    ]
+    late_ms = now_ms - request.received_ms - request.route.objective_ms
+    if late_ms > 0:
+        effects.append(_decision("warning", "answered_late", now_ms, request, "ok"))
+    return effects + sessions.take_waiting(state, now_ms, session)
+
+
+def fail(
+    state: GatewayState,
+    now_ms: int,
+    request: Request,
+    error: Error,
+    position: Position | None = None,
+) -> list[Effect]:
+    """Answer a request with a failure; an open transaction fails with it."""
+    session = state.sessions.get(request.session)
+    if session is None or session.current is not request:
+        return []
+    state.requests.pop(request.serial, None)
+    session.current = None
+    session.active_ms = now_ms
+    ended = request.statement.kind is StatementKind.COMMIT
+    if ended:
+        session.state = TransactionState.IDLE
+    elif session.state is TransactionState.OPEN:
+        session.state = TransactionState.FAILED
+    effects: list[Effect] = [
+        _decision("warning", "failed", now_ms, request, error.fault.value, error),
+        AnswerStatement(session.number, (), "", error, session.state, position or session.position),
+        _served(now_ms, request, error.fault.value),
+    ]
+    return effects + sessions.take_waiting(state, now_ms, session)
+
+
+def _served(now_ms: int, request: Request, outcome: str) -> Served:
+    kind = request.statement.kind.value
+    return Served(request.route.workspace, kind, outcome, now_ms - request.received_ms)
+
+
+def _decision(
+    level: str,
+    event: str,
+    now_ms: int,
+    request: Request,
+    outcome: str,
+    error: Error | None = None,
+) -> Decision:
+    inputs: dict[str, object] = {
+        "statement": request.statement.kind.value,
+        "service": request.route.service,
+        "freshness": request.route.freshness.value,
+        "waited_ms": now_ms - request.received_ms,
+        "sent_ms_ago": now_ms - request.sent_ms if request.sent_ms else None,
+        "attempts": request.attempts,
+        "tried": sorted(request.tried),
+        "last_refusal": request.last_refusal,
+    }
+    if error is not None:
+        inputs["text"] = error.text
+    workspace = request.route.workspace
+    return Decision(level, event, request.statement.request_id, workspace, inputs, outcome)
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -0,0 +1,182 @@
+"""The link to control: polling the nearest control process for what changed.
+
+A poll that is lost is simply repeated, and an answer names the revision it starts from, so the copy
+of the directory converges whatever was lost. Times in answers are ages; they count from the moment
+the question was sent, so they can only look older than they are.
+"""
+
+from ..directory import UpstreamState, is_silent, merge_report
+from ..messages import ControlPeer, DirectoryAnswer, DirectoryQuestion
+from ..positions import Position
+from ..watermarks import WatermarkHistory, note_watermark
+from . import placement, pool
+from .effects import ApplyDocument, Decision, Effect, Send
+from .events import ConfigurationReceived
+from .state import GatewayState
+
+AVOID_MS = 2_000  # how long a control process that did not answer is left alone
+STALE_LEADER_MS = 1_500  # a control process that lost its leader for longer is left for another
+
+
+def check_poll(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Ask control when a poll is due; change to another process where the last went unanswered."""
+    link = state.control
+    if now_ms < link.due_ms:
+        return []
+    effects: list[Effect] = []
+    heard_ms = link.heard_ms if link.heard_ms is not None else 0
+    waited_ms = now_ms - max(link.asked_ms, heard_ms)
+    if not link.address:
+        link.address = _next_address(state, now_ms)
+        link.asked_ms = now_ms
+    elif waited_ms >= state.settings.control_timeout_ms:
+        effects.append(_leave(state, now_ms, f"no answer for {waited_ms} ms"))
+        link.asked_ms = now_ms
+    link.sequence += 1
+    link.due_ms = now_ms + state.settings.poll_ms
+    link.asked_at_ms[link.sequence] = now_ms
+    link.asked_at_ms.pop(link.sequence - 32, None)
+    version = max(state.configuration.version, state.requested_version)
+    question = DirectoryQuestion(
+        state.settings.address, link.sequence, version, link.boot, link.revision
+    )
+    return [*effects, Send(link.address, question)]
+
+
+def handle_answer(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
+    """Take what changed: the directory, the watermarks and the configuration."""
+    link = state.control
+    asked_ms = link.asked_at_ms.pop(answer.sequence, None)
+    if asked_ms is None:
+        return []
+    effects: list[Effect] = []
+    if link.heard_ms is None:
+        effects.append(_decision("info", "control_found", link.address, "serving"))
+    link.heard_ms = now_ms
+    link.boot, link.revision = answer.control_boot, answer.revision
+    link.peers = answer.controls or link.peers
+    for report, age_ms in answer.reports:
+        merge_report(state.directory, asked_ms, report, age_ms)
+        placement.add_pool(state, report.upstream, report.service)
+    for note in answer.watermarks:
+        history = state.watermarks.setdefault(note.service, WatermarkHistory())
+        note_watermark(history, asked_ms - note.age_ms, Position(note.term, note.offset))
+    effects += _follow_primaries(state, now_ms, answer)
+    if answer.document and answer.configuration_version > state.requested_version:
+        state.requested_version = answer.configuration_version
+        effects.append(ApplyDocument(answer.configuration_version, answer.document))
+    if answer.leader_age_ms > STALE_LEADER_MS:
+        text = f"it has not heard a leader for {answer.leader_age_ms} ms"
+        effects.append(_leave(state, now_ms, text))
+        return effects
+    nearest = _nearest(state, now_ms)
+    if nearest and nearest != link.address and _rank(state, nearest) < _rank(state, link.address):
+        link.address = nearest
+        effects.append(_decision("info", "control_changed", nearest, "nearer"))
+    return effects
+
+
+def handle_configuration(state: GatewayState, event: ConfigurationReceived) -> list[Effect]:
+    """Put a configuration in force; an older one never replaces a newer one."""
+    configuration = event.configuration
+    if configuration.version <= state.configuration.version:
+        return []
+    inputs: dict[str, object] = {
+        "previous": state.configuration.version,
+        "routes": len(configuration.routes),
+    }
+    state.configuration = configuration
+    decision = Decision(
+        "info", "configuration_in_force", "", "", inputs, str(configuration.version)
+    )
+    return [decision]
+
+
+def is_ready(state: GatewayState, now_ms: int) -> bool:
+    """Tell whether new sessions should come here."""
+    if state.draining_since_ms is not None or not state.configuration.version:
+        return False
+    heard_ms = state.control.heard_ms
+    if heard_ms is None:
+        return False
+    return any(item.connections for item in state.pools.values())
+
+
+def open_ahead(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Keep a connection open to each upstream, so that the first statements don't wait for one."""
+    effects: list[Effect] = []
+    for item in state.pools.values():
+        if item.connections or not pool.may_use(state, now_ms, item):
+            continue
+        entry = state.directory.entries[item.upstream]
+        if is_silent(entry, now_ms):
+            continue
+        effects += pool.open_connection(state, now_ms, item)
+    return effects
+
+
+def _follow_primaries(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
+    """Take for primary what control's watermark came from, or else what reports itself so."""
+    effects: list[Effect] = []
+    told = {note.service: note.upstream for note in answer.watermarks}
+    for entry in state.directory.entries.values():
+        report = entry.report
+        if report.is_primary and report.state is not UpstreamState.GONE:
+            told.setdefault(report.service, report.upstream)
+    for service, upstream in told.items():
+        if state.primaries.get(service) != upstream:
+            effects += pool.follow_primary(state, now_ms, service, upstream)
+    return effects
+
+
+def _leave(state: GatewayState, now_ms: int, reason: str) -> Decision:
+    """Ask another control process from now on."""
+    link = state.control
+    link.avoid_until_ms[link.address] = now_ms + AVOID_MS
+    previous = link.address
+    link.address = _next_address(state, now_ms)
+    inputs: dict[str, object] = {"previous": previous, "reason": reason}
+    return Decision("warning", "control_changed", "", "", inputs, link.address)
+
+
+def _next_address(state: GatewayState, now_ms: int) -> str:
+    nearest = _nearest(state, now_ms)
+    if nearest:
+        return nearest
+    seeds = state.settings.control_addresses
+    link = state.control
+    link.next_seed += 1
+    return seeds[link.next_seed % len(seeds)]
+
+
+def _nearest(state: GatewayState, now_ms: int) -> str:
+    """Return the nearest control process that has not failed lately, or an empty text."""
+    link = state.control
+    best = ""
+    for peer in link.peers:
+        if now_ms < link.avoid_until_ms.get(peer.address, 0):
+            continue
+        if not best or _rank(state, peer.address) < _rank(state, best):
+            best = peer.address
+    return best
+
+
+def _rank(state: GatewayState, address: str) -> int:
+    """Return how far a control process is: 0 in this data centre, 1 in the region, else 2."""
+    settings = state.settings
+    for peer in state.control.peers:
+        if peer.address != address:
+            continue
+        return distance(settings.regions, settings.data_centre, peer)
+    return 3
+
+
+def distance(regions: dict[str, str], data_centre: str, peer: ControlPeer) -> int:
+    """Return 0 for the same data centre, 1 for the same region, 2 for another."""
+    if peer.data_centre == data_centre:
+        return 0
+    return 1 if regions.get(peer.data_centre) == regions.get(data_centre) else 2
+
+
+def _decision(level: str, event: str, address: str, outcome: str) -> Decision:
+    return Decision(level, event, "", "", {"address": address}, outcome)
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/events.py
@@ -0,0 +1,71 @@
+"""The events that a gateway reacts to; ``now_ms`` is the process's monotonic clock."""
+
+from typing import Any, NamedTuple
+
+from ..routes import Configuration
+from ..statements import Statement
+from ..upstream_links import ConnectionBroke, ConnectionOpened, ConnectionReplied
+
+
+class Tick(NamedTuple):
+    """Time passed."""
+
+    now_ms: int
+
+
+class SessionOpened(NamedTuple):
+    """A client named its workspace on a new connection."""
+
+    now_ms: int
+    session: int
+    workspace: str
+
+
+class StatementReceived(NamedTuple):
+    """A session sent a statement."""
+
+    now_ms: int
+    session: int
+    statement: Statement
+
+
+class SessionClosed(NamedTuple):
+    """A client's connection ended."""
+
+    now_ms: int
+    session: int
+
+
+class MessageReceived(NamedTuple):
+    """A control process sent ``message``."""
+
+    now_ms: int
+    message: Any
+
+
+class ConfigurationReceived(NamedTuple):
+    """A whole configuration arrived from control, checked and decoded."""
+
+    now_ms: int
+    configuration: Configuration
+
+
+class DrainRequested(NamedTuple):
+    """A planned stop began; the process ends within ``grace_ms``."""
+
+    now_ms: int
+    grace_ms: int
+
+
+Event = (
+    Tick
+    | SessionOpened
+    | StatementReceived
+    | SessionClosed
+    | ConnectionOpened
+    | ConnectionReplied
+    | ConnectionBroke
+    | MessageReceived
+    | ConfigurationReceived
+    | DrainRequested
+)
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -0,0 +1,243 @@
+"""Placement: which upstream serves a request, and what waits for a connection.
+
+Writes, plain transactions and reads that must see every commit go to the primary. Other reads go
+where they are expected to be answered soonest; the upstream itself refuses them where its log lacks
+the position that makes them fresh enough.
+"""
+
+import heapq
+from typing import NamedTuple
+
+from ..positions import Position
+from ..routes import Freshness
+from ..statements import Error, Fault, TransactionState
+from ..watermarks import position_for
+from . import answers, pool
+from .effects import CloseConnection, Decision, Effect
+from .state import GatewayState, Queued, Request, ServiceQueue, Session, UpstreamPool
+
+LOCAL_LATENCY_MS = 25.0  # first estimate for an upstream of the same data centre
+REGION_LATENCY_MS = 30.0  # the same for another data centre of the region
+REMOTE_LATENCY_MS = 70.0  # and for another region
+OPENING_COST_MS = 40.0  # a new connection: its handshake and a round trip
+PRIMARY_FACTOR = 1.5  # keeps the primary's slots for what it alone can serve
+BUSY_PAUSE_MS = 15  # how long an upstream that refused for lack of room is left alone
+REFUSED_PAUSE_MS = 100  # how long a primary that refused as a replica is left alone
+LAGGING_PAUSE_MS = 150  # how long a replica that lacked a position is left alone
+RETRY_AFTER_MS = 300  # advice for clients that were refused for lack of room
+
+
+class Placed(NamedTuple):
+    """What came of an attempt to place a request."""
+
+    is_placed: bool
+    effects: list[Effect]
+
+
+def place(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
+    """Send a request upstream, or let it wait for a connection."""
+    session = state.sessions[request.session]
+    if session.connection is not None:
+        connection = state.connections[session.connection]
+        return pool.send_pinned(state, now_ms, connection, session, request)
+    placed = _try(state, now_ms, session, request)
+    if placed.is_placed:
+        return placed.effects
+    if state.queued >= state.settings.queue_limit:
+        error = Error(Fault.BUSY, "too many statements wait here", RETRY_AFTER_MS)
+        return placed.effects + answers.fail(state, now_ms, request, error)
+    queue = state.queues.setdefault(request.route.service, ServiceQueue())
+    item = Queued(request.route.priority, request.serial, request)
+    heapq.heappush(queue.primary if needs_primary(session, request) else queue.reads, item)
+    state.queued += 1
+    return placed.effects
+
+
+def pump(state: GatewayState, now_ms: int, service: str) -> list[Effect]:
+    """Place what waits for connections of a service."""
+    queue = state.queues.get(service)
+    if queue is None:
+        return []
+    effects = _pump_heap(state, now_ms, queue.primary)
+    return effects + _pump_heap(state, now_ms, queue.reads)
+
+
+def abandon(state: GatewayState, now_ms: int, session: Session, request: Request) -> list[Effect]:
+    """Give up a request whose session ended; what is open upstream is rolled back."""
+    state.requests.pop(request.serial, None)
+    session.current = None
+    if session.connection is None:
+        return []
+    connection = state.connections.get(session.connection)
+    session.connection = None
+    if connection is None:
+        return []
+    pool.forget(state, connection)
+    return [CloseConnection(connection.number)]
+
+
+def refuse(
+    state: GatewayState, now_ms: int, request: Request, upstream: str, error: Error
+) -> list[Effect]:
+    """Place a request again that ``upstream`` refused without running it."""
+    request.sent_ms = 0
+    request.last_refusal = f"{upstream}: {error.fault.value} {error.text}"
+    refused_by = state.pools.get(upstream)
+    if error.fault is Fault.LAGGING:
+        request.tried.add(upstream)
+        if refused_by is not None:
+            refused_by.lagging_until_ms = now_ms + LAGGING_PAUSE_MS
+    if error.fault is Fault.READ_ONLY and refused_by is not None:
+        refused_by.refused_until_ms = now_ms + REFUSED_PAUSE_MS
+    if error.fault is Fault.BUSY and refused_by is not None:
+        refused_by.busy_until_ms = now_ms + BUSY_PAUSE_MS
+    inputs: dict[str, object] = {"upstream": upstream, "attempts": request.attempts}
+    decision = Decision(
+        "info",
+        "placed_again",
+        request.statement.request_id,
+        request.route.workspace,
+        inputs,
+        error.fault.value,
+    )
+    return [decision, *place(state, now_ms, request)]
+
+
+def needs_primary(session: Session, request: Request) -> bool:
+    """Tell whether only the primary may serve a request."""
+    if session.state is TransactionState.OPEN:
+        return not session.is_read_only or request.route.freshness is Freshness.PRIMARY
+    return request.is_write or request.route.freshness is Freshness.PRIMARY
+
+
+def wait_position(
+    state: GatewayState, now_ms: int, session: Session, request: Request
+) -> Position | None:
+    """Return the position that a replica must have reached, or None where none is known."""
+    history = state.watermarks.get(request.route.service)
+    if history is None:
+        return None
+    position = position_for(history, now_ms, request.route.staleness_ms)
+    if position is None:
+        return None
+    if request.route.freshness is Freshness.SESSION and session.position is not None:
+        position = max(position, session.position)
+    return position
+
+
+def cool_latencies(state: GatewayState) -> None:
+    """Let latencies drift back to their first estimates, so that a slow upstream is tried again."""
+    for item in state.pools.values():
+        item.latency_ms += 0.1 * (_first_latency(state, item) - item.latency_ms)
+
+
+def _pump_heap(state: GatewayState, now_ms: int, heap: list[Queued]) -> list[Effect]:
+    effects: list[Effect] = []
+    held: list[Queued] = []
+    while heap:
+        item = heapq.heappop(heap)
+        state.queued -= 1
+        request = item.request
+        if request.serial not in state.requests:
+            continue
+        session = state.sessions[request.session]
+        placed = _try(state, now_ms, session, request)
+        effects += placed.effects
+        if placed.is_placed:
+            continue
+        held.append(item)
+        break
+    for item in held:
+        heapq.heappush(heap, item)
+        state.queued += 1
+    return effects
+
+
+def _try(state: GatewayState, now_ms: int, session: Session, request: Request) -> Placed:
+    if not needs_primary(session, request):
+        position = wait_position(state, now_ms, session, request)
+        if position is not None:
+            return _try_reading(state, now_ms, session, request, position)
+    primary = state.primaries.get(request.route.service)
+    if primary is None:
+        return Placed(False, [])
+    return _try_upstream(state, now_ms, session, request, primary)
+
+
+def _try_reading(
+    state: GatewayState, now_ms: int, session: Session, request: Request, position: Position
+) -> Placed:
+    """Try the upstreams by when they are expected to answer."""
+    service = request.route.service
+    best: UpstreamPool | None = None
+    best_cost_ms = 0.0
+    for item in state.pools.values():
+        if item.service != service or item.upstream in request.tried:
+            continue
+        if not pool.may_use(state, now_ms, item) or now_ms < item.busy_until_ms:
+            continue
+        is_primary = pool.is_primary(state, item)
+        if not is_primary and now_ms < item.lagging_until_ms:
+            continue
+        if not item.idle and now_ms < item.closed_until_ms:
+            continue
+        cost_ms = _cost_ms(state, item, is_primary)
+        if best is None or cost_ms < best_cost_ms:
+            best, best_cost_ms = item, cost_ms
+    if best is None:
+        primary = state.primaries.get(service)
+        if primary is None:
+            return Placed(False, [])
+        return _try_upstream(state, now_ms, session, request, primary)
+    if pool.is_primary(state, best):
+        return _try_upstream(state, now_ms, session, request, best.upstream)
+    return _try_upstream(state, now_ms, session, request, best.upstream, position)
+
+
+def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool) -> float:
+    entry = state.directory.entries[item.upstream]
+    slots = max(1, entry.report.slots)
+    cost_ms = item.latency_ms * (1 + item.running / slots)
+    if is_primary:
+        cost_ms *= PRIMARY_FACTOR
+    if not item.idle:
+        cost_ms += OPENING_COST_MS
+    return cost_ms
+
+
+def _try_upstream(
+    state: GatewayState,
+    now_ms: int,
+    session: Session,
+    request: Request,
+    upstream: str,
+    wait_for: Position | None = None,
+) -> Placed:
+    item = state.pools.get(upstream)
+    if item is None or not pool.may_use(state, now_ms, item) or now_ms < item.busy_until_ms:
+        return Placed(False, [])
+    if wait_for is None and now_ms < item.refused_until_ms:
+        return Placed(False, [])
+    connection = pool.take_idle(item, session)
+    if connection is None:
+        return Placed(False, pool.open_connection(state, now_ms, item))
+    return Placed(True, pool.start(state, now_ms, connection, session, request, wait_for))
+
+
+def _first_latency(state: GatewayState, item: UpstreamPool) -> float:
+    entry = state.directory.entries.get(item.upstream)
+    settings = state.settings
+    if entry is None or entry.report.data_centre == settings.data_centre:
+        return LOCAL_LATENCY_MS
+    regions = settings.regions
+    if regions.get(entry.report.data_centre) == regions.get(settings.data_centre):
+        return REGION_LATENCY_MS
+    return REMOTE_LATENCY_MS
+
+
+def add_pool(state: GatewayState, upstream: str, service: str) -> UpstreamPool:
+    """Return the pool of an upstream that was announced, with its first latency."""
+    item = pool.pool_of(state, upstream, service)
+    if not item.latency_ms:
+        item.latency_ms = _first_latency(state, item)
+    return item
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -0,0 +1,348 @@
+"""The pool of upstream connections: opening, preparing, using and giving back.
+
+A connection carries the values of the session that used it last. Before it serves another session
+it is reset where the values differ, ahead of the statement and in the same write. On the primary,
+idle connections are kept inside a transaction: a statement there is refused by the upstream itself
+once it has lost the lead, so a read can't run on the log of a replaced primary.
+"""
+
+from ..directory import UpstreamState
+from ..positions import Position
+from ..statements import (
+    BEGIN,
+    BEGIN_READ_ONLY,
+    RESET,
+    ROLLBACK,
+    StatementKind,
+    TransactionState,
+    UpstreamStatement,
+    own,
+)
+from . import placement
+from .effects import CloseConnection, Decision, Effect, OpenConnection, SendStatements
+from .state import (
+    Connection,
+    GatewayState,
+    Pending,
+    PreparedStatement,
+    Purpose,
+    Request,
+    Session,
+    UpstreamPool,
+)
+
+OPENING_LIMIT = 3  # connections that open at a time to one upstream; each takes one of its slots
+RESERVED_CONNECTIONS = 3  # left to control's questions, of the limit of an upstream
+PREPARED_PER_CONNECTION = 200  # statements prepared on a connection before it is reset
+
+Batch = list[tuple[UpstreamStatement, Pending]]
+
+
+def pool_of(state: GatewayState, upstream: str, service: str) -> UpstreamPool:
+    """Return the pool of an upstream, a new one where there is none."""
+    pool = state.pools.get(upstream)
+    if pool is None:
+        pool = state.pools[upstream] = UpstreamPool(upstream, service)
+    return pool
+
+
+def is_primary(state: GatewayState, pool: UpstreamPool) -> bool:
+    """Tell whether this gateway takes the pool's upstream for its service's primary."""
+    return state.primaries.get(pool.service) == pool.upstream
+
+
+def may_use(state: GatewayState, now_ms: int, pool: UpstreamPool) -> bool:
+    """Tell whether an upstream takes new work."""
+    entry = state.directory.entries.get(pool.upstream)
+    return entry is not None and entry.report.state is UpstreamState.READY
+
+
+def open_connection(state: GatewayState, now_ms: int, pool: UpstreamPool) -> list[Effect]:
+    """Open one more connection where the limits allow it."""
+    service = state.configuration.services.get(pool.service)
+    entry = state.directory.entries.get(pool.upstream)
+    if service is None or entry is None or now_ms < pool.closed_until_ms:
+        return []
+    if len(pool.connections) >= service.connection_limit - RESERVED_CONNECTIONS:
+        return []
+    opening = sum(1 for item in pool.connections.values() if not item.is_open)
+    if opening >= OPENING_LIMIT:
+        return []
+    connection = Connection(state.next_connection, pool.upstream, now_ms, heard_ms=now_ms)
+    state.next_connection += 1
+    pool.connections[connection.number] = connection
+    state.connections[connection.number] = connection
+    return [OpenConnection(connection.number, entry.report.address, pool.service, pool.upstream)]
+
+
+def take_idle(pool: UpstreamPool, session: Session) -> Connection | None:
+    """Take the idle connection that needs the least preparation for a session, or None."""
+    best: Connection | None = None
+    best_cost = 0
+    for number in reversed(pool.idle):
+        connection = pool.connections[number]
+        cost = 0 if _is_aligned(connection, session) else 1
+        if best is None or cost < best_cost:
+            best, best_cost = connection, cost
+        if not cost:
+            break
+    if best is not None:
+        pool.idle.remove(best.number)
+    return best
+
+
+def start(
+    state: GatewayState,
+    now_ms: int,
+    connection: Connection,
+    session: Session,
+    request: Request,
+    wait_for: Position | None,
+) -> list[Effect]:
+    """Start a request on a connection that was just taken.
+
+    The upstream must be inside a transaction before the statement is sent, but for a single write
+    and a single read with ``wait_for``. Where it isn't, the transaction is begun first and the
+    statement follows its answer.
+    """
+    pool = state.pools[connection.upstream]
+    single = session.state is TransactionState.IDLE
+    batch: Batch = []
+    if single and (request.is_write or wait_for is not None):
+        _align(now_ms, connection, session, batch)
+        _add_work(state, now_ms, connection, session, request, wait_for, batch)
+        _begin_again(state, now_ms, pool, batch)
+        return _send(connection, batch)
+    if connection.in_transaction and _is_aligned(connection, session) and wait_for is None:
+        return _continue(state, now_ms, connection, session, request)
+    _align(now_ms, connection, session, batch)
+    begin = BEGIN_READ_ONLY if wait_for is not None else BEGIN
+    batch.append((UpstreamStatement(begin, wait_for), Pending(Purpose.BEGIN, now_ms)))
+    connection.next_request = request
+    return _send(connection, batch)
+
+
+def continue_prepared(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
+    """Send the request that waited for the connection's transaction to begin."""
+    request = connection.next_request
+    assert request is not None
+    connection.next_request = None
+    session = state.sessions.get(request.session)
+    if session is None or session.current is not request:
+        return release(state, now_ms, connection)
+    return _continue(state, now_ms, connection, session, request)
+
+
+def send_pinned(
+    state: GatewayState, now_ms: int, connection: Connection, session: Session, request: Request
+) -> list[Effect]:
+    """Send a statement of an open transaction on its connection."""
+    batch: Batch = []
+    for name, value in session.values.items():
+        if connection.values.get(name) == value:
+            continue
+        # What a rollback does to values that were set in its transaction is not specified.
+        connection.is_dirty = True
+        _set(now_ms, connection, name, value, batch)
+    _add_work(state, now_ms, connection, session, request, None, batch)
+    if request.statement.kind is StatementKind.COMMIT:
+        _begin_again(state, now_ms, state.pools[connection.upstream], batch)
+    return _send(connection, batch)
+
+
+def release_session(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Roll back a session's transaction upstream and give its connection back."""
+    if session.connection is None:
+        return []
+    connection = state.connections.get(session.connection)
+    session.connection = None
+    if connection is None:
+        return []
+    connection.session = None
+    return release(state, now_ms, connection)
+
+
+def release(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
+    """Give a connection back; it is idle once it was answered and cleaned up."""
+    connection.session = None
+    if connection.pending or connection.next_request is not None:
+        return []
+    pool = state.pools[connection.upstream]
+    begun = _wants_transaction(state, now_ms, pool)
+    clean = not connection.is_dirty and not connection.is_used
+    if clean and connection.in_transaction == begun:
+        return make_idle(state, now_ms, connection)
+    batch: Batch = []
+    if connection.in_transaction:
+        batch.append((UpstreamStatement(ROLLBACK), Pending(Purpose.ROLLBACK, now_ms)))
+    if connection.is_dirty:
+        _reset(now_ms, connection, batch)
+    connection.is_used = False
+    _begin_again(state, now_ms, pool, batch)
+    if not batch:
+        return make_idle(state, now_ms, connection)
+    return _send(connection, batch)
+
+
+def make_idle(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
+    """Put a connection among the idle ones and hand it to what waits."""
+    pool = state.pools[connection.upstream]
+    connection.session = None
+    connection.idle_since_ms = now_ms
+    if not may_use(state, now_ms, pool):
+        return close(state, connection)
+    pool.idle.append(connection.number)
+    return placement.pump(state, now_ms, pool.service)
+
+
+def close(state: GatewayState, connection: Connection) -> list[Effect]:
+    """Close a connection that serves nobody."""
+    forget(state, connection)
+    return [CloseConnection(connection.number)]
+
+
+def forget(state: GatewayState, connection: Connection) -> None:
+    """Drop a connection from the pool."""
+    state.connections.pop(connection.number, None)
+    pool = state.pools[connection.upstream]
+    pool.connections.pop(connection.number, None)
+    if connection.number in pool.idle:
+        pool.idle.remove(connection.number)
+    pool.running -= sum(1 for item in connection.pending if item.purpose is Purpose.WORK)
+
+
+def close_unused(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Close what was idle for long, keeping one, and all idle ones of upstreams that leave."""
+    effects: list[Effect] = []
+    for pool in list(state.pools.values()):
+        usable = may_use(state, now_ms, pool)
+        limit_ms = state.settings.idle_connection_ms if usable else 0
+        kept = 1 if usable else 0
+        for number in list(pool.idle):
+            connection = pool.connections[number]
+            if len(pool.connections) <= kept:
+                break
+            if now_ms - connection.idle_since_ms >= limit_ms:
+                effects += close(state, connection)
+        if not pool.connections and pool.upstream not in state.directory.entries:
+            del state.pools[pool.upstream]
+    return effects
+
+
+def follow_primary(state: GatewayState, now_ms: int, service: str, primary: str) -> list[Effect]:
+    """Take an upstream for a service's primary; end the idle transactions on the others."""
+    previous = state.primaries.get(service, "")
+    state.primaries[service] = primary
+    entry = state.directory.entries.get(primary)
+    inputs: dict[str, object] = {
+        "service": service,
+        "previous": previous,
+        "report_age_ms": now_ms - entry.heard_ms if entry else None,
+    }
+    effects: list[Effect] = [Decision("info", "primary_believed", "", "", inputs, primary)]
+    for pool in state.pools.values():
+        if pool.service != service:
+            continue
+        for number in list(pool.idle):
+            connection = pool.connections[number]
+            if connection.in_transaction == (pool.upstream == primary):
+                continue
+            pool.idle.remove(number)
+            effects += release(state, now_ms, connection)
+    return effects + placement.pump(state, now_ms, service)
+
+
+def _is_aligned(connection: Connection, session: Session) -> bool:
+    return not connection.is_dirty and connection.values == session.values
+
+
+def _continue(
+    state: GatewayState,
+    now_ms: int,
+    connection: Connection,
+    session: Session,
+    request: Request,
+) -> list[Effect]:
+    """Send a statement on a connection that is inside a transaction."""
+    batch: Batch = []
+    if session.state is TransactionState.OPEN:
+        session.connection = connection.number
+        connection.session = session.number
+        connection.is_used = True
+        return send_pinned(state, now_ms, connection, session, request)
+    _add_work(state, now_ms, connection, session, request, None, batch)
+    batch.append((UpstreamStatement(ROLLBACK), Pending(Purpose.ROLLBACK, now_ms)))
+    _begin_again(state, now_ms, state.pools[connection.upstream], batch)
+    return _send(connection, batch)
+
+
+def _align(now_ms: int, connection: Connection, session: Session, batch: Batch) -> None:
+    """End an idle transaction and give the connection the session's values."""
+    if connection.in_transaction:
+        batch.append((UpstreamStatement(ROLLBACK), Pending(Purpose.ROLLBACK, now_ms)))
+    extra = any(session.values.get(name) != value for name, value in connection.values.items())
+    if connection.is_dirty or extra or len(connection.prepared) > PREPARED_PER_CONNECTION:
+        _reset(now_ms, connection, batch)
+    for name, value in session.values.items():
+        if name not in connection.values:
+            _set(now_ms, connection, name, value, batch)
+
+
+def _reset(now_ms: int, connection: Connection, batch: Batch) -> None:
+    batch.append((UpstreamStatement(RESET), Pending(Purpose.SETUP, now_ms)))
+    connection.values = {}
+    connection.prepared = {}
+    connection.is_dirty = False
+
+
+def _set(now_ms: int, connection: Connection, name: str, value: str, batch: Batch) -> None:
+    statement = own(StatementKind.SET, name, value)
+    batch.append((UpstreamStatement(statement), Pending(Purpose.SETUP, now_ms)))
+    connection.values[name] = value
+
+
+def _add_work(
+    state: GatewayState,
+    now_ms: int,
+    connection: Connection,
+    session: Session,
+    request: Request,
+    wait_for: Position | None,
+    batch: Batch,
+) -> None:
+    statement = request.statement
+    if statement.kind is StatementKind.EXECUTE:
+        name = _prepare(now_ms, connection, session.prepared[statement.name], batch)
+        statement = statement._replace(name=name)
+    request.sent_ms = now_ms
+    request.attempts += 1
+    state.pools[connection.upstream].running += 1
+    pending = Pending(Purpose.WORK, now_ms, request)
+    batch.append((UpstreamStatement(statement, wait_for), pending))
+
+
+def _prepare(now_ms: int, connection: Connection, prepared: PreparedStatement, batch: Batch) -> str:
+    """Return the connection's name for a prepared statement, preparing it where it has none."""
+    known = connection.prepared.get(prepared)
+    if known is not None:
+        return known
+    name = f"p{len(connection.prepared)}"
+    connection.prepared[prepared] = name
+    statement = own(StatementKind.PREPARE, name, prepared.shape, is_write=prepared.is_write)
+    batch.append((UpstreamStatement(statement), Pending(Purpose.SETUP, now_ms)))
+    return name
+
+
+def _begin_again(state: GatewayState, now_ms: int, pool: UpstreamPool, batch: Batch) -> None:
+    if _wants_transaction(state, now_ms, pool):
+        batch.append((UpstreamStatement(BEGIN), Pending(Purpose.BEGIN, now_ms)))
+
+
+def _wants_transaction(state: GatewayState, now_ms: int, pool: UpstreamPool) -> bool:
+    usable = may_use(state, now_ms, pool) and now_ms >= pool.refused_until_ms
+    return usable and is_primary(state, pool)
+
+
+def _send(connection: Connection, batch: Batch) -> list[Effect]:
+    connection.pending.extend(pending for _, pending in batch)
+    return [SendStatements(connection.number, [statement for statement, _ in batch])]
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -0,0 +1,93 @@
+"""The one reducer of a gateway: every event goes through ``reduce``."""
+
+from typing import Any
+
+from ..messages import DirectoryAnswer
+from . import control_link, placement, pool, results, sessions
+from .effects import Decision, Effect
+from .events import (
+    ConfigurationReceived,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    DrainRequested,
+    Event,
+    MessageReceived,
+    SessionClosed,
+    SessionOpened,
+    StatementReceived,
+    Tick,
+)
+from .state import GatewayState
+
+SLOW_SWEEP_MS = 1_000  # connections and latencies change slowly
+BALANCER_GRACE_MS = 2_500  # two missed questions of the balancer, a second apart, and its delay
+
+
+def reduce(state: GatewayState, event: Event) -> list[Effect]:
+    """Change ``state`` by one event and return the effects, in the order to carry out."""
+    effects: list[Effect] = _HANDLERS[type(event)](state, event)
+    return effects
+
+
+def _tick(state: GatewayState, event: Tick) -> list[Effect]:
+    now_ms = event.now_ms
+    effects = control_link.check_poll(state, now_ms)
+    effects += results.check_deadlines(state, now_ms)
+    effects += results.check_silent(state, now_ms)
+    effects += sessions.check_idle(state, now_ms)
+    effects += control_link.open_ahead(state, now_ms)
+    for service in list(state.queues):
+        effects += placement.pump(state, now_ms, service)
+    if now_ms >= state.sweep_due_ms:
+        state.sweep_due_ms = now_ms + SLOW_SWEEP_MS
+        effects += pool.close_unused(state, now_ms)
+        placement.cool_latencies(state)
+    return effects + _check_drain(state, now_ms)
+
+
+def _receive(state: GatewayState, event: MessageReceived) -> list[Effect]:
+    if isinstance(event.message, DirectoryAnswer):
+        return control_link.handle_answer(state, event.now_ms, event.message)
+    name = type(event.message).__name__
+    return [Decision("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
+
+
+def _drain(state: GatewayState, event: DrainRequested) -> list[Effect]:
+    if state.draining_since_ms is not None:
+        return []
+    state.draining_since_ms = event.now_ms
+    state.drain_until_ms = event.now_ms + event.grace_ms
+    inputs: dict[str, object] = {"sessions": len(state.sessions), "grace_ms": event.grace_ms}
+    return [Decision("info", "draining", "", "", inputs, "started")]
+
+
+def _check_drain(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Close sessions between operations; transactions get the first half of the grace time."""
+    since_ms = state.draining_since_ms
+    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
+        return []
+    half_ms = (state.drain_until_ms - since_ms) // 2
+    return sessions.close_idle(state, now_ms, now_ms - since_ms >= half_ms)
+
+
+def is_drained(state: GatewayState, now_ms: int) -> bool:
+    """Tell whether a planned stop may end the process."""
+    if state.draining_since_ms is None:
+        return False
+    waited_ms = now_ms - state.draining_since_ms
+    return waited_ms >= BALANCER_GRACE_MS and not state.sessions
+
+
+_HANDLERS: dict[type, Any] = {
+    Tick: _tick,
+    SessionOpened: sessions.handle_opened,
+    StatementReceived: sessions.handle_statement,
+    SessionClosed: sessions.handle_closed,
+    ConnectionOpened: results.handle_opened,
+    ConnectionReplied: results.handle_replied,
+    ConnectionBroke: results.handle_broke,
+    MessageReceived: _receive,
+    ConfigurationReceived: control_link.handle_configuration,
+    DrainRequested: _drain,
+}
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -0,0 +1,297 @@
+"""What follows an upstream's answer, or the loss of a connection.
+
+Only an upstream's own refusal says that a statement did not run. Where a connection ends with a
+write or a COMMIT unanswered the outcome is unknown; a transaction whose COMMIT was not sent is
+rolled back by the upstream, so it is reported as aborted.
+"""
+
+from ..statements import (
+    UPSTREAM_DID_NOT_RUN,
+    Error,
+    Fault,
+    StatementKind,
+    TransactionState,
+    UpstreamReply,
+)
+from ..watermarks import WatermarkHistory, note_watermark
+from . import answers, placement, pool
+from .effects import CloseConnection, Decision, Effect
+from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
+from .state import Connection, GatewayState, Pending, Purpose, Request, Session
+
+LATENCY_WEIGHT = 0.2  # of a new answer in the running mean
+READ_ATTEMPTS = 3  # how often a single read is sent
+REOPEN_MS = 100  # the first pause after a failed connection; it doubles with each failure
+REOPEN_LIMIT_MS = 2_000  # the longest pause, so that a returning upstream is found in time
+MOVED_PAUSE_MS = 1_000  # an address that another upstream has; a report corrects it
+
+
+def handle_opened(state: GatewayState, event: ConnectionOpened) -> list[Effect]:
+    """Put a new connection to use."""
+    connection = state.connections.get(event.connection)
+    if connection is None:
+        return [CloseConnection(event.connection)]
+    connection.is_open = True
+    connection.heard_ms = event.now_ms
+    state.pools[connection.upstream].failures = 0
+    return pool.release(state, event.now_ms, connection)
+
+
+def handle_replied(state: GatewayState, event: ConnectionReplied) -> list[Effect]:
+    """Take the answer to the oldest statement of a connection."""
+    connection = state.connections.get(event.connection)
+    if connection is None:
+        return []
+    now_ms, reply = event.now_ms, event.reply
+    if not connection.pending:
+        inputs: dict[str, object] = {"upstream": connection.upstream}
+        decision = Decision("warning", "answer_unexpected", "", "", inputs, "closed")
+        return [decision, *pool.close(state, connection)]
+    connection.heard_ms = now_ms
+    connection.in_transaction = reply.state is not TransactionState.IDLE
+    pending = connection.pending.popleft()
+    if pending.purpose is Purpose.WORK:
+        return _take_work(state, now_ms, connection, pending, reply)
+    if pending.purpose is Purpose.BEGIN:
+        return _take_begin(state, now_ms, connection, pending, reply)
+    if reply.error is not None:
+        connection.is_dirty = True
+    return _settle(state, now_ms, connection)
+
+
+def handle_broke(state: GatewayState, event: ConnectionBroke) -> list[Effect]:
+    """Resolve everything that was under way on a connection that ended."""
+    connection = state.connections.get(event.connection)
+    if connection is None:
+        return []
+    now_ms = event.now_ms
+    item = state.pools[connection.upstream]
+    pool.forget(state, connection)
+    effects: list[Effect] = []
+    if not connection.is_open:
+        item.failures += 1
+        item.closed_until_ms = now_ms + _pause_ms(state, item.failures, event.error.fault)
+    inputs: dict[str, object] = {
+        "upstream": connection.upstream,
+        "service": item.service,
+        "was_open": connection.is_open,
+        "unanswered": len(connection.pending),
+        "text": event.error.text,
+    }
+    outcome = event.error.fault.value
+    effects.append(Decision("warning", "upstream_connection_lost", "", "", inputs, outcome))
+    for pending in connection.pending:
+        if pending.request is not None:
+            effects += _lose(state, now_ms, connection, pending.request)
+    if connection.next_request is not None:
+        effects += _place_again(state, now_ms, connection.next_request, connection.upstream)
+    if connection.session is not None:
+        session = state.sessions.get(connection.session)
+        if session is not None and session.connection == connection.number:
+            session.connection = None
+            session.state = TransactionState.FAILED
+    return effects + placement.pump(state, now_ms, item.service)
+
+
+def check_deadlines(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Answer the requests whose statement timeout has passed."""
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        if now_ms < request.deadline_ms or request.serial not in state.requests:
+            continue
+        effects += _expire(state, now_ms, request)
+    return effects
+
+
+def check_silent(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Close the connections that have not answered or opened in time."""
+    effects: list[Effect] = []
+    for connection in list(state.connections.values()):
+        oldest_ms = connection.opened_ms
+        if connection.is_open:
+            if not connection.pending:
+                continue
+            oldest_ms = max(connection.heard_ms, connection.pending[0].sent_ms)
+        limit_ms = state.settings.open_timeout_ms if not connection.is_open else _SILENT_MS
+        if now_ms - oldest_ms < limit_ms:
+            continue
+        effects.append(CloseConnection(connection.number))
+        error = Error(Fault.TIMEOUT, f"no answer for {now_ms - oldest_ms} ms")
+        effects += handle_broke(state, ConnectionBroke(now_ms, connection.number, error))
+    return effects
+
+
+_SILENT_MS = 5_000  # longer than any statement timeout of the contracts
+
+
+def _take_begin(
+    state: GatewayState, now_ms: int, connection: Connection, pending: Pending, reply: UpstreamReply
+) -> list[Effect]:
+    item = state.pools[connection.upstream]
+    if reply.error is None:
+        if pool.is_primary(state, item):
+            _note_primary(state, item.service, pending.sent_ms, reply)
+        return _settle(state, now_ms, connection)
+    if reply.error.fault is Fault.READ_ONLY:
+        item.refused_until_ms = now_ms + placement.REFUSED_PAUSE_MS
+    request = connection.next_request
+    connection.next_request = None
+    effects: list[Effect] = []
+    if request is not None and request.serial in state.requests:
+        effects += placement.refuse(state, now_ms, request, item.upstream, reply.error)
+    return effects + _settle(state, now_ms, connection)
+
+
+def _take_work(
+    state: GatewayState, now_ms: int, connection: Connection, pending: Pending, reply: UpstreamReply
+) -> list[Effect]:
+    item = state.pools[connection.upstream]
+    item.running -= 1
+    request = pending.request
+    if request is None or request.serial not in state.requests:
+        connection.is_used = connection.is_used or connection.in_transaction
+        return _settle(state, now_ms, connection)
+    session = state.sessions[request.session]
+    if reply.error is not None:
+        return _take_error(state, now_ms, connection, session, request, reply)
+    took_ms = now_ms - pending.sent_ms
+    item.latency_ms += LATENCY_WEIGHT * (took_ms - item.latency_ms)
+    _note_positions(state, connection, session, request, pending, reply)
+    if request.statement.kind is StatementKind.COMMIT:
+        session.state = TransactionState.IDLE
+        session.connection = None
+        connection.session = None
+        connection.is_used = False
+    elif session.state is TransactionState.OPEN:
+        session.statements_run += 1
+        session.wrote = session.wrote or request.is_write
+    effects = answers.succeed(state, now_ms, request, reply)
+    return effects + _settle(state, now_ms, connection)
+
+
+def _take_error(
+    state: GatewayState,
+    now_ms: int,
+    connection: Connection,
+    session: Session,
+    request: Request,
+    reply: UpstreamReply,
+) -> list[Effect]:
+    """Try again elsewhere what did not run, or pass the failure on."""
+    error = reply.error
+    assert error is not None
+    upstream = connection.upstream
+    first = session.connection is None or not session.statements_run
+    is_commit = request.statement.kind is StatementKind.COMMIT
+    is_single_read = session.state is TransactionState.IDLE and not request.is_write
+    may_repeat = error.fault in UPSTREAM_DID_NOT_RUN and first and not is_commit
+    may_repeat = may_repeat or (is_single_read and request.attempts < READ_ATTEMPTS)
+    if session.connection == connection.number:
+        session.connection = None
+        connection.session = None
+    if may_repeat and now_ms < request.deadline_ms:
+        if error.fault not in UPSTREAM_DID_NOT_RUN:
+            request.tried.add(upstream)
+        effects = placement.refuse(state, now_ms, request, upstream, error)
+        return effects + _settle(state, now_ms, connection)
+    effects = answers.fail(state, now_ms, request, error, reply.position)
+    return effects + _settle(state, now_ms, connection)
+
+
+def _settle(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
+    """Go on with a connection once everything that was sent on it has been answered."""
+    if connection.pending or connection.number not in state.connections:
+        return []
+    if connection.next_request is not None:
+        return pool.continue_prepared(state, now_ms, connection)
+    if connection.session is not None:
+        return []
+    return pool.release(state, now_ms, connection)
+
+
+def _note_positions(
+    state: GatewayState,
+    connection: Connection,
+    session: Session,
+    request: Request,
+    pending: Pending,
+    reply: UpstreamReply,
+) -> None:
+    item = state.pools[connection.upstream]
+    if reply.position is None:
+        return
+    item.position = reply.position
+    committed = request.is_write and session.state is TransactionState.IDLE
+    if request.statement.kind is StatementKind.COMMIT:
+        committed = session.wrote
+    if committed:
+        session.position = max(session.position or reply.position, reply.position)
+    in_plain = connection.in_transaction and not session.is_read_only
+    if pool.is_primary(state, item) and (committed or in_plain):
+        _note_primary(state, item.service, pending.sent_ms, reply)
+
+
+def _note_primary(state: GatewayState, service: str, sent_ms: int, reply: UpstreamReply) -> None:
+    if reply.position is None:
+        return
+    history = state.watermarks.setdefault(service, WatermarkHistory())
+    note_watermark(history, sent_ms, reply.position)
+
+
+def _lose(
+    state: GatewayState, now_ms: int, connection: Connection, request: Request
+) -> list[Effect]:
+    """Resolve a request whose connection ended before its answer."""
+    session = state.sessions.get(request.session)
+    if session is None or request.serial not in state.requests:
+        return []
+    if session.connection == connection.number:
+        session.connection = None
+    upstream = connection.upstream
+    if session.state is TransactionState.IDLE:
+        if request.is_write:
+            error = Error(Fault.OUTCOME_UNKNOWN, f"{upstream} closed the connection")
+            return answers.fail(state, now_ms, request, error)
+        if request.attempts < READ_ATTEMPTS:
+            return _place_again(state, now_ms, request, upstream)
+        error = Error(Fault.BUSY, f"{upstream} closed the connection", placement.RETRY_AFTER_MS)
+        return answers.fail(state, now_ms, request, error)
+    if request.statement.kind is StatementKind.COMMIT and session.wrote:
+        error = Error(Fault.OUTCOME_UNKNOWN, f"{upstream} closed the connection at the commit")
+        return answers.fail(state, now_ms, request, error)
+    if not session.statements_run and not request.is_write:
+        return _place_again(state, now_ms, request, upstream)
+    error = Error(Fault.ABORTED, f"{upstream} closed the connection and rolled back")
+    return answers.fail(state, now_ms, request, error)
+
+
+def _place_again(state: GatewayState, now_ms: int, request: Request, upstream: str) -> list[Effect]:
+    if request.serial not in state.requests:
+        return []
+    request.tried.add(upstream)
+    error = Error(Fault.ABORTED, "the connection was lost")
+    return placement.refuse(state, now_ms, request, upstream, error)
+
+
+def _expire(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
+    session = state.sessions[request.session]
+    if not request.sent_ms:
+        text = f"no upstream had room in time; last refusal: {request.last_refusal or 'none'}"
+        error = Error(Fault.BUSY, text, placement.RETRY_AFTER_MS)
+        return answers.fail(state, now_ms, request, error)
+    error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
+    number = session.connection
+    session.connection = None
+    effects = answers.fail(state, now_ms, request, error)
+    connection = state.connections.get(number) if number is not None else None
+    if connection is not None:
+        effects += pool.close(state, connection)
+    return effects
+
+
+def _pause_ms(state: GatewayState, failures: int, fault: Fault) -> int:
+    if fault is Fault.TOO_MANY_CONNECTIONS:
+        return state.settings.refused_pause_ms
+    if fault is Fault.MOVED:
+        return MOVED_PAUSE_MS
+    return min(REOPEN_LIMIT_MS, REOPEN_MS * 2 ** min(failures, 5))
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -0,0 +1,204 @@
+"""Sessions: their values, prepared statements and transactions.
+
+Values and prepared statements are kept here and reach an upstream only with the first statement
+that needs them, so a session costs no upstream connection while it is idle. A BEGIN is answered at
+once; the transaction begins upstream with its first statement.
+"""
+
+from ..routes import Route
+from ..statements import Error, Fault, Statement, StatementKind, TransactionState
+from . import answers, placement, pool
+from .effects import AcceptSession, CloseSession, Effect, RefuseSession
+from .events import SessionClosed, SessionOpened, StatementReceived
+from .state import GatewayState, PreparedStatement, Request, Session
+
+WAITING_LIMIT = 32  # statements that a client may send ahead on one session
+PREPARED_LIMIT = 256  # prepared names of one session; bounds its memory to some kilobytes
+VALUES_LIMIT = 64  # values of one session, for the same reason
+
+FORWARDED = frozenset(
+    {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
+)
+
+
+def handle_opened(state: GatewayState, event: SessionOpened) -> list[Effect]:
+    """Open a session for a workspace that has a route."""
+    if event.workspace not in state.configuration.routes:
+        return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
+    session = Session(event.session, event.workspace, active_ms=event.now_ms)
+    state.sessions[event.session] = session
+    return [AcceptSession(event.session)]
+
+
+def handle_statement(state: GatewayState, event: StatementReceived) -> list[Effect]:
+    """Take a statement; one at a time runs, the next ones wait for its answer."""
+    session = state.sessions.get(event.session)
+    if session is None:
+        return []
+    if session.current is None:
+        return _run(state, event.now_ms, session, event.statement)
+    if len(session.waiting) >= WAITING_LIMIT:
+        return _end(state, event.now_ms, session)
+    session.waiting.append(event.statement)
+    return []
+
+
+def take_waiting(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Run the statements that a client sent ahead."""
+    effects: list[Effect] = []
+    while session.waiting and session.current is None:
+        effects += _run(state, now_ms, session, session.waiting.popleft())
+    return effects
+
+
+def handle_closed(state: GatewayState, event: SessionClosed) -> list[Effect]:
+    """Forget a session; its transaction is rolled back."""
+    session = state.sessions.pop(event.session, None)
+    if session is None:
+        return []
+    return _abandon(state, event.now_ms, session)
+
+
+def check_idle(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Roll back the transactions that have been idle beyond the limit of the configuration."""
+    limit_ms = state.configuration.transaction_idle_ms
+    effects: list[Effect] = []
+    for session in list(state.sessions.values()):
+        if session.connection is None or session.current is not None:
+            continue
+        if now_ms - session.active_ms < limit_ms:
+            continue
+        session.state = TransactionState.FAILED
+        effects += pool.release_session(state, now_ms, session)
+    return effects
+
+
+def close_idle(state: GatewayState, now_ms: int, is_last_call: bool) -> list[Effect]:
+    """Close the sessions that are between operations; on the last call, those in a transaction."""
+    effects: list[Effect] = []
+    for session in list(state.sessions.values()):
+        if session.current is not None or session.waiting:
+            continue
+        if session.state is TransactionState.IDLE or is_last_call:
+            effects += _end(state, now_ms, session)
+    return effects
+
+
+def _run(state: GatewayState, now_ms: int, session: Session, statement: Statement) -> list[Effect]:
+    session.active_ms = now_ms
+    if statement.kind in FORWARDED:
+        return _forward(state, now_ms, session, statement)
+    fault = _own_fault(state, session, statement)
+    if fault is not None:
+        return answers.refuse_own(session, statement.kind, statement.request_id, fault)
+    if statement.kind is StatementKind.ROLLBACK:
+        session.state = TransactionState.IDLE
+        effects = pool.release_session(state, now_ms, session)
+        return answers.answer_own(session) + effects
+    if statement.kind is StatementKind.BEGIN:
+        session.state = TransactionState.OPEN
+        session.is_read_only = statement.is_read_only
+        session.wrote = False
+        session.statements_run = 0
+        session.route = state.configuration.routes[session.workspace]
+    if statement.kind is StatementKind.SET:
+        session.values[statement.name] = statement.argument
+    if statement.kind is StatementKind.PREPARE:
+        prepared = PreparedStatement(statement.argument, statement.is_write)
+        session.prepared[statement.name] = prepared
+    if statement.kind is StatementKind.DEALLOCATE:
+        del session.prepared[statement.name]
+    return answers.answer_own(session)
+
+
+def _own_fault(state: GatewayState, session: Session, statement: Statement) -> Error | None:
+    """Return why a statement that needs no upstream is refused, or None."""
+    kind = statement.kind
+    if kind is StatementKind.UNREADABLE:
+        return Error(Fault.BAD_REQUEST, f"the statement can't be read: {statement.argument}")
+    if kind is StatementKind.ROLLBACK:
+        return None
+    if session.state is TransactionState.FAILED:
+        return Error(Fault.BAD_REQUEST, "the transaction has failed; end it with ROLLBACK")
+    if kind is StatementKind.BEGIN and session.state is TransactionState.OPEN:
+        return Error(Fault.BAD_REQUEST, "a transaction is open already; end it first")
+    if kind is StatementKind.BEGIN and session.workspace not in state.configuration.routes:
+        return _unknown_workspace(session.workspace)
+    if kind is StatementKind.DEALLOCATE and statement.name not in session.prepared:
+        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+    if kind is StatementKind.PREPARE and len(session.prepared) >= PREPARED_LIMIT:
+        return Error(Fault.BAD_REQUEST, f"a session holds {PREPARED_LIMIT} prepared statements")
+    if kind is StatementKind.SET and len(session.values) >= VALUES_LIMIT:
+        return Error(Fault.BAD_REQUEST, f"a session holds {VALUES_LIMIT} values")
+    return None
+
+
+def _forward(
+    state: GatewayState, now_ms: int, session: Session, statement: Statement
+) -> list[Effect]:
+    fault = _forward_fault(session, statement)
+    if fault is not None:
+        if statement.kind is StatementKind.COMMIT:
+            session.state = TransactionState.IDLE
+        return answers.refuse_own(session, statement.kind, statement.request_id, fault)
+    route = _route(state, session)
+    if route is None:
+        fault = _unknown_workspace(session.workspace)
+        return answers.refuse_own(session, statement.kind, statement.request_id, fault)
+    request = Request(
+        session.number, statement, route, now_ms, now_ms + route.timeout_ms, state.next_serial
+    )
+    state.next_serial += 1
+    request.is_write = _is_write(session, statement)
+    session.current = request
+    state.requests[request.serial] = request
+    return placement.place(state, now_ms, request)
+
+
+def _forward_fault(session: Session, statement: Statement) -> Error | None:
+    if statement.kind is StatementKind.COMMIT and session.state is TransactionState.IDLE:
+        return Error(Fault.BAD_REQUEST, "no transaction is open")
+    if session.state is TransactionState.FAILED:
+        if statement.kind is StatementKind.COMMIT:
+            return Error(Fault.ABORTED, "the transaction had failed and was rolled back")
+        return Error(Fault.BAD_REQUEST, "the transaction has failed; end it with ROLLBACK")
+    if statement.kind is StatementKind.EXECUTE and statement.name not in session.prepared:
+        if session.state is TransactionState.OPEN:
+            session.state = TransactionState.FAILED
+        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+    if _is_write(session, statement) and session.state is TransactionState.OPEN:
+        if session.is_read_only:
+            session.state = TransactionState.FAILED
+            return Error(Fault.READ_ONLY, "the transaction was begun to read only")
+    return None
+
+
+def _is_write(session: Session, statement: Statement) -> bool:
+    if statement.kind is StatementKind.EXECUTE:
+        prepared = session.prepared.get(statement.name)
+        return prepared is not None and prepared.is_write
+    return statement.kind is StatementKind.WRITE
+
+
+def _route(state: GatewayState, session: Session) -> Route | None:
+    """Return the route in force: a transaction keeps the one it began with."""
+    if session.state is TransactionState.OPEN:
+        return session.route
+    return state.configuration.routes.get(session.workspace)
+
+
+def _end(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    del state.sessions[session.number]
+    return [CloseSession(session.number), *_abandon(state, now_ms, session)]
+
+
+def _abandon(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Give back what a session that ended held."""
+    request = session.current
+    if request is not None:
+        return placement.abandon(state, now_ms, session, request)
+    return pool.release_session(state, now_ms, session)
+
+
+def _unknown_workspace(workspace: str) -> Error:
+    return Error(Fault.UNKNOWN_WORKSPACE, f"no route for {workspace}; check the name")
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -0,0 +1,202 @@
+"""The state of a gateway; ``reduce`` alone changes it."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..directory import Directory
+from ..messages import ControlPeer
+from ..positions import ZERO, Position
+from ..routes import EMPTY, Configuration, Route
+from ..statements import Statement, TransactionState
+from ..watermarks import WatermarkHistory
+
+
+class GatewaySettings(NamedTuple):
+    """The names, addresses and times of a gateway."""
+
+    address: str
+    boot: str
+    data_centre: str
+    regions: dict[str, str]
+    control_addresses: list[str]
+    poll_ms: int = 250  # a fifth of the shortest staleness that contracts commonly allow
+    control_timeout_ms: int = 700  # a lost message and the longest round trip between regions
+    open_timeout_ms: int = 1_500  # a handshake, the longest round trip and one lost packet
+    idle_connection_ms: int = 15_000  # one swing of the load, so that crests find connections open
+    refused_pause_ms: int = 500  # how long an upstream at its connection limit is left alone
+    queue_limit: int = 500  # statements that wait in one gateway; memory stays below a megabyte
+
+
+class PreparedStatement(NamedTuple):
+    """What a prepared name runs."""
+
+    shape: str
+    is_write: bool
+
+
+@dataclass(slots=True)
+class Request:
+    """A session's statement on its way to an upstream.
+
+    ``tried`` holds the upstreams that refused it without running it. ``sent_ms`` is zero until
+    bytes of it may have reached an upstream.
+    """
+
+    session: int
+    statement: Statement
+    route: Route
+    received_ms: int
+    deadline_ms: int
+    serial: int
+    is_write: bool = False
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    sent_ms: int = 0
+    not_before_ms: int = 0
+    last_refusal: str = ""
+
+
+@dataclass(slots=True)
+class Session:
+    """A client's session; ``connection`` is pinned while a transaction runs upstream."""
+
+    number: int
+    workspace: str
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
+    state: TransactionState = TransactionState.IDLE
+    route: Route | None = None
+    is_read_only: bool = False
+    wrote: bool = False
+    statements_run: int = 0
+    position: Position | None = None
+    current: Request | None = None
+    connection: int | None = None
+    waiting: deque[Statement] = field(default_factory=deque)
+    active_ms: int = 0
+
+
+class Purpose(StrEnum):
+    """What a statement on an upstream connection is for."""
+
+    SETUP = "setup"
+    BEGIN = "begin"
+    ROLLBACK = "rollback"
+    WORK = "work"
+    PROBE = "probe"
+
+
+@dataclass(slots=True)
+class Pending:
+    """A statement that an upstream connection has not answered yet.
+
+    ``request`` is None where nobody waits for the answer any more.
+    """
+
+    purpose: Purpose
+    sent_ms: int
+    request: Request | None = None
+
+
+@dataclass(slots=True)
+class Connection:
+    """One connection to an upstream.
+
+    ``values`` and ``prepared`` are what the upstream holds for it. ``in_transaction`` is set
+    between a BEGIN and its end. On the primary, idle connections are kept inside a transaction, so
+    that a read takes one round trip and can't run where the lead was lost. ``is_used`` tells that a
+    session ran statements in the transaction, and ``is_dirty`` that values must be reset before the
+    next session. ``next_request`` waits for the statements that prepare the connection for it.
+    """
+
+    number: int
+    upstream: str
+    opened_ms: int
+    is_open: bool = False
+    in_transaction: bool = False
+    is_used: bool = False
+    session: int | None = None
+    is_dirty: bool = False
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[PreparedStatement, str] = field(default_factory=dict)
+    pending: deque[Pending] = field(default_factory=deque)
+    next_request: Request | None = None
+    idle_since_ms: int = 0
+    heard_ms: int = 0
+
+
+@dataclass(slots=True)
+class UpstreamPool:
+    """A gateway's connections to one upstream, and how it has answered."""
+
+    upstream: str
+    service: str
+    connections: dict[int, Connection] = field(default_factory=dict)
+    idle: list[int] = field(default_factory=list)
+    running: int = 0
+    latency_ms: float = 0.0
+    position: Position = ZERO
+    closed_until_ms: int = 0
+    lagging_until_ms: int = 0
+    busy_until_ms: int = 0
+    refused_until_ms: int = 0
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class ControlLink:
+    """The polling of control: whom this gateway asks, and what it has heard."""
+
+    address: str = ""
+    peers: list[ControlPeer] = field(default_factory=list)
+    next_seed: int = 0
+    sequence: int = 0
+    asked_ms: int = 0
+    asked_at_ms: dict[int, int] = field(default_factory=dict)
+    heard_ms: int | None = None
+    due_ms: int = 0
+    avoid_until_ms: dict[str, int] = field(default_factory=dict)
+    boot: str = ""
+    revision: int = 0
+
+
+class Queued(NamedTuple):
+    """A request that waits; the lowest priority number goes first, then the oldest."""
+
+    priority: int
+    serial: int
+    request: Request
+
+
+@dataclass(slots=True)
+class ServiceQueue:
+    """The requests of one service that wait for a connection, by who may serve them; heaps."""
+
+    primary: list[Queued] = field(default_factory=list)
+    reads: list[Queued] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class GatewayState:
+    """The whole state of a gateway."""
+
+    settings: GatewaySettings
+    configuration: Configuration = EMPTY
+    directory: Directory = field(default_factory=Directory)
+    control: ControlLink = field(default_factory=ControlLink)
+    watermarks: dict[str, WatermarkHistory] = field(default_factory=dict)
+    primaries: dict[str, str] = field(default_factory=dict)
+    pools: dict[str, UpstreamPool] = field(default_factory=dict)
+    connections: dict[int, Connection] = field(default_factory=dict)
+    sessions: dict[int, Session] = field(default_factory=dict)
+    requests: dict[int, Request] = field(default_factory=dict)
+    queues: dict[str, ServiceQueue] = field(default_factory=dict)
+    requested_version: int = 0
+    next_connection: int = 1
+    next_serial: int = 1
+    queued: int = 0
+    sweep_due_ms: int = 0
+    draining_since_ms: int | None = None
+    drain_until_ms: int = 0
--- a/packages/core/src/endivewick_core/machine.py
+++ b/packages/core/src/endivewick_core/machine.py
@@ -17,7 +17,10 @@
 from .commands import (
     AdoptPrimary,
     AssignHomes,
+    BeginFailover,
+    EndFailover,
     Promote,
+    PutConfiguration,
     PutContract,
     RegisterUpstream,
     ReleaseHome,
@@ -74,6 +77,23 @@
     result: ChangeResult
 
 
+class FailoverRecord(NamedTuple):
+    """The newest change of primary of a service; ``is_open`` until its holder ended it."""
+
+    token: int
+    holder: str
+    is_open: bool
+    primary: str
+
+
+class StoredConfiguration(NamedTuple):
+    """The operator's configuration in force, as a compressed document."""
+
+    version: int
+    services: list[str]
+    document: bytes
+
+
 @dataclass(slots=True)
 class Machine:
     """The configuration at one revision of the control log.
@@ -91,6 +111,8 @@
     changes: dict[str, ChangeRecord] = field(default_factory=dict)
     keeps_changes: bool = True
     members: dict[str, list[str]] = field(default_factory=dict)
+    configuration: StoredConfiguration = StoredConfiguration(0, [], b"")
+    failovers: dict[str, FailoverRecord] = field(default_factory=dict)
 
 
 class _Stored(NamedTuple):
@@ -99,6 +121,8 @@
     upstreams: dict[str, Upstream]
     groups: dict[str, Group]
     changes: dict[str, ChangeRecord]
+    configuration: StoredConfiguration = StoredConfiguration(0, [], b"")
+    failovers: dict[str, FailoverRecord] = {}
 
 
 _stored_decoder = msgspec.msgpack.Decoder(_Stored)
@@ -108,7 +132,13 @@
     """Return a snapshot; proxies get it without the change records."""
     changes = machine.changes if with_changes else {}
     stored = _Stored(
-        machine.revision, machine.contracts, machine.upstreams, machine.groups, changes
+        machine.revision,
+        machine.contracts,
+        machine.upstreams,
+        machine.groups,
+        changes,
+        machine.configuration,
+        machine.failovers,
     )
     return msgspec.msgpack.encode(stored)
 
@@ -117,6 +147,8 @@
     """Return the machine of a snapshot."""
     stored = _stored_decoder.decode(data)
     machine = Machine(stored.revision, changes=stored.changes)
+    machine.configuration = stored.configuration
+    machine.failovers = dict(stored.failovers)
     for contract in stored.contracts.values():
         shared_contract = Contract(*map(_shared, contract))
         machine.contracts[shared_contract.customer] = shared_contract
@@ -282,6 +314,28 @@
     return ChangeResult("", 0, index)
 
 
+def _put_configuration(machine: Machine, index: int, command: PutConfiguration) -> ChangeResult:
+    """Keep the highest version; an older or equal one changes nothing and is no failure."""
+    if command.version > machine.configuration.version:
+        machine.configuration = StoredConfiguration(*command)
+    return ChangeResult("", machine.configuration.version, index)
+
+
+def _begin_failover(machine: Machine, index: int, command: BeginFailover) -> ChangeResult:
+    known = machine.failovers.get(command.service)
+    primary = known.primary if known else ""
+    machine.failovers[command.service] = FailoverRecord(index, command.holder, True, primary)
+    return ChangeResult("", 0, index)
+
+
+def _end_failover(machine: Machine, index: int, command: EndFailover) -> ChangeResult:
+    known = machine.failovers.get(command.service)
+    if known is None or known.token != command.token:
+        return ChangeResult("change_conflict", 0, index)
+    machine.failovers[command.service] = known._replace(is_open=False, primary=command.primary)
+    return ChangeResult("", 0, index)
+
+
 def _ensure_group(machine: Machine, name: str) -> None:
     if name not in machine.groups:
         machine.groups[name] = Group(name, 0, "", [], "", "", "", 0)
@@ -295,4 +349,7 @@
     Promote: _promote,
     AssignHomes: _assign_homes,
     ReleaseHome: _release_home,
+    PutConfiguration: _put_configuration,
+    BeginFailover: _begin_failover,
+    EndFailover: _end_failover,
 }
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .codec import build_codec
+from .directory import UpstreamReport
 
 
 class Member(NamedTuple):
@@ -226,6 +227,90 @@
     grant_left_ms: int
 
 
+# Between gateways and control, and between the directories of control processes.
+
+
+class ControlPeer(NamedTuple):
+    """A control process: its address for messages, its operators' address and where it stands."""
+
+    address: str
+    operator_address: str
+    data_centre: str
+
+
+class HeardReport(NamedTuple):
+    """An upstream's report, and how long ago it was heard."""
+
+    report: UpstreamReport
+    age_ms: int
+
+
+class WatermarkNote(NamedTuple):
+    """A watermark of a service's database, and how long ago its primary was asked."""
+
+    service: str
+    upstream: str
+    term: int
+    offset: int
+    age_ms: int
+
+
+class PrimaryHealth(NamedTuple):
+    """How the sender of a share finds a service's primary.
+
+    ``failing_ms`` is how long its questions have gone without an answer, 0 while they have one.
+    """
+
+    service: str
+    upstream: str
+    failing_ms: int
+
+
+class DirectoryQuestion(NamedTuple):
+    """Ask a control process for what changed since the revision named."""
+
+    gateway: str
+    sequence: int
+    configuration_version: int
+    control_boot: str
+    revision: int
+
+
+class DirectoryAnswer(NamedTuple):
+    """Answer a DirectoryQuestion.
+
+    ``reports`` are those after the asker's revision, or all of them where ``control_boot`` is new
+    to the asker. ``document`` is the configuration, or empty where the asker has it.
+    ``leader_age_ms`` tells how long ago the sender last knew itself up to date.
+    """
+
+    sequence: int
+    control_boot: str
+    revision: int
+    reports: list[HeardReport]
+    controls: list[ControlPeer]
+    configuration_version: int
+    document: bytes
+    watermarks: list[WatermarkNote]
+    leader_age_ms: int
+
+
+class DirectoryShare(NamedTuple):
+    """Pass reports on to another control process; ``serial`` is echoed, 0 asks for no echo."""
+
+    sender: ControlPeer
+    serial: int
+    reports: list[HeardReport]
+    primaries: list[PrimaryHealth]
+
+
+class DirectoryShareReceived(NamedTuple):
+    """Confirm a DirectoryShare."""
+
+    sender: str
+    serial: int
+
+
 CODEC = build_codec(
     (
         VoteRequest,
@@ -242,6 +327,10 @@
         ForwardBatch,
         GrantQuestion,
         GrantAnswer,
+        DirectoryQuestion,
+        DirectoryAnswer,
+        DirectoryShare,
+        DirectoryShareReceived,
     )
 )
 
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -1,15 +1,23 @@
 """The shell of a control process: durable effects are synced before any later effect."""
 
 import ssl
+import uuid
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import trio
 from endivewick_core.codec import CodecFault, decode, encode
 from endivewick_core.commands import COMMANDS, ChangeMembership
 from endivewick_core.control import effects as fx
-from endivewick_core.control.events import Event, MessageReceived, OperatorRequested, Tick
+from endivewick_core.control import replication
+from endivewick_core.control.events import (
+    Event,
+    FailoverAnswered,
+    MessageReceived,
+    OperatorRequested,
+    Tick,
+)
 from endivewick_core.control.log import Log
 from endivewick_core.control.reducer import reduce
 from endivewick_core.control.state import (
@@ -18,21 +26,28 @@
     Membership,
     Role,
     decode_membership,
+    encode_membership,
 )
-from endivewick_core.exceptions import Failure
+from endivewick_core.documents import expand
+from endivewick_core.exceptions import NO_QUORUM, Failure
 from endivewick_core.machine import decode_machine
 from endivewick_core.messages import CODEC, Member
+from endivewick_core.upstream_links import CloseConnection, OpenConnection, SendStatements
+from returns.result import Failure as Failed
 
 from .clock import draw, now_ms
-from .conf import Settings
+from .conf import ClusterSection, HttpSection, Settings, StatsdSection
 from .control_api import parse_operator
+from .exposition import Exposition
 from .http_server import Answer, Connection, HttpServer, Request
-from .logs import log
+from .logs import log, log_bounded
 from .metrics import Metrics, open_metrics
 from .proxy_api import failure_answer
+from .service_edge import ServiceEdge
 from .sockets import Poller
-from .storage import Storage, Stored, StoredSnapshot, StoredVote
+from .storage import FOUNDER, Storage, Stored, StoredSnapshot, StoredVote
 from .transport import Transport
+from .upstream_connections import UpstreamConnections
 
 TICK_MS = 20
 METRICS_INTERVAL_MS = 1_000
@@ -74,31 +89,88 @@
     return state
 
 
+class ControlPlan(NamedTuple):
+    """What a control process is started with.
+
+    ``founders`` are the addresses of the first voters where the whole system starts for the first
+    time, else empty. ``services`` is set where the process keeps a directory of upstreams.
+    """
+
+    control: ControlSettings
+    name: str
+    cluster: ClusterSection
+    http: HttpSection
+    data_folder: Path
+    founders: tuple[str, ...] = ()
+    operator_key: str = ""
+    statsd: StatsdSection | None = None
+    tls: ssl.SSLContext | None = None
+    services: ServiceEdge | None = None
+
+
+def control_plan(settings: Settings, tls: ssl.SSLContext | None) -> ControlPlan:
+    """Return the plan for settings in the project's own format."""
+    return ControlPlan(
+        control_settings(settings),
+        settings["name"],
+        settings["cluster"],
+        settings["http"],
+        Path(settings["data_folder"]),
+        operator_key=settings.get("operator_key", ""),
+        statsd=settings.get("statsd"),
+        tls=tls,
+    )
+
+
 class ControlNode:
     """One control process."""
 
-    def __init__(self, settings: Settings, tls: ssl.SSLContext | None) -> None:
+    def __init__(self, plan: ControlPlan) -> None:
         """Open the data folder and bind every address."""
-        self._metrics: Metrics = open_metrics(settings.get("statsd"))
-        self._storage = Storage(Path(settings["data_folder"]))
-        stored = self._storage.load(settings["name"])
-        address = settings["cluster"]["address"]
-        self._state = restore_state(control_settings(settings), settings["name"], address, stored)
+        self._metrics: Metrics = open_metrics(plan.statsd)
+        self._storage = Storage(plan.data_folder)
+        founds = plan.name in plan.founders
+        stored = self._storage.load(plan.name, FOUNDER if founds else "")
+        self._state = restore_state(plan.control, plan.name, plan.cluster["address"], stored)
+        if founds and stored.snapshot is None:
+            self._found(plan.founders)
+        self._state.spread.boot = uuid.uuid4().hex[:8]
         self._state.election_due_ms = now_ms() + self._state.settings.election_timeout_ms
         if stored.cut_bytes:
             text = f"removed {stored.cut_bytes} bytes of a write that was cut short"
             log("warning", "log_tail_cut", text)
-        self._operator_key = settings.get("operator_key", "")
-        self._transport = Transport(settings["cluster"], self._count_dropped)
+        self._operator_key = plan.operator_key
+        self._transport = Transport(plan.cluster, self._count_dropped)
         self._poller = Poller()
-        self._server = HttpServer(settings["http"], self._handle_request, self._poller, tls)
+        self._server = HttpServer(plan.http, self._handle_request, self._poller, plan.tls)
         self._operators: dict[int, Connection] = {}
         self._next_number = 1
         self._stopped = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._services = plan.services
+        if plan.services is not None:
+            self._upstreams = UpstreamConnections(plan.services.wire, self._poller, self._reduce)
+            self._exposition = Exposition()
+            self._metrics_server = HttpServer(
+                {"address": plan.services.metrics_address}, self._answer_metrics, self._poller
+            )
+
+    def _found(self, founders: tuple[str, ...]) -> None:
+        """Start as one of the first voters, whom all of them know without asking."""
+        voters = [Member(f"{name}#{FOUNDER}", name, name) for name in founders]
+        membership = Membership(voters, [])
+        state = self._state
+        state.snapshot_membership = membership
+        state.role = Role.FOLLOWER
+        empty = replication.encode_full(state.machine)
+        snapshot = StoredSnapshot(0, 0, encode_membership(membership), empty)
+        self._storage.save_snapshot(snapshot, [])
+        log("info", "founded", f"one of the first voters: {', '.join(founders)}")
 
     async def run(self) -> None:
         """Serve until told to stop; every promise is on disk, so stopping needs no handover."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._poller.run)
             nursery.start_soon(self._server.sweep)
             nursery.start_soon(self._transport.receive, self._receive)
@@ -118,7 +190,16 @@
         for effect in reduce(self._state, event):
             _CARRY_OUT[type(effect)](self, effect)
 
+    def reload(self, control_addresses: list[str]) -> None:
+        """Take the control processes to ask first; addresses hold until the process ends."""
+        settings = self._state.settings._replace(seeds=tuple(control_addresses))
+        self._state.settings = settings
+        log("info", "settings_reloaded", f"control is asked first at {control_addresses}")
+
     def _handle_request(self, request: Request, connection: Connection) -> None:
+        if self._services is not None:
+            self._handle_service_request(self._services, request, connection)
+            return
         if request.path == "/v1/health":
             healthy = self._state.role is Role.LEADER or bool(self._state.leader)
             connection.answer(Answer(200 if healthy else 503, {"healthy": healthy}))
@@ -132,6 +213,25 @@
         self._operators[number] = connection
         self._reduce(OperatorRequested(now_ms(), number, parsed))
 
+    def _handle_service_request(
+        self, edge: ServiceEdge, request: Request, connection: Connection
+    ) -> None:
+        number = self._next_number
+        self._next_number += 1
+        parsed = edge.parse(request, now_ms(), number)
+        if isinstance(parsed, Failed):
+            failure = parsed.failure()
+            self._exposition.event("request_refused")
+            inputs: dict[str, object] = {"method": request.method, "path": request.path}
+            log_bounded("warning", "request_refused", failure.message, inputs=inputs)
+            connection.answer(failure_answer(failure))
+            return
+        self._operators[number] = connection
+        self._reduce(parsed.unwrap())
+
+    def _answer_metrics(self, request: Request, connection: Connection) -> None:
+        connection.answer(Answer(200, self._exposition.text()))
+
     def _receive(self, sender: str, frame: bytes) -> None:
         message = decode(CODEC, frame)
         if isinstance(message, CodecFault):
@@ -168,10 +268,42 @@
     def _answer_operator(self, effect: fx.AnswerOperator) -> None:
         connection = self._operators.pop(effect.number)
         connection.answer(Answer(effect.status, effect.body))
+        if self._services is not None:
+            inputs: dict[str, object] = {"status": effect.status, **effect.body}
+            log_bounded("info", "operator_answered", "", inputs=inputs)
+
+    def _answer_configuration(self, effect: fx.AnswerConfiguration) -> None:
+        connection = self._operators.pop(effect.number)
+        connection.answer(Answer(200, expand(effect.document)))
+
+    def _redirect_operator(self, effect: fx.RedirectOperator) -> None:
+        assert self._services is not None
+        connection = self._operators.pop(effect.number)
+        connection.answer(self._services.encode_redirect(effect.operator_address))
+
+    def _acknowledge_report(self, effect: fx.AcknowledgeReport) -> None:
+        assert self._services is not None
+        connection = self._operators.pop(effect.number)
+        connection.answer(self._services.encode_acknowledgement(effect.report_to))
+
+    def _refuse_report(self, effect: fx.RefuseReport) -> None:
+        message = "no other control process confirmed the report; send it to another one"
+        connection = self._operators.pop(effect.number)
+        connection.answer(failure_answer(Failure(NO_QUORUM, message)))
+
+    def _order_failover(self, effect: fx.OrderFailover) -> None:
+        assert self._services is not None and self._nursery is not None
+        self._nursery.start_soon(self._carry_out_order, self._services, effect)
+
+    async def _carry_out_order(self, edge: ServiceEdge, effect: fx.OrderFailover) -> None:
+        outcome = await edge.order_failover(effect)
+        self._reduce(FailoverAnswered(now_ms(), effect.service, effect.token, outcome))
 
     def _note(self, effect: fx.Note) -> None:
         self._metrics.count(f"notes.{effect.name}")
-        log(effect.level, effect.name, effect.text)
+        if self._services is not None:
+            self._exposition.event(effect.name)
+        log_bounded(effect.level, effect.name, effect.text)
 
     def _count_dropped(self) -> None:
         self._metrics.count("messages.dropped")
@@ -185,6 +317,12 @@
             self._metrics.gauge("control.leads", int(state.role is Role.LEADER))
             if state.leading is not None:
                 self._metrics.gauge("control.proxies", len(state.leading.leases))
+            if self._services is not None:
+                self._exposition.state("term", state.term)
+                self._exposition.state("commit_index", state.commit_index)
+                self._exposition.state("leads", int(state.role is Role.LEADER))
+                version = state.machine.configuration.version
+                self._exposition.state("configuration_version", version)
             self._metrics.flush()
 
 
@@ -196,4 +334,12 @@
     fx.Send: ControlNode._send,
     fx.AnswerOperator: ControlNode._answer_operator,
     fx.Note: ControlNode._note,
+    fx.AnswerConfiguration: ControlNode._answer_configuration,
+    fx.RedirectOperator: ControlNode._redirect_operator,
+    fx.AcknowledgeReport: ControlNode._acknowledge_report,
+    fx.RefuseReport: ControlNode._refuse_report,
+    fx.OrderFailover: ControlNode._order_failover,
+    OpenConnection: lambda node, effect: node._upstreams.open(effect),
+    SendStatements: lambda node, effect: node._upstreams.send(effect),
+    CloseConnection: lambda node, effect: node._upstreams.close(effect),
 }
--- /dev/null
+++ b/packages/node/src/endivewick_node/exposition.py
@@ -0,0 +1,67 @@
+"""Counters and latency histograms in the text format that scrapers read.
+
+docs/reference/metrics.md lists every name, with its labels, unit and meaning.
+"""
+
+from endivewick_core.gateway.effects import Served
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+# From a local read to the longest statement timeout that contracts commonly set.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0)
+WORKSPACES_LIMIT = 500  # workspaces with series of their own; the others share one
+
+
+class Exposition:
+    """The metrics of one process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        self._registry = CollectorRegistry()
+        self._workspaces: set[str] = set()
+        self._statements = Counter(
+            "endivewick_statements_total",
+            "Statements that were forwarded, by outcome",
+            ("workspace", "kind", "outcome"),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "endivewick_statement_seconds",
+            "Time from a statement's arrival to its answer",
+            ("workspace", "kind"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._events = Counter(
+            "endivewick_events_total",
+            "Decisions and changes of belief, by event; also those whose log line was left out",
+            ("event",),
+            registry=self._registry,
+        )
+        self._gauges = Gauge(
+            "endivewick_state",
+            "Sizes: sessions, upstream connections, waiting statements, versions, terms",
+            ("name",),
+            registry=self._registry,
+        )
+
+    def served(self, effect: Served) -> None:
+        """Count a forwarded statement and its latency."""
+        workspace = effect.workspace
+        if workspace not in self._workspaces:
+            if len(self._workspaces) >= WORKSPACES_LIMIT:
+                workspace = "(others)"
+            self._workspaces.add(workspace)
+        self._statements.labels(workspace, effect.kind, effect.outcome).inc()
+        self._latency.labels(workspace, effect.kind).observe(effect.took_ms / 1000)
+
+    def event(self, name: str) -> None:
+        """Count an event."""
+        self._events.labels(name).inc()
+
+    def state(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges.labels(name).set(value)
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -0,0 +1,185 @@
+"""The shell of a gateway: it turns I/O into events and carries out effects in order."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import trio
+from endivewick_core.codec import CodecFault, decode, encode
+from endivewick_core.documents import expand
+from endivewick_core.exceptions import UNKNOWN_PATH, Failure, failure_body
+from endivewick_core.gateway import effects as fx
+from endivewick_core.gateway.control_link import is_ready
+from endivewick_core.gateway.events import (
+    ConfigurationReceived,
+    DrainRequested,
+    Event,
+    MessageReceived,
+    Tick,
+)
+from endivewick_core.gateway.reducer import is_drained, reduce
+from endivewick_core.gateway.state import GatewaySettings, GatewayState
+from endivewick_core.messages import CODEC
+from endivewick_core.routes import Configuration
+from endivewick_core.upstream_links import CloseConnection, OpenConnection, SendStatements
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from .clock import now_ms
+from .exposition import Exposition
+from .http_server import Answer, Connection, HttpServer, Request
+from .logs import log, log_bounded
+from .session_server import SessionServer
+from .sockets import Poller
+from .statement_wire import StatementWire
+from .transport import Transport
+from .upstream_connections import UpstreamConnections
+
+TICK_MS = 20  # deadlines and polls are a few hundred milliseconds long
+STATE_INTERVAL_MS = 1_000  # gauges change slowly
+
+
+class GatewayPlan(NamedTuple):
+    """What a gateway process is started with.
+
+    ``decode_configuration`` reads an operator's document, and ``readiness_path`` is where the
+    balancer asks whether new sessions should come here.
+    """
+
+    settings: GatewaySettings
+    session_address: str
+    session_limit: int
+    readiness_address: str
+    readiness_path: str
+    metrics_address: str
+    grace_ms: int
+    wire: StatementWire
+    decode_configuration: Callable[[bytes], Result[Configuration, Failure]]
+
+
+class GatewayNode:
+    """One gateway process."""
+
+    def __init__(self, plan: GatewayPlan) -> None:
+        """Bind every address."""
+        self._plan = plan
+        self._state = GatewayState(plan.settings)
+        self._metrics = Exposition()
+        self._poller = Poller()
+        self._transport = Transport({"address": plan.settings.address}, self._count_dropped)
+        self._upstreams = UpstreamConnections(plan.wire, self._poller, self._reduce)
+        self._sessions = SessionServer(
+            plan.session_address, plan.session_limit, plan.wire, self._poller, self._reduce
+        )
+        self._readiness = HttpServer(
+            {"address": plan.readiness_address}, self._answer_readiness, self._poller
+        )
+        self._metrics_server = HttpServer(
+            {"address": plan.metrics_address}, self._answer_metrics, self._poller
+        )
+        self._stopped = trio.Event()
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended every session."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poller.run)
+            nursery.start_soon(self._readiness.sweep)
+            nursery.start_soon(self._transport.receive, self._receive)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._report)
+            await self._stopped.wait()
+            nursery.cancel_scope.cancel()
+        self._transport.close()
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        self._reduce(DrainRequested(now_ms(), self._plan.grace_ms))
+
+    def reload(self, control_addresses: list[str]) -> None:
+        """Take the control processes to ask first; addresses hold until the process ends."""
+        settings = self._state.settings._replace(control_addresses=control_addresses)
+        self._state.settings = settings
+        log("info", "settings_reloaded", f"control is asked first at {control_addresses}")
+
+    def _reduce(self, event: Event) -> None:
+        for effect in reduce(self._state, event):
+            _CARRY_OUT[type(effect)](self, effect)
+
+    def _receive(self, sender: str, frame: bytes) -> None:
+        message = decode(CODEC, frame)
+        if isinstance(message, CodecFault):
+            self._metrics.event("message_unreadable")
+            log_bounded("warning", "message_unreadable", f"{sender}: {message.reason}")
+            return
+        self._reduce(MessageReceived(now_ms(), message))
+
+    async def _tick(self) -> None:
+        while True:
+            self._reduce(Tick(now_ms()))
+            if is_drained(self._state, now_ms()):
+                log("info", "stopped", "a planned stop has ended every session")
+                self._stopped.set()
+            await trio.sleep(TICK_MS / 1000)
+
+    async def _report(self) -> None:
+        while True:
+            await trio.sleep(STATE_INTERVAL_MS / 1000)
+            state = self._state
+            self._metrics.state("sessions", len(state.sessions))
+            self._metrics.state("upstream_connections", len(state.connections))
+            self._metrics.state("waiting_statements", state.queued)
+            self._metrics.state("configuration_version", state.configuration.version)
+
+    def _answer_readiness(self, request: Request, connection: Connection) -> None:
+        if request.path != self._plan.readiness_path:
+            failure = Failure(UNKNOWN_PATH, f"{request.path} is not served here")
+            connection.answer(Answer(404, failure_body(failure)))
+            return
+        ready = is_ready(self._state, now_ms())
+        connection.answer(Answer(200 if ready else 503, {"ready": ready}))
+
+    def _answer_metrics(self, request: Request, connection: Connection) -> None:
+        connection.answer(Answer(200, self._metrics.text()))
+
+    def _apply_document(self, effect: fx.ApplyDocument) -> None:
+        decoded = self._plan.decode_configuration(expand(effect.document))
+        if isinstance(decoded, Failed):
+            # Control has checked the document; this process is older than the one that did.
+            text = f"version {effect.version}: {decoded.failure().message}; upgrade this process"
+            log("error", "configuration_unreadable", text)
+            return
+        self._reduce(ConfigurationReceived(now_ms(), decoded.unwrap()))
+
+    def _send(self, effect: fx.Send) -> None:
+        self._transport.send(effect.address, encode(effect.message))
+
+    def _decide(self, effect: fx.Decision) -> None:
+        self._metrics.event(effect.event)
+        fields: dict[str, object] = {"inputs": effect.inputs, "outcome": effect.outcome}
+        if effect.request_id:
+            fields["request_id"] = effect.request_id
+        if effect.workspace:
+            fields["workspace"] = effect.workspace
+        log_bounded(effect.level, effect.event, effect.outcome, **fields)
+
+    def _serve(self, effect: fx.Served) -> None:
+        self._metrics.served(effect)
+
+    def _count_dropped(self) -> None:
+        self._metrics.event("message_dropped")
+
+
+_CARRY_OUT: dict[type, Callable[[GatewayNode, Any], None]] = {
+    fx.AcceptSession: lambda node, effect: node._sessions.accept_session(effect.session),
+    fx.RefuseSession: lambda node, effect: node._sessions.refuse_session(
+        effect.session, effect.error
+    ),
+    fx.AnswerStatement: lambda node, effect: node._sessions.answer(effect),
+    fx.CloseSession: lambda node, effect: node._sessions.close_session(effect.session),
+    OpenConnection: lambda node, effect: node._upstreams.open(effect),
+    SendStatements: lambda node, effect: node._upstreams.send(effect),
+    CloseConnection: lambda node, effect: node._upstreams.close(effect),
+    fx.Send: GatewayNode._send,
+    fx.ApplyDocument: GatewayNode._apply_document,
+    fx.Decision: GatewayNode._decide,
+    fx.Served: GatewayNode._serve,
+}
--- a/packages/node/src/endivewick_node/http_server.py
+++ b/packages/node/src/endivewick_node/http_server.py
@@ -41,6 +41,7 @@
 
 REASONS = {
     200: "OK",
+    307: "Temporary Redirect",
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
@@ -66,11 +67,15 @@
 
 
 class Answer(NamedTuple):
-    """An answer: a status, a JSON body, and a session token where there is one."""
+    """An answer: a status, a body, and a session token where there is one.
+
+    A body of ``bytes`` is sent as it is, any other value as JSON. ``headers`` are sent besides.
+    """
 
     status: int
     body: object
     token: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -153,12 +158,14 @@
 
 def encode_answer(answer: Answer, closing: bool) -> bytes:
     """Return the bytes of an answer."""
-    body = msgspec.json.encode(answer.body)
+    body = answer.body if isinstance(answer.body, bytes) else msgspec.json.encode(answer.body)
     reason = REASONS.get(answer.status, "Error")
     head = f"HTTP/1.1 {answer.status} {reason}\r\ncontent-type: application/json\r\n"
     if answer.token:
         head += f"{TOKEN_HEADER}: {answer.token}\r\n"
         head += f"set-cookie: {TOKEN_COOKIE}={answer.token}; HttpOnly; SameSite=Lax\r\n"
+    for name, value in answer.headers:
+        head += f"{name}: {value}\r\n"
     if closing:
         head += "connection: close\r\n"
     return f"{head}content-length: {len(body)}\r\n\r\n".encode("latin-1") + body
--- a/packages/node/src/endivewick_node/main.py
+++ b/packages/node/src/endivewick_node/main.py
@@ -11,7 +11,7 @@
 
 from .checks import check_settings
 from .conf import Settings, load_settings
-from .control_node import ControlNode
+from .control_node import ControlNode, control_plan
 from .exceptions import EndivewickError, SettingsInvalid
 from .logs import log, set_up_logs
 from .proxy_node import ProxyNode
@@ -59,7 +59,11 @@
 def _serve(settings: Settings) -> None:
     tls = _tls_context(settings)
     node: ProxyNode | ControlNode
-    node = ProxyNode(settings, tls) if settings["role"] == "proxy" else ControlNode(settings, tls)
+    node = (
+        ProxyNode(settings, tls)
+        if settings["role"] == "proxy"
+        else ControlNode(control_plan(settings, tls))
+    )
     log("info", "started", f"{settings['name']} serves as {settings['role']}")
     trio.run(_run_until_signalled, node)
 
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -19,6 +19,7 @@
 READ_BYTES = 65_536
 BACKLOG = 4_096
 EVENTS_PER_TURN = 256
+KEEPALIVE_PROBES = 3
 READABLE = select.EPOLLIN | select.EPOLLRDHUP
 WRITABLE = select.EPOLLOUT
 
@@ -97,6 +98,19 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def detect_silence(connection: socket.socket, limit_ms: int) -> None:
+    """End a connection whose peer has acknowledged nothing for ``limit_ms``, idle or not.
+
+    Something between the ends may lose track of a connection without a reset.
+    """
+    interval_s = max(1, limit_ms // (1000 * (KEEPALIVE_PROBES + 1)))
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, interval_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
 def start_connect(address: str) -> socket.socket:
     """Return a socket that is connecting; it becomes writable at the end, see ``fault_of``."""
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -147,6 +161,11 @@
         """Tell whether bytes wait for the socket."""
         return bool(self._unsent)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait for the socket."""
+        return len(self._unsent)
+
     def write(self, data: bytes) -> bool:
         """Write ``data``; tell whether the stream still works."""
         if self._unsent:
--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -26,6 +26,7 @@
 SNAPSHOT_FILE = "snapshot"
 LOG_FILE = "log"
 LOCK_FILE = "lock"
+FOUNDER = "founder"  # the identity of the first voters, on their first disk
 
 
 class StoredVote(NamedTuple):
@@ -85,9 +86,12 @@
             raise StorageFailed(message) from error
         self._log = -1
 
-    def load(self, name: str) -> Stored:
-        """Read everything back, and open the log for appending."""
-        member_id = self._load_identity(name)
+    def load(self, name: str, identity: str = "") -> Stored:
+        """Read everything back, and open the log for appending.
+
+        A disk without an identity gets ``identity``, or a random one where that is empty.
+        """
+        member_id = self._load_identity(name, identity or uuid.uuid4().hex[:12])
         vote = self._load_one(VOTE_FILE, StoredVote)
         snapshot = self._load_one(SNAPSHOT_FILE, StoredSnapshot)
         entries, cut_bytes = self._load_log()
@@ -122,14 +126,14 @@
             os.close(self._log)
         os.close(self._lock)
 
-    def _load_identity(self, name: str) -> str:
+    def _load_identity(self, name: str, identity: str) -> str:
         """Return this disk's identity; a disk without one gets a new one."""
         path = self._folder / IDENTITY_FILE
         if not path.exists():
             others = (VOTE_FILE, SNAPSHOT_FILE, LOG_FILE)
             if any((self._folder / other).exists() for other in others):
                 raise StorageCorrupt(self._advice(f"{IDENTITY_FILE} is missing"))
-            self._replace(IDENTITY_FILE, _record(f"{name}#{uuid.uuid4().hex[:12]}"))
+            self._replace(IDENTITY_FILE, _record(f"{name}#{identity}"))
         member_id = self._load_one(IDENTITY_FILE, str)
         if not isinstance(member_id, str) or member_id.partition("#")[0] != name:
             message = f"data_folder belongs to {member_id}, not to {name}; name another folder"
