--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -59,7 +59,9 @@
 
 def handle_share(state: ControlState, now_ms: int, share: DirectoryShare) -> list[Effect]:
     """Take another control process's reports."""
-    state.spread.peers[share.sender.address] = Peer(share.sender, now_ms, share.primaries)
+    state.spread.peers[share.sender.address] = Peer(
+        share.sender, now_ms, share.primaries, share.gateways
+    )
     effects: list[Effect] = []
     for report, age_ms in share.reports:
         if merge_report(state.spread.directory, now_ms, report, age_ms):
@@ -83,6 +85,7 @@
 def handle_question(state: ControlState, now_ms: int, question: DirectoryQuestion) -> list[Effect]:
     """Answer a gateway's poll."""
     spread = state.spread
+    spread.gateways_ms[question.gateway] = now_ms
     after = question.revision if question.control_boot == spread.boot else 0
     is_new = question.control_boot != spread.boot
     reports = [
@@ -102,6 +105,7 @@
         b"" if has_it else configuration.document,
         _watermark_notes(state, now_ms),
         leader_age_ms(state, now_ms),
+        _gateways(state, now_ms),
     )
     return [Send(question.gateway, answer)]
 
@@ -114,8 +118,12 @@
         if now_ms - waiting.since_ms >= CONFIRM_MS:
             del spread.waiting[serial]
             effects.append(RefuseReport(waiting.number))
-    if now_ms < spread.share_due_ms:
+    failing = frozenset(
+        service for service in state.watch.marks if questions.failing_ms(state, now_ms, service) > 0
+    )
+    if now_ms < spread.share_due_ms and failing == spread.failing_shared:
         return effects
+    spread.failing_shared = failing
     spread.share_due_ms = now_ms + SHARE_MS
     forget_gone(spread.directory, now_ms)
     recent = [
@@ -149,6 +157,25 @@
     return known
 
 
+def _own_gateways(state: ControlState, now_ms: int) -> int:
+    """Return how many gateways have asked this process lately."""
+    asked = state.spread.gateways_ms
+    for address, asked_ms in list(asked.items()):
+        if now_ms - asked_ms > PEER_SILENT_MS:
+            del asked[address]
+    return len(asked)
+
+
+def _gateways(state: ControlState, now_ms: int) -> int:
+    """Return about how many gateways there are, as all control processes count them."""
+    others = [
+        item.gateways
+        for item in state.spread.peers.values()
+        if now_ms - item.heard_ms < PEER_SILENT_MS
+    ]
+    return _own_gateways(state, now_ms) + sum(others)
+
+
 def _others(state: ControlState) -> list[str]:
     return [member.address for member in peers(state) if member.address != state.me.address]
 
@@ -169,7 +196,11 @@
     state: ControlState, now_ms: int, reports: list[HeardReport], serial: int
 ) -> list[Effect]:
     share = DirectoryShare(
-        state.settings.me, serial, reports, questions.primary_health(state, now_ms)
+        state.settings.me,
+        serial,
+        reports,
+        questions.primary_health(state, now_ms),
+        _own_gateways(state, now_ms),
     )
     return [Send(address, share) for address in _others(state)]
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -19,7 +19,7 @@
 from .service_state import Failover, Question, Stage
 from .state import ControlState, Role
 
-SUSPECT_MS = 1_000  # overdue answers of this length, seen by a majority of control, are a failure
+SUSPECT_MS = 600  # overdue answers of this length, seen by a majority of control, are a failure
 ORDER_RETRY_MS = 400  # an order without an answer is repeated with the same token
 PROMOTE_LIMIT_MS = 5_000  # a promotion that takes longer is begun anew with a newer token
 RESUME_LIMIT_MS = 3_000  # a replica that can't be reached is resumed after the failover's end
@@ -111,6 +111,13 @@
     return [_note("info", "failover_begun", running, now_ms)]
 
 
+def handle_ended(state: ControlState, command: EndFailover) -> None:
+    """Forget a failover whose end is in the log."""
+    running = state.failover.running.get(command.service)
+    if running is not None and running.token == command.token:
+        del state.failover.running[command.service]
+
+
 def _begin_where_needed(state: ControlState, now_ms: int, service: str) -> list[Effect]:
     mark = state.watch.marks.get(service)
     previous = mark.upstream if mark else ""
@@ -153,7 +160,7 @@
 
 
 def _go_on(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
-    if running.stage is Stage.PROPOSED:
+    if running.stage in (Stage.PROPOSED, Stage.ENDING):
         return []
     if running.stage is Stage.PAUSING:
         return _pause(state, now_ms, running)
@@ -240,7 +247,7 @@
 
 
 def _end(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
-    del state.failover.running[running.service]
+    running.stage = Stage.ENDING
     command = encode(EndFailover(running.service, running.token, running.target))
     effects: list[Effect] = [_note("info", "failover_done", running, now_ms)]
     effects += replication.propose(state, command)
@@ -252,7 +259,7 @@
     effects: list[Effect] = []
     for upstream, service in list(state.failover.to_resume.items()):
         running = state.failover.running.get(service)
-        if running is not None and running.stage is not Stage.RESUMING:
+        if running is not None and running.stage not in (Stage.RESUMING, Stage.ENDING):
             continue
         entry = state.spread.directory.entries.get(upstream)
         if entry is None or entry.report.state is UpstreamState.GONE:
--- a/packages/core/src/endivewick_core/control/questions.py
+++ b/packages/core/src/endivewick_core/control/questions.py
@@ -10,7 +10,7 @@
 from .state import ControlState
 
 ASK_MS = 400  # a quarter of the shortest staleness that contracts commonly allow
-OVERDUE_MS = 600  # the longest round trip between regions, a lost packet and its repeat
+OVERDUE_MS = 500  # the longest round trip between regions, a lost packet and its repeat
 
 
 def services(state: ControlState) -> list[str]:
--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ..codec import CodecFault, decode
-from ..commands import COMMANDS, AssignHomes, BeginFailover, ChangeMembership
+from ..commands import COMMANDS, AssignHomes, BeginFailover, ChangeMembership, EndFailover
 from ..machine import ChangeResult, Machine, apply_command, decode_machine, encode_machine
 from ..messages import AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest
 from . import election, failover, operators
@@ -314,6 +314,8 @@
             state.leading.assigning.pop(name, None)
     if isinstance(command, BeginFailover):
         return failover.handle_begun(state, now_ms, entry.log_index, command)
+    if isinstance(command, EndFailover):
+        failover.handle_ended(state, command)
     return operators.answer_change(state, entry.log_index, command, result)
 
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -68,6 +68,7 @@
     ORDERED = "ordered"
     PROMOTING = "promoting"
     RESUMING = "resuming"
+    ENDING = "ending"
 
 
 @dataclass(slots=True)
@@ -110,6 +111,7 @@
     peer: ControlPeer
     heard_ms: int
     primaries: list[PrimaryHealth]
+    gateways: int = 0
 
 
 @dataclass(slots=True)
@@ -122,3 +124,5 @@
     waiting: dict[int, WaitingReport] = field(default_factory=dict)
     next_serial: int = 1
     share_due_ms: int = 0
+    failing_shared: frozenset[str] = frozenset()
+    gateways_ms: dict[str, int] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -26,7 +26,8 @@
 def check_watch(state: ControlState, now_ms: int) -> list[Effect]:
     """Ask each service's primary where a question is due."""
     effects = _close_silent(state, now_ms)
-    for service in list(questions.services(state)):
+    for service in questions.services(state):
+        effects += _open_all(state, now_ms, service)
         for upstream in _candidates(state, service):
             effects += questions.ask_position(state, now_ms, upstream)
     return effects
@@ -67,10 +68,20 @@
     if connection is None:
         return []
     _forget(state, event.now_ms, connection)
-    text = f"{connection.upstream} of {connection.service}: {event.error.text}"
+    error = event.error
+    text = f"{connection.upstream} of {connection.service}: {error.fault.value} {error.text}"
     return [Note("warning", "upstream_unreachable", text)]
 
 
+def _open_all(state: ControlState, now_ms: int, service: str) -> list[Effect]:
+    """Hold a connection to every upstream: at a failover there may be no room for a new one."""
+    effects: list[Effect] = []
+    for entry in questions.upstreams_of(state, service):
+        if entry.report.upstream not in state.watch.by_upstream:
+            effects += questions.open_connection(state, now_ms, entry)
+    return effects
+
+
 def _candidates(state: ControlState, service: str) -> list[DirectoryEntry]:
     """Return the upstreams that may lead: those that say so, and the one that led last."""
     mark = state.watch.marks.get(service)
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -61,6 +61,7 @@
     """Take a report that is ``age_ms`` old; tell whether it changes what is known."""
     known = directory.entries.get(report.upstream)
     heard_ms = now_ms - age_ms
+    report = _without_address(directory, report)
     if known is None:
         directory.revision += 1
         directory.entries[report.upstream] = DirectoryEntry(report, directory.revision, heard_ms)
@@ -76,6 +77,28 @@
     return changed
 
 
+def _without_address(directory: Directory, report: UpstreamReport) -> UpstreamReport:
+    """Settle who has the report's address: the upstream that started last.
+
+    An upstream that crashed without a goodbye is gone once another one has started at its address,
+    and a late report of it stays without effect.
+    """
+    if report.state is UpstreamState.GONE:
+        return report
+    for entry in directory.entries.values():
+        other = entry.report
+        if other.address != report.address or other.upstream == report.upstream:
+            continue
+        if other.state is UpstreamState.GONE:
+            continue
+        if other.born_ms > report.born_ms:
+            return report._replace(state=UpstreamState.GONE, is_primary=False)
+        directory.revision += 1
+        entry.revision = directory.revision
+        entry.report = other._replace(state=UpstreamState.GONE, is_primary=False)
+    return report
+
+
 def leave(directory: Directory, now_ms: int, upstream: str) -> UpstreamReport | None:
     """Record that an upstream said goodbye; return its last record, or None where unknown."""
     known = directory.entries.get(upstream)
@@ -86,17 +109,6 @@
     return report
 
 
-def holder_of_address(directory: Directory, address: str) -> DirectoryEntry | None:
-    """Return the entry that started last at an address, since addresses are used again."""
-    latest: DirectoryEntry | None = None
-    for entry in directory.entries.values():
-        if entry.report.address != address:
-            continue
-        if latest is None or entry.report.born_ms > latest.report.born_ms:
-            latest = entry
-    return latest
-
-
 def is_silent(entry: DirectoryEntry, now_ms: int) -> bool:
     """Tell whether an upstream's reports have stopped."""
     return now_ms - entry.heard_ms > SILENT_MS
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -9,12 +9,13 @@
 from ..messages import ControlPeer, DirectoryAnswer, DirectoryQuestion
 from ..positions import Position
 from ..watermarks import WatermarkHistory, note_watermark
-from . import placement, pool
+from . import placement, pool, sessions
 from .effects import ApplyDocument, Decision, Effect, Send
 from .events import ConfigurationReceived
 from .state import GatewayState
 
 AVOID_MS = 2_000  # how long a control process that did not answer is left alone
+FIRST_POLL_MS = 100  # between polls until the first configuration; sessions wait for it
 STALE_LEADER_MS = 1_500  # a control process that lost its leader for longer is left for another
 
 
@@ -33,7 +34,8 @@
         effects.append(_leave(state, now_ms, f"no answer for {waited_ms} ms"))
         link.asked_ms = now_ms
     link.sequence += 1
-    link.due_ms = now_ms + state.settings.poll_ms
+    configured = state.configuration.version > 0
+    link.due_ms = now_ms + (state.settings.poll_ms if configured else FIRST_POLL_MS)
     link.asked_at_ms[link.sequence] = now_ms
     link.asked_at_ms.pop(link.sequence - 32, None)
     version = max(state.configuration.version, state.requested_version)
@@ -55,6 +57,7 @@
     link.heard_ms = now_ms
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
+    link.gateways = max(1, answer.gateways)
     for report, age_ms in answer.reports:
         merge_report(state.directory, asked_ms, report, age_ms)
         placement.add_pool(state, report.upstream, report.service)
@@ -65,7 +68,7 @@
     if answer.document and answer.configuration_version > state.requested_version:
         state.requested_version = answer.configuration_version
         effects.append(ApplyDocument(answer.configuration_version, answer.document))
-    if answer.leader_age_ms > STALE_LEADER_MS:
+    if answer.leader_age_ms > STALE_LEADER_MS and state.configuration.version:
         text = f"it has not heard a leader for {answer.leader_age_ms} ms"
         effects.append(_leave(state, now_ms, text))
         return effects
@@ -86,10 +89,14 @@
         "routes": len(configuration.routes),
     }
     state.configuration = configuration
+    effects = pool.renew_transactions(state, event.now_ms)
+    if not inputs["previous"]:
+        for session in list(state.sessions.values()):
+            effects += sessions.take_waiting(state, event.now_ms, session)
     decision = Decision(
         "info", "configuration_in_force", "", "", inputs, str(configuration.version)
     )
-    return [decision]
+    return [decision, *effects]
 
 
 def is_ready(state: GatewayState, now_ms: int) -> bool:
--- a/packages/core/src/endivewick_core/gateway/placement.py
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -220,7 +220,9 @@
         return Placed(False, [])
     connection = pool.take_idle(item, session)
     if connection is None:
-        return Placed(False, pool.open_connection(state, now_ms, item))
+        queue = state.queues.get(item.service)
+        wanted = len(queue.primary) + len(queue.reads) if queue is not None else 1
+        return Placed(False, pool.open_connection(state, now_ms, item, wanted))
     return Placed(True, pool.start(state, now_ms, connection, session, request, wait_for))
 
 
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -32,7 +32,7 @@
 )
 
 OPENING_LIMIT = 3  # connections that open at a time to one upstream; each takes one of its slots
-RESERVED_CONNECTIONS = 3  # left to control's questions, of the limit of an upstream
+RESERVED_CONNECTIONS = 5  # left to control's questions, of the limit of an upstream
 PREPARED_PER_CONNECTION = 200  # statements prepared on a connection before it is reset
 
 Batch = list[tuple[UpstreamStatement, Pending]]
@@ -57,8 +57,10 @@
     return entry is not None and entry.report.state is UpstreamState.READY
 
 
-def open_connection(state: GatewayState, now_ms: int, pool: UpstreamPool) -> list[Effect]:
-    """Open one more connection where the limits allow it."""
+def open_connection(
+    state: GatewayState, now_ms: int, pool: UpstreamPool, wanted: int = 1
+) -> list[Effect]:
+    """Open one more connection where the limits allow it and fewer than ``wanted`` open now."""
     service = state.configuration.services.get(pool.service)
     entry = state.directory.entries.get(pool.upstream)
     if service is None or entry is None or now_ms < pool.closed_until_ms:
@@ -66,7 +68,7 @@
     if len(pool.connections) >= service.connection_limit - RESERVED_CONNECTIONS:
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
-    if opening >= OPENING_LIMIT:
+    if opening >= min(OPENING_LIMIT, max(1, wanted)):
         return []
     connection = Connection(state.next_connection, pool.upstream, now_ms, heard_ms=now_ms)
     state.next_connection += 1
@@ -105,19 +107,19 @@
     and a single read with ``wait_for``. Where it isn't, the transaction is begun first and the
     statement follows its answer.
     """
-    pool = state.pools[connection.upstream]
     single = session.state is TransactionState.IDLE
     batch: Batch = []
     if single and (request.is_write or wait_for is not None):
         _align(now_ms, connection, session, batch)
         _add_work(state, now_ms, connection, session, request, wait_for, batch)
-        _begin_again(state, now_ms, pool, batch)
+        _begin_again(state, now_ms, connection, batch)
         return _send(connection, batch)
     if connection.in_transaction and _is_aligned(connection, session) and wait_for is None:
         return _continue(state, now_ms, connection, session, request)
     _align(now_ms, connection, session, batch)
     begin = BEGIN_READ_ONLY if wait_for is not None else BEGIN
     batch.append((UpstreamStatement(begin, wait_for), Pending(Purpose.BEGIN, now_ms)))
+    connection.begun_version = state.configuration.version
     connection.next_request = request
     return _send(connection, batch)
 
@@ -146,7 +148,7 @@
         _set(now_ms, connection, name, value, batch)
     _add_work(state, now_ms, connection, session, request, None, batch)
     if request.statement.kind is StatementKind.COMMIT:
-        _begin_again(state, now_ms, state.pools[connection.upstream], batch)
+        _begin_again(state, now_ms, connection, batch)
     return _send(connection, batch)
 
 
@@ -170,6 +172,8 @@
     pool = state.pools[connection.upstream]
     begun = _wants_transaction(state, now_ms, pool)
     clean = not connection.is_dirty and not connection.is_used
+    if connection.in_transaction and connection.begun_version != state.configuration.version:
+        clean = False
     if clean and connection.in_transaction == begun:
         return make_idle(state, now_ms, connection)
     batch: Batch = []
@@ -178,7 +182,7 @@
     if connection.is_dirty:
         _reset(now_ms, connection, batch)
     connection.is_used = False
-    _begin_again(state, now_ms, pool, batch)
+    _begin_again(state, now_ms, connection, batch)
     if not batch:
         return make_idle(state, now_ms, connection)
     return _send(connection, batch)
@@ -212,16 +216,23 @@
 
 
 def close_unused(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Close what was idle for long, keeping one, and all idle ones of upstreams that leave."""
+    """Close what was idle for long, keeping one, and all idle ones of upstreams that leave.
+
+    Connections above this gateway's share of an upstream's limit are given back soon.
+    """
     effects: list[Effect] = []
     for pool in list(state.pools.values()):
         usable = may_use(state, now_ms, pool)
-        limit_ms = state.settings.idle_connection_ms if usable else 0
+        share = _share(state, pool)
         kept = 1 if usable else 0
         for number in list(pool.idle):
             connection = pool.connections[number]
             if len(pool.connections) <= kept:
                 break
+            borrowed = len(pool.connections) > share
+            limit_ms = state.settings.idle_connection_ms if usable else 0
+            if borrowed:
+                limit_ms = min(limit_ms, state.settings.borrowed_idle_ms)
             if now_ms - connection.idle_since_ms >= limit_ms:
                 effects += close(state, connection)
         if not pool.connections and pool.upstream not in state.directory.entries:
@@ -229,6 +240,26 @@
     return effects
 
 
+def _share(state: GatewayState, pool: UpstreamPool) -> int:
+    """Return this gateway's part of the connections that an upstream takes."""
+    service = state.configuration.services.get(pool.service)
+    if service is None:
+        return 0
+    room = service.connection_limit - RESERVED_CONNECTIONS
+    return max(1, room // state.control.gateways)
+
+
+def renew_transactions(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Begin the idle transactions anew, so that none is older than the configuration in force."""
+    effects: list[Effect] = []
+    for connection in list(state.connections.values()):
+        pool = state.pools[connection.upstream]
+        if connection.number in pool.idle and connection.in_transaction:
+            pool.idle.remove(connection.number)
+            effects += release(state, now_ms, connection)
+    return effects
+
+
 def follow_primary(state: GatewayState, now_ms: int, service: str, primary: str) -> list[Effect]:
     """Take an upstream for a service's primary; end the idle transactions on the others."""
     previous = state.primaries.get(service, "")
@@ -272,7 +303,7 @@
         return send_pinned(state, now_ms, connection, session, request)
     _add_work(state, now_ms, connection, session, request, None, batch)
     batch.append((UpstreamStatement(ROLLBACK), Pending(Purpose.ROLLBACK, now_ms)))
-    _begin_again(state, now_ms, state.pools[connection.upstream], batch)
+    _begin_again(state, now_ms, connection, batch)
     return _send(connection, batch)
 
 
@@ -333,8 +364,11 @@
     return name
 
 
-def _begin_again(state: GatewayState, now_ms: int, pool: UpstreamPool, batch: Batch) -> None:
+def _begin_again(state: GatewayState, now_ms: int, connection: Connection, batch: Batch) -> None:
+    """Begin the next transaction ahead, where the upstream is the primary."""
+    pool = state.pools[connection.upstream]
     if _wants_transaction(state, now_ms, pool):
+        connection.begun_version = state.configuration.version
         batch.append((UpstreamStatement(BEGIN), Pending(Purpose.BEGIN, now_ms)))
 
 
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -36,6 +36,7 @@
     effects += results.check_deadlines(state, now_ms)
     effects += results.check_silent(state, now_ms)
     effects += sessions.check_idle(state, now_ms)
+    effects += sessions.check_unconfigured(state, now_ms)
     effects += control_link.open_ahead(state, now_ms)
     for service in list(state.queues):
         effects += placement.pump(state, now_ms, service)
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -23,7 +23,8 @@
 
 def handle_opened(state: GatewayState, event: SessionOpened) -> list[Effect]:
     """Open a session for a workspace that has a route."""
-    if event.workspace not in state.configuration.routes:
+    configured = state.configuration.version > 0
+    if configured and event.workspace not in state.configuration.routes:
         return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
     session = Session(event.session, event.workspace, active_ms=event.now_ms)
     state.sessions[event.session] = session
@@ -35,8 +36,10 @@
     session = state.sessions.get(event.session)
     if session is None:
         return []
-    if session.current is None:
+    if session.current is None and state.configuration.version:
         return _run(state, event.now_ms, session, event.statement)
+    if not state.configuration.version:
+        session.active_ms = event.now_ms
     if len(session.waiting) >= WAITING_LIMIT:
         return _end(state, event.now_ms, session)
     session.waiting.append(event.statement)
@@ -46,7 +49,7 @@
 def take_waiting(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
     """Run the statements that a client sent ahead."""
     effects: list[Effect] = []
-    while session.waiting and session.current is None:
+    while session.waiting and session.current is None and state.configuration.version:
         effects += _run(state, now_ms, session, session.waiting.popleft())
     return effects
 
@@ -73,6 +76,20 @@
     return effects
 
 
+def check_unconfigured(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Refuse the statements that have waited too long for the first configuration."""
+    if state.configuration.version:
+        return []
+    effects: list[Effect] = []
+    for session in state.sessions.values():
+        if not session.waiting or now_ms - session.active_ms < state.settings.unconfigured_ms:
+            continue
+        statement = session.waiting.popleft()
+        error = Error(Fault.BUSY, "no configuration has arrived yet", placement.RETRY_AFTER_MS)
+        effects += answers.refuse_own(session, statement.kind, statement.request_id, error)
+    return effects
+
+
 def close_idle(state: GatewayState, now_ms: int, is_last_call: bool) -> list[Effect]:
     """Close the sessions that are between operations; on the last call, those in a transaction."""
     effects: list[Effect] = []
@@ -100,7 +117,6 @@
         session.is_read_only = statement.is_read_only
         session.wrote = False
         session.statements_run = 0
-        session.route = state.configuration.routes[session.workspace]
     if statement.kind is StatementKind.SET:
         session.values[statement.name] = statement.argument
     if statement.kind is StatementKind.PREPARE:
@@ -181,10 +197,11 @@
 
 
 def _route(state: GatewayState, session: Session) -> Route | None:
-    """Return the route in force: a transaction keeps the one it began with."""
-    if session.state is TransactionState.OPEN:
+    """Return the route in force: a transaction keeps that of its first statement upstream."""
+    if session.state is TransactionState.OPEN and session.connection is not None:
         return session.route
-    return state.configuration.routes.get(session.workspace)
+    session.route = state.configuration.routes.get(session.workspace)
+    return session.route
 
 
 def _end(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -25,6 +25,8 @@
     control_timeout_ms: int = 700  # a lost message and the longest round trip between regions
     open_timeout_ms: int = 1_500  # a handshake, the longest round trip and one lost packet
     idle_connection_ms: int = 15_000  # one swing of the load, so that crests find connections open
+    borrowed_idle_ms: int = 1_500  # the same above this gateway's share, which others may need
+    unconfigured_ms: int = 1_500  # how long statements wait for the first configuration
     refused_pause_ms: int = 500  # how long an upstream at its connection limit is left alone
     queue_limit: int = 500  # statements that wait in one gateway; memory stays below a megabyte
 
@@ -116,6 +118,7 @@
     opened_ms: int
     is_open: bool = False
     in_transaction: bool = False
+    begun_version: int = 0
     is_used: bool = False
     session: int | None = None
     is_dirty: bool = False
@@ -160,6 +163,7 @@
     avoid_until_ms: dict[str, int] = field(default_factory=dict)
     boot: str = ""
     revision: int = 0
+    gateways: int = 1
 
 
 class Queued(NamedTuple):
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -281,7 +281,8 @@
 
     ``reports`` are those after the asker's revision, or all of them where ``control_boot`` is new
     to the asker. ``document`` is the configuration, or empty where the asker has it.
-    ``leader_age_ms`` tells how long ago the sender last knew itself up to date.
+    ``leader_age_ms`` tells how long ago the sender last knew itself up to date, and ``gateways``
+    how many share the connections of each upstream.
     """
 
     sequence: int
@@ -293,15 +294,20 @@
     document: bytes
     watermarks: list[WatermarkNote]
     leader_age_ms: int
+    gateways: int
 
 
 class DirectoryShare(NamedTuple):
-    """Pass reports on to another control process; ``serial`` is echoed, 0 asks for no echo."""
+    """Pass reports on to another control process.
+
+    ``serial`` is echoed, 0 asks for no echo. ``gateways`` counts those that ask the sender.
+    """
 
     sender: ControlPeer
     serial: int
     reports: list[HeardReport]
     primaries: list[PrimaryHealth]
+    gateways: int
 
 
 class DirectoryShareReceived(NamedTuple):
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -122,6 +122,14 @@
     )
 
 
+def _first_election_ms(settings: ControlSettings) -> int:
+    """Return when a process that has just started asks for votes, if no leader is heard.
+
+    It is soon, since all may have started; where another leads, the pre-vote is refused.
+    """
+    return int(settings.election_timeout_ms * (0.1 + 0.4 * draw()))
+
+
 class ControlNode:
     """One control process."""
 
@@ -135,7 +143,7 @@
         if founds and stored.snapshot is None:
             self._found(plan.founders)
         self._state.spread.boot = uuid.uuid4().hex[:8]
-        self._state.election_due_ms = now_ms() + self._state.settings.election_timeout_ms
+        self._state.election_due_ms = now_ms() + _first_election_ms(plan.control)
         if stored.cut_bytes:
             text = f"removed {stored.cut_bytes} bytes of a write that was cut short"
             log("warning", "log_tail_cut", text)
