--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,10 @@
 	$(BIN)/python -m pytest -n $(WORKERS)
 
 check: install
-	$(BIN)/black --quiet --check packages tests
-	$(BIN)/ruff check --quiet packages tests
-	$(BIN)/mypy packages/core/src packages/node/src packages/ctl/src packages/bench/src
+	$(BIN)/black --quiet --check packages platform tests
+	$(BIN)/ruff check --quiet packages platform tests
+	$(BIN)/mypy packages/core/src packages/node/src packages/ctl/src packages/bench/src platform
 
 format: install
-	$(BIN)/black packages tests
-	$(BIN)/ruff check --fix packages tests
+	$(BIN)/black packages platform tests
+	$(BIN)/ruff check --fix packages platform tests
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -89,7 +89,7 @@
         other = entry.report
         if other.address != report.address or other.upstream == report.upstream:
             continue
-        if other.state is UpstreamState.GONE:
+        if other.state is UpstreamState.GONE or other.born_ms == report.born_ms:
             continue
         if other.born_ms > report.born_ms:
             return report._replace(state=UpstreamState.GONE, is_primary=False)
--- /dev/null
+++ b/tests/control_driver.py
@@ -0,0 +1,246 @@
+"""A driver for one control process's reducer: it plays upstreams, peers and the platform."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from endivewick_core.control import effects as cx
+from endivewick_core.control import election
+from endivewick_core.control import events as ce
+from endivewick_core.control.reducer import reduce
+from endivewick_core.control.state import ControlSettings, ControlState, Membership, Role
+from endivewick_core.directory import UpstreamReport, UpstreamState
+from endivewick_core.messages import (
+    AppendReply,
+    AppendRequest,
+    ControlPeer,
+    DirectoryShare,
+    DirectoryShareReceived,
+    Member,
+    PrimaryHealth,
+)
+from endivewick_core.positions import Position
+from endivewick_core.statements import (
+    Error,
+    Fault,
+    StatementKind,
+    TransactionState,
+    UpstreamReply,
+    UpstreamStatus,
+)
+from endivewick_core.upstream_links import (
+    CloseConnection,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    OpenConnection,
+    SendStatements,
+)
+
+SERVICE = "orders"
+ADDRESSES = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
+CENTRES = dict(zip(ADDRESSES, ("dc-a", "dc-b", "dc-c"), strict=True))
+START_MS = 100_000
+
+
+def peer(address):
+    return ControlPeer(address, address.replace(":7000", ":80"), CENTRES[address])
+
+
+@dataclass
+class FakeUpstream:
+    """An upstream that answers control's questions as its fields say."""
+
+    name: str
+    leads: bool = False
+    received: Position = Position(1, 10)
+    reachable: bool = True
+    paused_term: int = 0
+    state: UpstreamState = UpstreamState.READY
+    born_ms: int = 1_000
+
+
+@dataclass
+class Control:
+    """A leader under test with two followers that agree to everything."""
+
+    state: ControlState
+    upstreams: dict[str, FakeUpstream]
+    now_ms: int = START_MS
+    connections: dict[int, str] = field(default_factory=dict)
+    orders: list[cx.OrderFailover] = field(default_factory=list)
+    acknowledged: list[int] = field(default_factory=list)
+    refused: list[int] = field(default_factory=list)
+    answers: dict[int, Any] = field(default_factory=dict)
+    shares: list[tuple[str, DirectoryShare]] = field(default_factory=list)
+    notes: list[str] = field(default_factory=list)
+    replies: list[Any] = field(default_factory=list)
+    deaf: set[str] = field(default_factory=set)
+    sequence: int = 1
+
+    def handle(self, event):
+        """Reduce one event and carry out its effects at once."""
+        pending = list(reduce(self.state, event))
+        while pending:
+            pending += self._carry_out(pending.pop(0))
+
+    def _carry_out(self, effect):
+        if isinstance(effect, cx.Send):
+            return self._follow(effect)
+        if isinstance(effect, OpenConnection):
+            self.connections[effect.connection] = effect.upstream
+            if self.upstreams[effect.upstream].reachable:
+                return reduce(self.state, ConnectionOpened(self.now_ms, effect.connection))
+        if isinstance(effect, CloseConnection):
+            self.connections.pop(effect.connection, None)
+        if isinstance(effect, SendStatements):
+            return self._ask(effect)
+        if isinstance(effect, cx.OrderFailover):
+            self.orders.append(effect)
+        if isinstance(effect, cx.AcknowledgeReport):
+            self.acknowledged.append(effect.number)
+        if isinstance(effect, cx.RefuseReport):
+            self.refused.append(effect.number)
+        if isinstance(effect, cx.AnswerOperator | cx.AnswerConfiguration | cx.RedirectOperator):
+            self.answers[effect.number] = effect
+        if isinstance(effect, cx.Note):
+            self.notes.append(effect.name)
+        return []
+
+    def _follow(self, effect):
+        message = effect.message
+        if isinstance(message, DirectoryShare):
+            self.shares.append((effect.address, message))
+            if message.serial and effect.address not in self.deaf:
+                received = DirectoryShareReceived(effect.address, message.serial)
+                return reduce(self.state, ce.MessageReceived(self.now_ms, received))
+        if isinstance(message, AppendRequest) and effect.address not in self.deaf:
+            match = message.previous_index + len(message.entries)
+            reply = AppendReply(
+                message.term, f"{effect.address}#founder", True, match, message.round_number
+            )
+            return reduce(self.state, ce.MessageReceived(self.now_ms, reply))
+        self.replies.append(effect)
+        return []
+
+    def _ask(self, effect):
+        upstream = self.upstreams[self.connections[effect.connection]]
+        effects = []
+        for item in effect.statements:
+            if not upstream.reachable:
+                continue
+            reply = self._reply(upstream, item.statement)
+            effects += reduce(self.state, ConnectionReplied(self.now_ms, effect.connection, reply))
+        return effects
+
+    def _reply(self, upstream, statement):
+        idle = TransactionState.IDLE
+        if statement.kind is StatementKind.PAUSE:
+            upstream.paused_term = int(statement.argument)
+        if statement.kind is StatementKind.RESUME:
+            upstream.paused_term = 0
+        status = None
+        if statement.kind in (StatementKind.PAUSE, StatementKind.RESUME):
+            status = UpstreamStatus(upstream.leads, upstream.received)
+        error = None
+        if statement.kind is StatementKind.BEGIN and not upstream.leads:
+            error = Error(Fault.READ_ONLY, "")
+        return UpstreamReply((), "", error, idle, upstream.received, status)
+
+    def break_connections(self, name):
+        """End an upstream's connections, as a crash does."""
+        for number in [item for item, upstream in self.connections.items() if upstream == name]:
+            del self.connections[number]
+            error = Error(Fault.ABORTED, "the upstream closed the connection")
+            self.handle(ConnectionBroke(self.now_ms, number, error))
+
+    def run(self, for_ms, step_ms=20):
+        """Let time pass; upstreams keep reporting and followers keep sharing."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            if self.now_ms % 1_000 < step_ms:
+                self.report_all()
+                self.share()
+            self.handle(ce.Tick(self.now_ms, 0.5))
+
+    def share(self, failing_ms=None):
+        """Let the followers say how they find the primary: as this process does, or as told."""
+        for address in ADDRESSES[1:]:
+            if address in self.deaf:
+                continue
+            mark = self.state.watch.marks.get(SERVICE)
+            primary = mark.upstream if mark else ""
+            failing = not self.upstreams[primary].reachable if primary else False
+            told = failing_ms if failing_ms is not None else (1_000 if failing else 0)
+            health = [PrimaryHealth(SERVICE, primary, told)] if primary else []
+            share = DirectoryShare(peer(address), 0, [], health, 0)
+            self.handle(ce.MessageReceived(self.now_ms, share))
+
+    def report_all(self):
+        """Let every reachable upstream report itself."""
+        for upstream in self.upstreams.values():
+            if upstream.reachable:
+                self.report(upstream)
+
+    def report(self, upstream, number=0):
+        """Let an upstream report itself."""
+        self.sequence += 1
+        made = UpstreamReport(
+            upstream.name,
+            SERVICE,
+            f"10.0.1.1:{5_000 + sum(upstream.name.encode())}",
+            "dc-a",
+            3,
+            upstream.state,
+            upstream.leads,
+            0,
+            upstream.born_ms,
+            self.sequence,
+        )
+        self.handle(ce.ReportReceived(self.now_ms, number, made))
+
+    def operator(self, number, request):
+        """Send an operator's request."""
+        self.handle(ce.OperatorRequested(self.now_ms, number, request))
+
+    def platform(self, outcome):
+        """Answer the newest order."""
+        order = self.orders[-1]
+        event = ce.FailoverAnswered(self.now_ms, order.service, order.token, outcome)
+        self.handle(event)
+
+    def promote(self, name):
+        """Let an upstream lead the next term, as the platform does after an order."""
+        term = max(item.received.term for item in self.upstreams.values()) + 1
+        for upstream in self.upstreams.values():
+            upstream.leads = upstream.name == name
+        self.upstreams[name].received = Position(term, self.upstreams[name].received.offset)
+        self.upstreams[name].paused_term = 0
+
+
+def leading_control():
+    """Return a leader of three founders, with a configuration and three upstreams."""
+    me = Member(f"{ADDRESSES[0]}#founder", ADDRESSES[0], ADDRESSES[0])
+    settings = ControlSettings({}, {}, ADDRESSES, 3, peer(ADDRESSES[0]))
+    state = ControlState(settings, me, Role.FOLLOWER)
+    voters = [Member(f"{address}#founder", address, address) for address in ADDRESSES]
+    state.snapshot_membership = Membership(voters, [])
+    state.spread.boot = "boot"
+    upstreams = {
+        "u-primary": FakeUpstream("u-primary", leads=True),
+        "u-second": FakeUpstream("u-second"),
+        "u-third": FakeUpstream("u-third"),
+    }
+    control = Control(state, upstreams)
+    state.term = 1
+    state.voted_for = me.member_id
+    state.votes = {me.member_id, voters[1].member_id}
+    state.role = Role.CANDIDATE
+    for effect in election._count_votes(state, control.now_ms):
+        for following in control._carry_out(effect):
+            control._carry_out(following)
+    control.run(200)
+    control.operator(1, ce.PutConfigurationRequest(1, [SERVICE], b"document-1"))
+    control.report_all()
+    control.run(2_000)
+    return control
--- /dev/null
+++ b/tests/gateway_driver.py
@@ -0,0 +1,245 @@
+"""A driver for the gateway's reducer: it plays clients, upstreams and control by hand."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from endivewick_core.directory import UpstreamReport, UpstreamState
+from endivewick_core.gateway import effects as fx
+from endivewick_core.gateway import events as ev
+from endivewick_core.gateway.reducer import reduce
+from endivewick_core.gateway.state import GatewaySettings, GatewayState
+from endivewick_core.messages import ControlPeer, DirectoryAnswer, HeardReport, WatermarkNote
+from endivewick_core.positions import Position
+from endivewick_core.routes import Configuration, Freshness, Route, Service
+from endivewick_core.statements import (
+    Error,
+    Fault,
+    Statement,
+    StatementKind,
+    TransactionState,
+    UpstreamReply,
+)
+from endivewick_core.upstream_links import (
+    CloseConnection,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    OpenConnection,
+    SendStatements,
+)
+
+SERVICE = "orders"
+PRIMARY, REPLICA, FAR_REPLICA = "u-primary", "u-replica", "u-far"
+CONTROL = "10.0.0.1:7000"
+REGIONS = {"dc-a": "north", "dc-b": "north", "dc-c": "south"}
+START_MS = 100_000
+
+
+def route(workspace, freshness, **changes):
+    fields = Route(workspace, SERVICE, freshness, 1_000, 600, 1, 1_500)
+    return fields._replace(**changes)
+
+
+def configuration(version=1, limit=21, **changes):
+    routes = {
+        "strict": route("strict", Freshness.PRIMARY),
+        "bounded": route("bounded", Freshness.BOUNDED),
+        "session": route("session", Freshness.SESSION),
+    }
+    made = Configuration(version, routes, {SERVICE: Service(SERVICE, limit, 1)}, 3_000)
+    return made._replace(**changes)
+
+
+def report(upstream, **changes):
+    places = {PRIMARY: "dc-c", REPLICA: "dc-a", FAR_REPLICA: "dc-b"}
+    address = f"10.0.1.{len(upstream)}:{5_000 + sum(upstream.encode())}"
+    made = UpstreamReport(
+        upstream,
+        SERVICE,
+        address,
+        places.get(upstream, "dc-a"),
+        3,
+        UpstreamState.READY,
+        upstream == PRIMARY,
+        0,
+        1_000,
+        1,
+    )
+    return made._replace(**changes)
+
+
+def position(number, term=1):
+    return Position(term, number)
+
+
+@dataclass
+class Sent:
+    """A statement on its way to an upstream, unanswered."""
+
+    connection: int
+    upstream: str
+    kind: StatementKind
+    statement: Statement
+    wait_for: Position | None
+
+
+@dataclass
+class Gateway:
+    """A gateway under test, with everything it has sent and not yet been answered."""
+
+    state: GatewayState
+    now_ms: int = START_MS
+    upstream_of: dict[int, str] = field(default_factory=dict)
+    opening: list[int] = field(default_factory=list)
+    sent: list[Sent] = field(default_factory=list)
+    writes: list[list[StatementKind]] = field(default_factory=list)
+    answers: list[Any] = field(default_factory=list)
+    closed: list[int] = field(default_factory=list)
+    closed_sessions: list[int] = field(default_factory=list)
+    refused: list[Any] = field(default_factory=list)
+    decisions: list[fx.Decision] = field(default_factory=list)
+    documents: list[fx.ApplyDocument] = field(default_factory=list)
+    messages: list[fx.Send] = field(default_factory=list)
+    next_id: int = 1
+
+    def handle(self, event):
+        """Reduce one event and sort its effects."""
+        for effect in reduce(self.state, event):
+            self._take(effect)
+
+    def _take(self, effect):
+        if isinstance(effect, OpenConnection):
+            self.upstream_of[effect.connection] = effect.upstream
+            self.opening.append(effect.connection)
+        elif isinstance(effect, SendStatements):
+            kinds = [item.statement.kind for item in effect.statements]
+            self.writes.append(kinds)
+            upstream = self.upstream_of[effect.connection]
+            for item in effect.statements:
+                sent = Sent(
+                    effect.connection, upstream, item.statement.kind, item.statement, item.wait_for
+                )
+                self.sent.append(sent)
+        elif isinstance(effect, CloseConnection):
+            self.closed.append(effect.connection)
+            self.sent = [item for item in self.sent if item.connection != effect.connection]
+        elif isinstance(effect, fx.AnswerStatement):
+            self.answers.append(effect)
+        elif isinstance(effect, fx.CloseSession):
+            self.closed_sessions.append(effect.session)
+        elif isinstance(effect, fx.RefuseSession):
+            self.refused.append(effect)
+        elif isinstance(effect, fx.Decision):
+            self.decisions.append(effect)
+        elif isinstance(effect, fx.ApplyDocument):
+            self.documents.append(effect)
+        elif isinstance(effect, fx.Send):
+            self.messages.append(effect)
+
+    def tick(self, passed_ms=20):
+        """Let time pass, in one step."""
+        self.now_ms += passed_ms
+        self.handle(ev.Tick(self.now_ms))
+
+    def poll_answer(self, reports=(), watermarks=(), **changes):
+        """Answer the newest poll of control."""
+        question = [item for item in self.messages if item.address == CONTROL][-1].message
+        answer = DirectoryAnswer(
+            question.sequence,
+            "boot",
+            1,
+            [HeardReport(item, 0) for item in reports],
+            [ControlPeer(CONTROL, "10.0.0.1:80", "dc-a")],
+            0,
+            b"",
+            list(watermarks),
+            0,
+            1,
+        )
+        self.handle(ev.MessageReceived(self.now_ms, answer._replace(**changes)))
+
+    def open_all(self):
+        """Accept every connection that is opening, and answer its setup."""
+        while self.opening:
+            self.handle(ConnectionOpened(self.now_ms, self.opening.pop(0)))
+        self.settle()
+
+    def settle(self):
+        """Answer everything but clients' statements, at position 1.10."""
+        while True:
+            item = next((one for one in self.sent if one.statement.request_id == "-"), None)
+            if item is None or item is not self._first_on(item.connection):
+                return
+            self.reply(item)
+
+    def _first_on(self, connection):
+        return next(item for item in self.sent if item.connection == connection)
+
+    def reply(self, item, error=None, number=10, rows=(), term=1, state=None):
+        """Answer the oldest statement of a connection."""
+        assert item is self._first_on(item.connection), "answers come in order"
+        self.sent.remove(item)
+        if state is None:
+            state = self._state_after(item, error)
+        proof = "" if error or item.statement.request_id == "-" else f"proof-{number}"
+        reply = UpstreamReply(rows, proof, error, state, position(number, term))
+        self.handle(ConnectionReplied(self.now_ms, item.connection, reply))
+
+    def _state_after(self, item, error):
+        open_now = self.state.connections[item.connection].in_transaction
+        if item.kind is StatementKind.BEGIN:
+            return TransactionState.IDLE if error else TransactionState.OPEN
+        if item.kind in (StatementKind.ROLLBACK, StatementKind.COMMIT):
+            return TransactionState.IDLE
+        if open_now:
+            return TransactionState.FAILED if error else TransactionState.OPEN
+        return TransactionState.IDLE
+
+    def lose(self, connection, fault=Fault.ABORTED):
+        """End a connection from outside."""
+        self.sent = [item for item in self.sent if item.connection != connection]
+        error = Error(fault, "the connection was reset")
+        self.handle(ConnectionBroke(self.now_ms, connection, error))
+
+    def session(self, number, workspace):
+        """Open a session."""
+        self.handle(ev.SessionOpened(self.now_ms, number, workspace))
+        return number
+
+    def send(self, session, kind, **fields):
+        """Send a statement of a session; return its request id."""
+        request_id = f"r{self.next_id}"
+        self.next_id += 1
+        texts = {
+            StatementKind.READ: "read a",
+            StatementKind.WRITE: "write a 1",
+            StatementKind.COMMIT: "commit",
+        }
+        statement = Statement(kind, request_id, texts.get(kind, ""), **fields)
+        self.handle(ev.StatementReceived(self.now_ms, session, statement))
+        return request_id
+
+    def work(self, request_id):
+        """Return a client's statement that is on its way to an upstream, or None."""
+        for item in self.sent:
+            if item.statement.request_id == request_id:
+                return item
+        return None
+
+    def mark(self, number, age_ms=0, term=1, upstream=PRIMARY):
+        """Return a watermark note of control."""
+        return WatermarkNote(SERVICE, upstream, term, number, age_ms)
+
+
+def ready_gateway(version=1, connections=1, **changes):
+    """Return a gateway with a configuration, three upstreams and open connections."""
+    settings = GatewaySettings("10.0.0.9:7000", "b", "dc-a", REGIONS, [CONTROL])
+    gateway = Gateway(GatewayState(settings))
+    gateway.tick()
+    gateway.handle(ev.ConfigurationReceived(gateway.now_ms, configuration(version, **changes)))
+    reports = [report(PRIMARY), report(REPLICA), report(FAR_REPLICA)]
+    gateway.poll_answer(reports, [gateway.mark(10)])
+    for _ in range(connections):
+        gateway.tick()
+        gateway.open_all()
+    return gateway
--- /dev/null
+++ b/tests/test_control_services.py
@@ -0,0 +1,241 @@
+"""Control's care for services: the directory, configurations, and failover of a primary."""
+
+import pytest
+from control_driver import ADDRESSES, SERVICE, FakeUpstream, leading_control
+from endivewick_core.control import events as ce
+from endivewick_core.control.events import FailoverOutcome
+from endivewick_core.directory import Directory, UpstreamState, leave, merge_report
+from endivewick_core.machine import FailoverRecord
+from endivewick_core.messages import DirectoryQuestion
+from endivewick_core.positions import Position
+from gateway_driver import report
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, IsInstance, Not
+
+
+@pytest.fixture
+def control():
+    return leading_control()
+
+
+def fail_primary(control):
+    control.upstreams["u-primary"].reachable = False
+    control.break_connections("u-primary")
+
+
+def test_the_primary_is_the_upstream_that_accepts_a_transaction(control):
+    mark = control.state.watch.marks[SERVICE]
+    assert_that((mark.upstream, mark.position), Equals(("u-primary", Position(1, 10))))
+
+
+def test_control_holds_a_connection_to_every_upstream(control):
+    """At a failover an upstream may be at its connection limit."""
+    assert_that(set(control.connections.values()), Equals(set(control.upstreams)))
+
+
+def test_a_failed_primary_is_replaced_by_the_replica_that_received_most(control):
+    control.upstreams["u-second"].received = Position(1, 11)
+    control.upstreams["u-third"].received = Position(1, 12)
+    fail_primary(control)
+    control.run(3_000)
+    order = control.orders[-1]
+    assert_that((order.service, order.upstream), Equals((SERVICE, "u-third")))
+
+
+def test_every_replica_is_paused_before_one_is_chosen(control):
+    fail_primary(control)
+    control.run(3_000)
+    assert_that(len(control.orders), GreaterThan(0))
+    paused = {item.name for item in control.upstreams.values() if item.paused_term}
+    assert_that(paused, Equals({"u-second", "u-third"}))
+    assert_that(control.upstreams["u-second"].paused_term, Equals(2))
+
+
+def test_nothing_is_ordered_while_a_replica_has_not_been_asked(control):
+    """The replica that can't be reached may hold the only copy of an acknowledged commit."""
+    control.upstreams["u-third"].reachable = False
+    fail_primary(control)
+    control.run(5_000)
+    assert_that(control.orders, Equals([]))
+    control.upstreams["u-third"].reachable = True
+    control.run(2_500)
+    assert_that(len(control.orders), GreaterThan(0))
+
+
+def test_a_leaving_replica_is_asked_too(control):
+    leaving = control.upstreams["u-third"]
+    leaving.state = UpstreamState.LEAVING
+    leaving.received = Position(1, 50)
+    control.report(leaving, 9)
+    fail_primary(control)
+    control.run(3_000)
+    assert_that(control.orders[-1].upstream, Equals("u-third"))
+
+
+def test_one_process_that_misses_the_primary_does_not_replace_it(control):
+    fail_primary(control)
+    control.share(failing_ms=0)
+    for _ in range(40):
+        control.now_ms += 20
+        control.share(failing_ms=0)
+        control.handle(ce.Tick(control.now_ms, 0.5))
+    assert_that(control.orders, Equals([]))
+
+
+def test_the_replicas_receive_again_after_a_failover(control):
+    fail_primary(control)
+    control.run(3_000)
+    control.platform(FailoverOutcome.ACCEPTED)
+    control.promote(control.orders[-1].upstream)
+    control.run(5_000)
+    paused = {item.name for item in control.upstreams.values() if item.paused_term}
+    assert_that(paused, Equals(set()))
+    assert_that(control.state.failover.running, Equals({}))
+
+
+def test_a_failover_is_carried_out_once(control):
+    """The end of a failover must be in the log before the leader looks for open ones again."""
+    fail_primary(control)
+    control.run(3_000)
+    control.platform(FailoverOutcome.ACCEPTED)
+    control.promote(control.orders[-1].upstream)
+    control.run(10_000)
+    assert_that(control.notes.count("failover_needed"), Equals(1))
+    assert_that(control.state.machine.failovers[SERVICE].is_open, Equals(False))
+
+
+def test_an_order_without_an_answer_is_repeated_with_its_token(control):
+    fail_primary(control)
+    control.run(3_000)
+    first = control.orders[-1]
+    control.platform(FailoverOutcome.UNANSWERED)
+    control.run(500)
+    assert_that(control.orders[-1], Equals(first))
+    assert_that(len(control.orders), Equals(2))
+
+
+def test_a_refused_order_is_followed_by_one_with_a_higher_token(control):
+    fail_primary(control)
+    control.run(3_000)
+    first = control.orders[-1]
+    control.platform(FailoverOutcome.REFUSED)
+    control.run(500)
+    assert_that(control.orders[-1].token, GreaterThan(first.token))
+
+
+def test_a_failover_that_a_former_leader_left_open_names_the_primary_again(control):
+    """A late order of the former leader is refused once a higher token was seen."""
+    control.state.machine.failovers[SERVICE] = FailoverRecord(1, "another", True, "")
+    control.upstreams["u-second"].paused_term = 2
+    control.run(1_500)
+    order = control.orders[-1]
+    assert_that(order.upstream, Equals("u-primary"))
+    assert_that(order.token, GreaterThan(1))
+    control.platform(FailoverOutcome.ACCEPTED)
+    control.run(1_500)
+    assert_that(control.upstreams["u-second"].paused_term, Equals(0))
+
+
+def test_a_primary_that_leaves_is_replaced_before_it_ends(control):
+    control.upstreams["u-primary"].state = UpstreamState.LEAVING
+    control.report(control.upstreams["u-primary"], 9)
+    control.run(1_000)
+    assert_that(control.orders[-1].upstream, Not(Equals("u-primary")))
+
+
+def test_an_upstream_that_crashed_is_not_waited_for_once_its_address_has_a_new_one(control):
+    fail_primary(control)
+    old = control.upstreams.pop("u-primary")
+    reborn = FakeUpstream("u-primary", received=Position(1, 9), born_ms=9_000)
+    reborn.name = "u-yrimarp"  # the fake's address follows from its letters
+    control.upstreams["u-primary"] = old
+    control.upstreams[reborn.name] = reborn
+    control.report(reborn)
+    entry = control.state.spread.directory.entries["u-primary"]
+    assert_that(entry.report.state, Equals(UpstreamState.GONE))
+
+
+def test_a_leaving_report_is_acknowledged_once_another_process_has_it(control):
+    control.deaf = set(ADDRESSES[1:])
+    leaving = control.upstreams["u-third"]
+    leaving.state = UpstreamState.LEAVING
+    control.report(leaving, 9)
+    assert_that(control.acknowledged, Not(Contains(9)))
+    control.deaf = set()
+    control.sequence += 1
+    control.report(leaving, 10)
+    assert_that(control.acknowledged, Contains(10))
+
+
+def test_a_leaving_report_that_nobody_confirms_is_refused(control):
+    control.deaf = set(ADDRESSES[1:])
+    leaving = control.upstreams["u-third"]
+    leaving.state = UpstreamState.LEAVING
+    control.report(leaving, 9)
+    control.run(720)
+    assert_that(control.refused, Equals([9]))
+
+
+def test_a_configuration_is_acknowledged_again_and_never_replaced_by_an_older_one(control):
+    put = ce.PutConfigurationRequest
+    control.operator(11, put(7, [SERVICE], b"seven"))
+    control.operator(12, put(7, [SERVICE], b"other"))
+    control.operator(13, put(5, [SERVICE], b"five"))
+    assert_that([control.answers[number].status for number in (11, 12, 13)], Equals([200] * 3))
+    assert_that(control.state.machine.configuration.document, Equals(b"seven"))
+
+
+def test_a_configuration_is_read_only_with_a_quorum(control):
+    control.deaf = set(ADDRESSES[1:])
+    control.operator(11, ce.GetConfiguration())
+    control.run(100)
+    assert_that(control.answers, Not(Contains(11)))
+    control.run(4_000)
+    assert_that(control.answers[11].status, Equals(503))
+
+
+def test_a_gateway_gets_only_what_changed(control):
+    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0)
+    control.replies.clear()
+    control.handle(ce.MessageReceived(control.now_ms, question))
+    first = control.replies[-1].message
+    assert_that(len(first.reports), Equals(3))
+    assert_that(first.document, Equals(b"document-1"))
+    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision)
+    control.handle(ce.MessageReceived(control.now_ms, question))
+    second = control.replies[-1].message
+    assert_that((second.reports, second.document), Equals(([], b"")))
+    assert_that(second.watermarks[0].upstream, Equals("u-primary"))
+
+
+def test_a_late_report_changes_nothing():
+    directory = Directory()
+    merge_report(directory, 5_000, report("u-1", sequence=5), 0)
+    changed = merge_report(directory, 5_000, report("u-1", sequence=4, state="leaving"), 0)
+    assert_that(changed, Equals(False))
+    assert_that(directory.entries["u-1"].report.state, Equals(UpstreamState.READY))
+
+
+def test_an_upstream_that_starts_again_under_its_name_is_new():
+    directory = Directory()
+    merge_report(directory, 5_000, report("u-1", sequence=50), 0)
+    leave(directory, 5_000, "u-1")
+    merge_report(directory, 6_000, report("u-1", sequence=1, born_ms=5_900), 0)
+    assert_that(directory.entries["u-1"].report, IsInstance(tuple))
+    assert_that(directory.entries["u-1"].report.state, Equals(UpstreamState.READY))
+
+
+def test_a_late_report_after_a_goodbye_does_not_bring_an_upstream_back():
+    directory = Directory()
+    merge_report(directory, 5_000, report("u-1", sequence=5), 0)
+    leave(directory, 5_000, "u-1")
+    merge_report(directory, 5_100, report("u-1", sequence=5), 0)
+    assert_that(directory.entries["u-1"].report.state, Equals(UpstreamState.GONE))
+
+
+def test_a_late_report_of_an_older_upstream_at_the_address_has_no_effect():
+    directory = Directory()
+    merge_report(directory, 5_000, report("u-ab", born_ms=2_000), 0)
+    merge_report(directory, 5_000, report("u-ba", born_ms=1_000), 0)
+    assert_that(directory.entries["u-ba"].report.state, Equals(UpstreamState.GONE))
+    assert_that(directory.entries["u-ab"].report.state, Equals(UpstreamState.READY))
--- /dev/null
+++ b/tests/test_gateway_outcomes.py
@@ -0,0 +1,132 @@
+"""What a gateway says became of a statement whose answer did not come."""
+
+import pytest
+from endivewick_core.statements import Error, Fault, StatementKind
+from gateway_driver import PRIMARY, REPLICA, ready_gateway
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, Not
+
+K = StatementKind
+
+
+@pytest.fixture
+def gateway():
+    return ready_gateway()
+
+
+def test_a_single_write_without_an_answer_is_in_doubt(gateway):
+    gateway.session(1, "session")
+    request = gateway.send(1, K.WRITE)
+    gateway.lose(gateway.work(request).connection)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.OUTCOME_UNKNOWN))
+    assert_that(gateway.work(request), Is(None))
+
+
+def test_a_commit_of_writes_without_an_answer_is_in_doubt(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    gateway.reply(gateway.work(gateway.send(1, K.WRITE)))
+    gateway.lose(gateway.work(gateway.send(1, K.COMMIT)).connection)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.OUTCOME_UNKNOWN))
+
+
+def test_a_transaction_whose_commit_was_not_sent_is_aborted(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    gateway.lose(gateway.work(gateway.send(1, K.WRITE)).connection)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.ABORTED))
+
+
+def test_a_transaction_that_loses_its_connection_between_statements_is_aborted(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.WRITE))
+    gateway.reply(item)
+    gateway.lose(item.connection)
+    gateway.send(1, K.COMMIT)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.ABORTED))
+
+
+def test_a_read_without_an_answer_is_tried_elsewhere(gateway):
+    gateway.session(1, "bounded")
+    request = gateway.send(1, K.READ)
+    gateway.lose(gateway.work(request).connection)
+    assert_that(gateway.work(request).upstream, Not(Equals(REPLICA)))
+
+
+def test_a_write_that_the_upstream_refused_waits_for_the_next_primary(gateway):
+    gateway.session(1, "session")
+    request = gateway.send(1, K.WRITE)
+    gateway.settle()
+    gateway.reply(gateway.work(request), error=Error(Fault.READ_ONLY, ""))
+    assert_that(gateway.answers, Equals([]))
+    gateway.settle()
+    gateway.tick(300)
+    gateway.settle()
+    gateway.reply(gateway.work(request), error=Error(Fault.READ_ONLY, ""))
+    gateway.poll_answer([], [gateway.mark(11, term=2, upstream=REPLICA)])
+    gateway.settle()
+    assert_that(gateway.work(request).upstream, Equals(REPLICA))
+
+
+def test_a_write_that_was_never_sent_is_refused_as_not_run(gateway):
+    gateway.lose(next(n for n, u in gateway.upstream_of.items() if u == PRIMARY))
+    gateway.session(1, "session")
+    request = gateway.send(1, K.WRITE)
+    assert_that(gateway.work(request), Is(None))
+    gateway.tick(1_000)
+    error = gateway.answers[-1].error
+    assert_that((error.fault, error.retry_after_ms), Equals((Fault.BUSY, 300)))
+
+
+def test_a_write_that_was_sent_is_never_refused_as_not_run(gateway):
+    gateway.session(1, "session")
+    gateway.send(1, K.WRITE)
+    gateway.tick(1_000)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.TIMEOUT))
+
+
+def test_a_late_answer_reaches_nobody_else(gateway):
+    gateway.session(1, "bounded")
+    late = gateway.work(gateway.send(1, K.READ))
+    gateway.tick(1_000)
+    answers = len(gateway.answers)
+    gateway.session(2, "bounded")
+    gateway.reply(late, rows=("late",))
+    assert_that(len(gateway.answers), Equals(answers))
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.TIMEOUT))
+
+
+def test_every_request_is_answered_once(gateway):
+    gateway.session(1, "bounded")
+    request = gateway.send(1, K.READ)
+    first = gateway.work(request)
+    gateway.reply(first, error=Error(Fault.BUSY, ""))
+    gateway.tick(20)
+    gateway.open_all()
+    second = gateway.work(request)
+    gateway.reply(second, rows=("x",))
+    gateway.tick(2_000)
+    assert_that([item.rows for item in gateway.answers], Equals([("x",)]))
+
+
+def test_each_failure_is_logged_with_its_inputs(gateway):
+    gateway.session(1, "session")
+    request = gateway.send(1, K.WRITE)
+    gateway.lose(gateway.work(request).connection)
+    decision = [item for item in gateway.decisions if item.request_id == request][-1]
+    assert_that(decision.outcome, Equals(Fault.OUTCOME_UNKNOWN.value))
+    assert_that(decision.inputs["attempts"], Equals(1))
+
+
+def test_an_upstream_at_its_connection_limit_is_left_alone_for_a_while(gateway):
+    gateway.session(1, "strict")
+    gateway.session(2, "strict")
+    gateway.send(1, K.READ)
+    gateway.send(2, K.READ)
+    opening = gateway.opening.pop()
+    gateway.lose(opening, Fault.TOO_MANY_CONNECTIONS)
+    gateway.tick(20)
+    assert_that(gateway.opening, Equals([]))
+    gateway.tick(500)
+    assert_that(len(gateway.opening), Equals(1))
--- /dev/null
+++ b/tests/test_gateway_sessions.py
@@ -0,0 +1,197 @@
+"""Sessions of a gateway: values, prepared statements and transactions on pooled connections."""
+
+import pytest
+from endivewick_core.gateway import events as ev
+from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
+from gateway_driver import PRIMARY, REPLICA, configuration, ready_gateway
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, Not
+
+K = StatementKind
+
+
+@pytest.fixture
+def gateway():
+    return ready_gateway()
+
+
+def test_a_session_of_an_unknown_workspace_is_refused(gateway):
+    gateway.session(1, "nobody")
+    assert_that(gateway.refused[0].error.fault, Equals(Fault.UNKNOWN_WORKSPACE))
+
+
+def test_statements_without_upstream_work_are_answered_at_once(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.SET, name="tenant", argument="t1")
+    gateway.send(1, K.PREPARE, name="s", argument="q1")
+    gateway.send(1, K.BEGIN)
+    assert_that([item.error for item in gateway.answers], Equals([None, None, None]))
+    assert_that(gateway.answers[-1].state, Equals(TransactionState.OPEN))
+    assert_that(gateway.sent, Equals([]))
+
+
+def test_values_reach_the_upstream_before_the_first_statement(gateway):
+    gateway.session(1, "bounded")
+    gateway.send(1, K.SET, name="tenant", argument="t1")
+    gateway.send(1, K.READ)
+    assert_that(gateway.writes[-1], Equals([K.SET, K.READ]))
+
+
+def test_a_connection_is_reset_between_sessions_with_other_values(gateway):
+    gateway.session(1, "bounded")
+    gateway.send(1, K.SET, name="tenant", argument="t1")
+    request = gateway.send(1, K.READ)
+    gateway.settle()
+    gateway.reply(gateway.work(request), rows=("x",))
+    gateway.session(2, "bounded")
+    gateway.send(2, K.READ)
+    assert_that(gateway.writes[-1], Equals([K.RESET, K.READ]))
+
+
+def test_a_prepared_statement_is_prepared_again_after_a_reset(gateway):
+    gateway.session(1, "bounded")
+    gateway.send(1, K.PREPARE, name="s", argument="q1")
+    request = gateway.send(1, K.EXECUTE, name="s", argument="a")
+    assert_that(gateway.writes[-1], Equals([K.PREPARE, K.EXECUTE]))
+    gateway.settle()
+    gateway.reply(gateway.work(request))
+    request = gateway.send(1, K.EXECUTE, name="s", argument="b")
+    assert_that(gateway.writes[-1], Equals([K.EXECUTE]))
+    gateway.reply(gateway.work(request))
+    gateway.send(1, K.SET, name="tenant", argument="t1")
+    gateway.send(1, K.READ)
+    gateway.settle()
+    gateway.reply(gateway.sent[0])
+    gateway.session(2, "bounded")
+    gateway.send(2, K.PREPARE, name="s", argument="q1")
+    gateway.send(2, K.EXECUTE, name="s", argument="a")
+    assert_that(gateway.writes[-1], Equals([K.RESET, K.PREPARE, K.EXECUTE]))
+
+
+def test_equal_names_of_two_sessions_run_their_own_shapes(gateway):
+    for session, shape in ((1, "q1"), (2, "q2")):
+        gateway.session(session, "bounded")
+        gateway.send(session, K.PREPARE, name="s", argument=shape)
+    names = []
+    for session in (1, 2):
+        request = gateway.send(session, K.EXECUTE, name="s", argument="a")
+        gateway.settle()
+        item = gateway.work(request)
+        names.append(item.statement.name)
+        gateway.reply(item)
+    assert_that(names[0], Not(Equals(names[1])))
+
+
+def test_an_unknown_prepared_name_is_refused_without_running(gateway):
+    gateway.session(1, "bounded")
+    gateway.send(1, K.EXECUTE, name="s", argument="a")
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.UNKNOWN_STATEMENT))
+    assert_that(gateway.sent, Equals([]))
+
+
+def test_a_transaction_stays_on_one_connection_until_its_commit(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    used = []
+    for kind in (K.READ, K.WRITE, K.COMMIT):
+        item = gateway.work(gateway.send(1, kind))
+        used.append((item.connection, item.upstream))
+        gateway.reply(item)
+    assert_that(used, Equals([used[0]] * 3))
+    assert_that(used[0][1], Equals(PRIMARY))
+    assert_that(gateway.answers[-1].state, Equals(TransactionState.IDLE))
+    assert_that(gateway.answers[-1].proof, Equals("proof-10"))
+
+
+def test_no_other_session_gets_the_connection_of_an_open_transaction(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    first = gateway.work(gateway.send(1, K.READ))
+    gateway.reply(first)
+    gateway.session(2, "strict")
+    request = gateway.send(2, K.READ)
+    assert_that(gateway.work(request), Is(None))
+    gateway.open_all()
+    assert_that(gateway.work(request).connection, Not(Equals(first.connection)))
+
+
+def test_a_client_that_leaves_inside_a_transaction_is_rolled_back(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.WRITE))
+    gateway.reply(item)
+    gateway.handle(ev.SessionClosed(gateway.now_ms, 1))
+    assert_that(gateway.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
+
+
+def test_a_client_that_leaves_before_an_answer_loses_the_connection(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.WRITE))
+    gateway.handle(ev.SessionClosed(gateway.now_ms, 1))
+    assert_that(gateway.closed, Equals([item.connection]))
+
+
+def test_an_idle_transaction_gives_its_connection_back(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    gateway.reply(gateway.work(gateway.send(1, K.WRITE)))
+    gateway.tick(3_000)
+    assert_that(gateway.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
+    gateway.send(1, K.COMMIT)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.ABORTED))
+    assert_that(gateway.answers[-1].state, Equals(TransactionState.IDLE))
+
+
+def test_a_failed_transaction_refuses_everything_until_its_end(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    gateway.reply(gateway.work(gateway.send(1, K.READ)))
+    gateway.reply(gateway.work(gateway.send(1, K.READ)), error=Error(Fault.BUSY, ""))
+    assert_that(gateway.answers[-1].state, Equals(TransactionState.FAILED))
+    gateway.send(1, K.READ)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.BAD_REQUEST))
+    gateway.send(1, K.ROLLBACK)
+    assert_that(gateway.answers[-1].state, Equals(TransactionState.IDLE))
+
+
+def test_an_empty_transaction_commits_upstream(gateway):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.COMMIT))
+    gateway.reply(item)
+    assert_that(gateway.answers[-1].proof, Equals("proof-10"))
+
+
+def test_statements_wait_for_the_first_configuration():
+    gateway = ready_gateway()
+    gateway.state.configuration = configuration(0)
+    gateway.session(1, "bounded")
+    request = gateway.send(1, K.READ)
+    assert_that(gateway.answers, Equals([]))
+    gateway.handle(ev.ConfigurationReceived(gateway.now_ms, configuration(1)))
+    assert_that(gateway.work(request).upstream, Equals(REPLICA))
+
+
+def test_statements_are_refused_where_no_configuration_comes():
+    gateway = ready_gateway()
+    gateway.state.configuration = configuration(0)
+    gateway.session(1, "bounded")
+    gateway.send(1, K.READ)
+    gateway.tick(1_500)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.BUSY))
+    assert_that(gateway.answers[-1].error.retry_after_ms, Equals(300))
+
+
+def test_a_planned_stop_closes_idle_sessions_and_lets_transactions_end(gateway):
+    gateway.session(1, "strict")
+    gateway.session(2, "strict")
+    gateway.send(2, K.BEGIN)
+    gateway.reply(gateway.work(gateway.send(2, K.READ)))
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(100)
+    assert_that(gateway.closed_sessions, Equals([]))
+    gateway.tick(2_450)
+    assert_that(gateway.closed_sessions, Equals([1]))
+    gateway.tick(450)
+    assert_that(gateway.closed_sessions, Equals([1, 2]))
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,370 @@
+"""The platform's adapter: the statement wire, configurations, reports and settings."""
+
+import json
+import sys
+from pathlib import Path
+
+import pytest
+from endivewick_core.control import events as ce
+from endivewick_core.directory import UpstreamState
+from endivewick_core.gateway.effects import AnswerStatement
+from endivewick_core.positions import Position
+from endivewick_core.routes import Freshness
+from endivewick_core.statements import (
+    BEGIN_READ_ONLY,
+    ROLLBACK,
+    Error,
+    Fault,
+    Statement,
+    StatementKind,
+    TransactionState,
+    UpstreamStatement,
+    UpstreamStatus,
+    own,
+)
+from endivewick_node.exceptions import SettingsInvalid
+from endivewick_node.http_server import Request
+from endivewick_node.statement_wire import Accepted, Quit, Refused, Startup, WireFault
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, IsInstance, MatchesRegex, Not
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from endivewick_platform import statement_codec as codec  # noqa: E402
+from endivewick_platform.configuration_codec import decode_configuration  # noqa: E402
+from endivewick_platform.control_codec import encode_redirect, parse_request  # noqa: E402
+from endivewick_platform.settings import (  # noqa: E402
+    check_control,
+    check_gateway,
+    load_settings,
+)
+
+K = StatementKind
+ROUTE = {
+    "name": "r-1",
+    "host": "db1",
+    "prefix": "/",
+    "kind": "own",
+    "timeout-ms": 1000,
+    "slo-ms": 600,
+    "priority": 2,
+    "service": "s1",
+    "attempts": 2,
+    "max-staleness-ms": 2500,
+}
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s1", "max-conns": 21, "sync-replicas": 1}],
+    "limits": {"tx-idle-ms": 3000},
+}
+REPORT = {
+    "service": "s1",
+    "addr": "10.0.0.9:5432",
+    "zone": "dc-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "db-role": "replica",
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+SETTINGS = """
+node = "edge-1"
+role = "gateway"
+ip = "10.1.0.8"
+zone = "dc-a"
+internal-ports = [7440, 7455]
+seeds = ["10.1.0.10:8782", "10.2.0.9:8782"]
+bootstrap = true
+new-field = 1
+[zones]
+dc-a = "north"
+[listen]
+frontend = "10.1.0.8:8784"
+readiness = "10.1.0.8:8785"
+[limits]
+max-fds = 4300
+memory-mb = 300
+[fault-tolerance]
+nodes = 1
+[parameters]
+grace-s = 6
+[provider]
+addr = "10.200.0.160:8783"
+"""
+
+
+def read_statement(text):
+    (message,) = codec.read_client()(f"QUERY id1 {text}\r\n".encode())
+    return message
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("BEGIN", Statement(K.BEGIN, "id1", "BEGIN")),
+        ("BEGIN FETCH", Statement(K.BEGIN, "id1", "BEGIN FETCH", is_read_only=True)),
+        ("COMMIT", Statement(K.COMMIT, "id1", "COMMIT")),
+        ("ROLLBACK", Statement(K.ROLLBACK, "id1", "ROLLBACK")),
+        ("FETCH 1a4", Statement(K.READ, "id1", "FETCH 1a4")),
+        ("PUT 1a4 x y  z", Statement(K.WRITE, "id1", "PUT 1a4 x y  z")),
+        ("SET tenant a b", Statement(K.SET, "id1", "SET tenant a b", "tenant", "a b")),
+        (
+            "PREPARE s1 PUT q2c",
+            Statement(K.PREPARE, "id1", "PREPARE s1 PUT q2c", "s1", "q2c", is_write=True),
+        ),
+        ("EXEC s1 1a4 x y", Statement(K.EXECUTE, "id1", "EXEC s1 1a4 x y", "s1", "1a4 x y")),
+        ("DEALLOC s1", Statement(K.DEALLOCATE, "id1", "DEALLOC s1", "s1")),
+    ],
+)
+def test_statements_are_read_once_into_typed_values(text, expected):
+    assert_that(read_statement(text), Equals(expected))
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "FETCH", "FETCH  a", "PUT a", "DROP a", "FETCH a\nQUERY x FETCH b", "WAITLSN 1.2 FETCH a"],
+)
+def test_a_statement_that_cannot_be_read_is_typed(text):
+    assert_that(read_statement(text).kind, Equals(K.UNREADABLE))
+
+
+def test_a_client_cannot_use_our_own_id():
+    (message,) = codec.read_client()(b"QUERY - FETCH a\r\n")
+    assert_that(message.kind, Equals(K.UNREADABLE))
+
+
+def test_sessions_begin_and_end():
+    messages = codec.read_client()(b"STARTUP db1 u1\r\nQUIT\r\n")
+    assert_that(messages, Equals([Startup("db1"), Quit()]))
+
+
+def test_a_line_without_an_end_is_refused_at_its_limit():
+    (message,) = codec.read_client()(b"x" * (codec.LINE_LIMIT_BYTES + 1))
+    assert_that(message, IsInstance(WireFault))
+
+
+@given(st.binary(max_size=200), st.integers(1, 50))
+def test_any_bytes_in_any_pieces_are_read_alike(data, size):
+    whole = codec.read_client()(data)
+    read = codec.read_client()
+    pieces = []
+    for start in range(0, len(data), size):
+        pieces += read(data[start : start + size])
+    assert_that(pieces, Equals(whole))
+
+
+def test_an_upstream_is_greeted_by_identity():
+    assert_that(codec.encode_startup("s1", "i-1"), Equals(b"STARTUP s1 endivewick i-1\r\n"))
+    read = codec.read_upstream()
+    assert_that(read(b"READY I 3.1207\r\n"), Equals([Accepted()]))
+
+
+def test_an_upstream_that_refuses_gives_a_typed_error():
+    (message,) = codec.read_upstream()(b"ERR TOOMANY i-1\r\n")
+    assert_that(message, Equals(Refused(Error(Fault.TOO_MANY_CONNECTIONS, "i-1"))))
+
+
+def test_a_whole_answer_is_read_from_pieces():
+    read = codec.read_upstream()
+    read(b"READY I -\r\n")
+    assert_that(read(b"ROW ab c\r\nROW d\r\nDONE 7.1f\r\nREADY"), Equals([]))
+    (reply,) = read(b" T 3.1209\r\n")
+    assert_that(reply.rows, Equals(("ab c", "d")))
+    assert_that((reply.proof, reply.error), Equals(("7.1f", None)))
+    assert_that((reply.state, reply.position), Equals((TransactionState.OPEN, Position(3, 1209))))
+    (reply,) = read(b"ERR READONLY i-1\r\nREADY E -\r\n")
+    assert_that(reply.error, Equals(Error(Fault.READ_ONLY, "i-1")))
+    assert_that((reply.rows, reply.proof, reply.position), Equals(((), "", None)))
+
+
+def test_a_paused_replica_says_what_it_has_received():
+    read = codec.read_upstream()
+    read(b"READY I -\r\n")
+    (reply,) = read(b"ROW replica 3 3.1209 4 12 2 17\r\nDONE -\r\nREADY I 3.1204\r\n")
+    assert_that(reply.status, Equals(UpstreamStatus(False, Position(3, 1209))))
+
+
+@pytest.mark.parametrize(
+    ("item", "expected"),
+    [
+        (
+            UpstreamStatement(Statement(K.READ, "id1", "FETCH a"), Position(3, 12)),
+            b"QUERY id1 WAITLSN 3.12 FETCH a\r\n",
+        ),
+        (UpstreamStatement(BEGIN_READ_ONLY), b"QUERY - BEGIN FETCH\r\n"),
+        (UpstreamStatement(ROLLBACK), b"QUERY - ROLLBACK\r\n"),
+        (UpstreamStatement(own(K.PAUSE, argument="4")), b"QUERY - PAUSE 4\r\n"),
+        (UpstreamStatement(own(K.SET, "tenant", "a b")), b"QUERY - SET tenant a b\r\n"),
+        (
+            UpstreamStatement(own(K.PREPARE, "p0", "q1", is_write=True)),
+            b"QUERY - PREPARE p0 PUT q1\r\n",
+        ),
+        (
+            UpstreamStatement(Statement(K.EXECUTE, "id1", "EXEC s a x", "p0", "a x")),
+            b"QUERY id1 EXEC p0 a x\r\n",
+        ),
+    ],
+)
+def test_statements_for_upstreams(item, expected):
+    assert_that(codec.encode_statement(item), Equals(expected))
+
+
+def test_a_refusal_says_when_to_come_back():
+    error = Error(Fault.BUSY, "no room", 300)
+    answer = AnswerStatement(1, (), "", error, TransactionState.IDLE, None)
+    expected = b"ERR BUSY retry after 300 ms: no room\r\nREADY I -\r\n"
+    assert_that(codec.encode_answer(answer), Equals(expected))
+
+
+def test_every_fault_has_a_code():
+    assert_that(set(codec.FAULT_CODES), Equals(set(Fault)))
+
+
+def test_a_configuration_is_read():
+    configuration = decode_configuration(json.dumps(DOCUMENT).encode()).unwrap()
+    assert_that(configuration.version, Equals(7))
+    route = configuration.routes["db1"]
+    assert_that(route.freshness, Equals(Freshness.SESSION))
+    assert_that((route.timeout_ms, route.staleness_ms), Equals((1000, 2500)))
+    assert_that(configuration.services["s1"].connection_limit, Equals(21))
+
+
+@pytest.mark.parametrize(
+    ("document", "fault"),
+    [
+        (json.dumps(DOCUMENT)[:-10], "can't be read"),
+        (json.dumps({**DOCUMENT, "routes": [{**ROUTE, "service": "s9"}]}), "service s9"),
+        (json.dumps({**DOCUMENT, "routes": [ROUTE, ROUTE]}), "host and prefix"),
+        (json.dumps({**DOCUMENT, "routes": [{**ROUTE, "timeout-ms": 0}]}), "timeout-ms"),
+        (json.dumps({**DOCUMENT, "version": "7"}), "can't be read"),
+        ("[]", "can't be read"),
+    ],
+)
+def test_an_invalid_configuration_is_refused_with_its_faults(document, fault):
+    decoded = decode_configuration(document.encode())
+    assert_that(decoded, IsInstance(Failure))
+    assert_that(decoded.failure().message, Contains(fault))
+    assert_that(decoded.failure().type.status, Equals(400))
+
+
+def test_all_faults_of_a_configuration_are_listed():
+    routes = [{**ROUTE, "service": "s9", "timeout-ms": 0}]
+    decoded = decode_configuration(json.dumps({**DOCUMENT, "routes": routes}).encode())
+    assert_that(decoded.failure().message, Contains("service s9"))
+    assert_that(decoded.failure().message, Contains("timeout-ms"))
+
+
+def put_report(body, upstream="i-1"):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return parse_request(Request("PUT", f"/instances/{upstream}", {}, data), 5, 9)
+
+
+def test_a_report_is_read():
+    event = put_report(REPORT).unwrap()
+    assert_that(event, IsInstance(ce.ReportReceived))
+    assert_that((event.report.upstream, event.report.data_centre), Equals(("i-1", "dc-a")))
+    assert_that(event.report.state, Equals(UpstreamState.READY))
+    assert_that((event.report.born_ms, event.report.sequence), Equals((1_700_000_000_000, 4)))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\xfe",
+        b"null",
+        {**REPORT, "state": "asleep"},
+        {**REPORT, "seq": "4"},
+        {**REPORT, "addr": "nowhere"},
+        {key: value for key, value in REPORT.items() if key != "service"},
+    ],
+)
+def test_a_report_of_any_other_shape_is_refused(body):
+    decoded = put_report(body)
+    assert_that(decoded, IsInstance(Failure))
+    assert_that(decoded.failure().type.status, Equals(400))
+
+
+@given(st.binary(max_size=100))
+def test_no_bytes_of_a_report_raise(data):
+    assert_that(put_report(data), IsInstance(Success | Failure))
+
+
+def test_a_goodbye_and_the_operators_calls_are_read():
+    left = parse_request(Request("DELETE", "/instances/i-1", {}, b""), 5, 9).unwrap()
+    assert_that(left, Equals(ce.UpstreamLeft(5, 9, "i-1")))
+    got = parse_request(Request("GET", "/config", {}, b""), 5, 9).unwrap()
+    assert_that(got.request, Equals(ce.GetConfiguration()))
+    body = json.dumps(DOCUMENT).encode()
+    put = parse_request(Request("PUT", "/config", {}, body), 5, 9).unwrap()
+    assert_that((put.request.version, put.request.services), Equals((7, ["s1"])))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("POST", "/config", 405), ("GET", "/instances/i-1", 405), ("PUT", "/instances/", 400)],
+)
+def test_other_calls_are_refused(method, path, status):
+    decoded = parse_request(Request(method, path, {}, b""), 5, 9)
+    assert_that(decoded.failure().type.status, Equals(status))
+
+
+def test_an_operator_is_sent_on():
+    answer = encode_redirect("10.0.0.4:80")
+    assert_that(answer.status, Equals(307))
+    assert_that(answer.headers, Equals((("Location", "http://10.0.0.4:80/config"),)))
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    def write(text):
+        path = tmp_path / "boot.toml"
+        path.write_text(text)
+        return path
+
+    return write
+
+
+def test_settings_are_read_into_the_projects_words(settings_file):
+    settings = load_settings(settings_file(SETTINGS))
+    check_gateway(settings)
+    assert_that(settings.address, Equals("10.1.0.8:7440"))
+    assert_that(settings.control_addresses, Equals(["10.1.0.10:7440", "10.2.0.9:7440"]))
+    assert_that((settings.grace_ms, settings.lost_disks), Equals((6_000, 1)))
+
+
+def test_all_faults_of_the_settings_are_listed_with_their_ids(settings_file):
+    text = SETTINGS.replace('zone = "dc-a"', 'zone = "dc-z"').replace('"10.2.0.9:8782"', '"x"')
+    with pytest.raises(SettingsInvalid) as caught:
+        load_settings(settings_file(text))
+    assert_that(caught.value.faults, HasLength(2))
+    for fault in caught.value.faults:
+        assert_that(fault, MatchesRegex("P00[0-9] "))
+
+
+def test_a_control_process_names_everything_that_it_lacks(settings_file):
+    settings = load_settings(settings_file(SETTINGS))
+    with pytest.raises(SettingsInvalid) as caught:
+        check_control(settings)
+    assert_that([fault[:4] for fault in caught.value.faults], Equals(["P012", "P013"]))
+
+
+def test_the_adapter_does_not_shadow_the_standard_library():
+    assert_that((ROOT / "platform" / "__init__.py").exists(), Equals(False))
+    import platform
+
+    assert_that(platform.python_version(), Not(Equals("")))
+
+
+def test_no_name_of_the_platform_stands_outside_the_adapter():
+    words = ("WAITLSN", "STARTUP", "heartbeat-addr", "max-conns", "tx-idle", "readyz", "X-Endive")
+    for path in (ROOT / "packages").rglob("src/**/*.py"):
+        text = path.read_text()
+        for word in words:
+            assert_that((word in text, str(path)), Equals((False, str(path))))
