--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -30,6 +30,7 @@
 SHARE_MS = 1_000  # how often the recent reports are repeated to the other control processes
 SHARED_AGE_MS = 10_000  # how long a change is repeated
 PEER_SILENT_MS = 2_500  # two shares of a peer were missed
+CONTENDED_MS = 2_000  # how long gateways keep to their shares after a refusal
 CONFIRM_MS = 700  # how long a leaving upstream's acknowledgement waits; the sender waits 1,000 ms
 
 
@@ -60,7 +61,7 @@
 def handle_share(state: ControlState, now_ms: int, share: DirectoryShare) -> list[Effect]:
     """Take another control process's reports."""
     state.spread.peers[share.sender.address] = Peer(
-        share.sender, now_ms, share.primaries, share.gateways
+        share.sender, now_ms, share.primaries, share.gateways, share.contended
     )
     effects: list[Effect] = []
     for report, age_ms in share.reports:
@@ -86,6 +87,8 @@
     """Answer a gateway's poll."""
     spread = state.spread
     spread.gateways_ms[question.gateway] = now_ms
+    for upstream in question.refused_by:
+        spread.refused_ms[upstream] = now_ms
     after = question.revision if question.control_boot == spread.boot else 0
     is_new = question.control_boot != spread.boot
     reports = [
@@ -106,6 +109,7 @@
         _watermark_notes(state, now_ms),
         leader_age_ms(state, now_ms),
         _gateways(state, now_ms),
+        _contended(state, now_ms),
     )
     return [Send(question.gateway, answer)]
 
@@ -121,9 +125,12 @@
     failing = frozenset(
         service for service in state.watch.marks if questions.failing_ms(state, now_ms, service) > 0
     )
-    if now_ms < spread.share_due_ms and failing == spread.failing_shared:
+    contended = _own_contended(state, now_ms)
+    is_new = failing != spread.failing_shared or not contended <= spread.contended_shared
+    if now_ms < spread.share_due_ms and not is_new:
         return effects
     spread.failing_shared = failing
+    spread.contended_shared = contended
     spread.share_due_ms = now_ms + SHARE_MS
     forget_gone(spread.directory, now_ms)
     recent = [
@@ -176,6 +183,23 @@
     return _own_gateways(state, now_ms) + sum(others)
 
 
+def _own_contended(state: ControlState, now_ms: int) -> frozenset[str]:
+    """Return the upstreams that refused connections to this process's gateways lately."""
+    refused = state.spread.refused_ms
+    for upstream, refused_ms in list(refused.items()):
+        if now_ms - refused_ms > CONTENDED_MS:
+            del refused[upstream]
+    return frozenset(refused)
+
+
+def _contended(state: ControlState, now_ms: int) -> list[str]:
+    contended = set(_own_contended(state, now_ms))
+    for item in state.spread.peers.values():
+        if now_ms - item.heard_ms < PEER_SILENT_MS:
+            contended.update(item.contended)
+    return sorted(contended)
+
+
 def _others(state: ControlState) -> list[str]:
     return [member.address for member in peers(state) if member.address != state.me.address]
 
@@ -201,6 +225,7 @@
         reports,
         questions.primary_health(state, now_ms),
         _own_gateways(state, now_ms),
+        sorted(_own_contended(state, now_ms)),
     )
     return [Send(address, share) for address in _others(state)]
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -112,6 +112,7 @@
     heard_ms: int
     primaries: list[PrimaryHealth]
     gateways: int = 0
+    contended: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -125,4 +126,6 @@
     next_serial: int = 1
     share_due_ms: int = 0
     failing_shared: frozenset[str] = frozenset()
+    contended_shared: frozenset[str] = frozenset()
     gateways_ms: dict[str, int] = field(default_factory=dict)
+    refused_ms: dict[str, int] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -40,7 +40,12 @@
     link.asked_at_ms.pop(link.sequence - 32, None)
     version = max(state.configuration.version, state.requested_version)
     question = DirectoryQuestion(
-        state.settings.address, link.sequence, version, link.boot, link.revision
+        state.settings.address,
+        link.sequence,
+        version,
+        link.boot,
+        link.revision,
+        pool.refusing(state, now_ms),
     )
     return [*effects, Send(link.address, question)]
 
@@ -58,6 +63,7 @@
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
     link.gateways = max(1, answer.gateways)
+    effects += _follow_contended(state, now_ms, frozenset(answer.contended))
     for report, age_ms in answer.reports:
         merge_report(state.directory, asked_ms, report, age_ms)
         placement.add_pool(state, report.upstream, report.service)
@@ -122,6 +128,18 @@
     return effects
 
 
+def _follow_contended(state: GatewayState, now_ms: int, contended: frozenset[str]) -> list[Effect]:
+    """Keep to this gateway's share of the upstreams that have refused others."""
+    fresh = contended - state.control.contended
+    state.control.contended = contended
+    effects: list[Effect] = []
+    for upstream in sorted(fresh):
+        item = state.pools.get(upstream)
+        if item is not None:
+            effects += pool.give_back(state, now_ms, item)
+    return effects
+
+
 def _follow_primaries(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
     """Take for primary what control's watermark came from, or else what reports itself so."""
     effects: list[Effect] = []
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -33,6 +33,8 @@
 
 OPENING_LIMIT = 3  # connections that open at a time to one upstream; each takes one of its slots
 RESERVED_CONNECTIONS = 5  # left to control's questions, of the limit of an upstream
+FIRST_CONNECTIONS = 2  # opened at once where many are wanted; more follow in steps
+REFUSAL_KEPT_MS = 1_000  # how long a refusal for the connection limit is reported to control
 PREPARED_PER_CONNECTION = 200  # statements prepared on a connection before it is reset
 
 Batch = list[tuple[UpstreamStatement, Pending]]
@@ -65,7 +67,7 @@
     entry = state.directory.entries.get(pool.upstream)
     if service is None or entry is None or now_ms < pool.closed_until_ms:
         return []
-    if len(pool.connections) >= service.connection_limit - RESERVED_CONNECTIONS:
+    if len(pool.connections) >= _allowance(state, now_ms, pool):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
     if opening >= min(OPENING_LIMIT, max(1, wanted)):
@@ -193,7 +195,8 @@
     pool = state.pools[connection.upstream]
     connection.session = None
     connection.idle_since_ms = now_ms
-    if not may_use(state, now_ms, pool):
+    above = pool.upstream in state.control.contended and _is_above_share(state, pool)
+    if above or not may_use(state, now_ms, pool):
         return close(state, connection)
     pool.idle.append(connection.number)
     return placement.pump(state, now_ms, pool.service)
@@ -242,11 +245,57 @@
 
 def _share(state: GatewayState, pool: UpstreamPool) -> int:
     """Return this gateway's part of the connections that an upstream takes."""
+    return max(1, _room(state, pool) // state.control.gateways)
+
+
+def _room(state: GatewayState, pool: UpstreamPool) -> int:
+    """Return how many connections of an upstream all gateways have together."""
     service = state.configuration.services.get(pool.service)
-    if service is None:
-        return 0
-    room = service.connection_limit - RESERVED_CONNECTIONS
-    return max(1, room // state.control.gateways)
+    return max(0, service.connection_limit - RESERVED_CONNECTIONS) if service else 0
+
+
+def _is_above_share(state: GatewayState, pool: UpstreamPool) -> bool:
+    return len(pool.connections) > _share(state, pool)
+
+
+def _allowance(state: GatewayState, now_ms: int, pool: UpstreamPool) -> int:
+    """Return how many connections this gateway may have to an upstream now.
+
+    It is the gateway's share, and one more each ``allowance_step_ms`` while connections are wanted
+    and no gateway was refused one. Growing in steps leaves room for gateways that start together.
+    """
+    share = _share(state, pool)
+    if pool.upstream in state.control.contended:
+        pool.allowance = share
+        return share
+    first = min(share, FIRST_CONNECTIONS)
+    if pool.allowance < first:
+        pool.allowance = first
+    if len(pool.connections) < pool.allowance:
+        return pool.allowance
+    if now_ms - pool.grown_ms >= state.settings.allowance_step_ms:
+        pool.grown_ms = now_ms
+        pool.allowance = min(len(pool.connections) + 1, _room(state, pool))
+    return pool.allowance
+
+
+def refusing(state: GatewayState, now_ms: int) -> list[str]:
+    """Return the upstreams that lately refused this gateway a connection of its share."""
+    return [
+        item.upstream
+        for item in state.pools.values()
+        if item.full_ms is not None
+        and now_ms - item.full_ms < REFUSAL_KEPT_MS
+        and len(item.connections) < _share(state, item)
+    ]
+
+
+def give_back(state: GatewayState, now_ms: int, pool: UpstreamPool) -> list[Effect]:
+    """Close the idle connections above this gateway's share."""
+    effects: list[Effect] = []
+    while pool.idle and _is_above_share(state, pool):
+        effects += close(state, pool.connections[pool.idle[0]])
+    return effects
 
 
 def renew_transactions(state: GatewayState, now_ms: int) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -70,6 +70,8 @@
     effects: list[Effect] = []
     if not connection.is_open:
         item.failures += 1
+        if event.error.fault is Fault.TOO_MANY_CONNECTIONS:
+            item.full_ms = now_ms
         item.closed_until_ms = now_ms + _pause_ms(state, item.failures, event.error.fault)
     inputs: dict[str, object] = {
         "upstream": connection.upstream,
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -25,9 +25,10 @@
     control_timeout_ms: int = 700  # a lost message and the longest round trip between regions
     open_timeout_ms: int = 1_500  # a handshake, the longest round trip and one lost packet
     idle_connection_ms: int = 15_000  # one swing of the load, so that crests find connections open
+    allowance_step_ms: int = 100  # between two connections above this gateway's share
     borrowed_idle_ms: int = 1_500  # the same above this gateway's share, which others may need
     unconfigured_ms: int = 1_500  # how long statements wait for the first configuration
-    refused_pause_ms: int = 500  # how long an upstream at its connection limit is left alone
+    refused_pause_ms: int = 150  # how long an upstream at its connection limit is left alone
     queue_limit: int = 500  # statements that wait in one gateway; memory stays below a megabyte
 
 
@@ -132,7 +133,11 @@
 
 @dataclass(slots=True)
 class UpstreamPool:
-    """A gateway's connections to one upstream, and how it has answered."""
+    """A gateway's connections to one upstream, and how it has answered.
+
+    ``allowance`` is how many connections it may open, last raised at ``grown_ms``; ``full_ms`` is
+    when the upstream last refused one for its limit.
+    """
 
     upstream: str
     service: str
@@ -146,6 +151,9 @@
     busy_until_ms: int = 0
     refused_until_ms: int = 0
     failures: int = 0
+    allowance: int = 0
+    grown_ms: int = 0
+    full_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -164,6 +172,7 @@
     boot: str = ""
     revision: int = 0
     gateways: int = 1
+    contended: frozenset[str] = frozenset()
 
 
 class Queued(NamedTuple):
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -267,13 +267,17 @@
 
 
 class DirectoryQuestion(NamedTuple):
-    """Ask a control process for what changed since the revision named."""
+    """Ask a control process for what changed since the revision named.
+
+    ``refused_by`` names the upstreams that had no connection left for the asker.
+    """
 
     gateway: str
     sequence: int
     configuration_version: int
     control_boot: str
     revision: int
+    refused_by: list[str]
 
 
 class DirectoryAnswer(NamedTuple):
@@ -282,7 +286,8 @@
     ``reports`` are those after the asker's revision, or all of them where ``control_boot`` is new
     to the asker. ``document`` is the configuration, or empty where the asker has it.
     ``leader_age_ms`` tells how long ago the sender last knew itself up to date, and ``gateways``
-    how many share the connections of each upstream.
+    how many share the connections of each upstream. ``contended`` names the upstreams that have
+    refused connections to some gateway lately.
     """
 
     sequence: int
@@ -295,12 +300,14 @@
     watermarks: list[WatermarkNote]
     leader_age_ms: int
     gateways: int
+    contended: list[str]
 
 
 class DirectoryShare(NamedTuple):
     """Pass reports on to another control process.
 
-    ``serial`` is echoed, 0 asks for no echo. ``gateways`` counts those that ask the sender.
+    ``serial`` is echoed, 0 asks for no echo. ``gateways`` counts those that ask the sender, and
+    ``contended`` names the upstreams that refused connections to them lately.
     """
 
     sender: ControlPeer
@@ -308,6 +315,7 @@
     reports: list[HeardReport]
     primaries: list[PrimaryHealth]
     gateways: int
+    contended: list[str]
 
 
 class DirectoryShareReceived(NamedTuple):
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -195,19 +195,28 @@
 
 
 def test_a_gateway_gets_only_what_changed(control):
-    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0)
+    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0, [])
     control.replies.clear()
     control.handle(ce.MessageReceived(control.now_ms, question))
     first = control.replies[-1].message
     assert_that(len(first.reports), Equals(3))
     assert_that(first.document, Equals(b"document-1"))
-    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision)
+    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision, [])
     control.handle(ce.MessageReceived(control.now_ms, question))
     second = control.replies[-1].message
     assert_that((second.reports, second.document), Equals(([], b"")))
     assert_that(second.watermarks[0].upstream, Equals("u-primary"))
 
 
+def test_an_upstream_that_refused_a_gateway_is_contended_for_all(control):
+    question = DirectoryQuestion("10.0.0.9:7000", 1, 1, "boot", 0, ["u-second"])
+    control.handle(ce.MessageReceived(control.now_ms, question))
+    assert_that(control.replies[-1].message.contended, Equals(["u-second"]))
+    control.shares.clear()
+    control.handle(ce.Tick(control.now_ms + 1, 0.5))
+    assert_that(control.shares[-1][1].contended, Equals(["u-second"]))
+
+
 def test_a_late_report_changes_nothing():
     directory = Directory()
     merge_report(directory, 5_000, report("u-1", sequence=5), 0)
