--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -87,6 +87,7 @@
     """Answer a gateway's poll."""
     spread = state.spread
     spread.gateways_ms[question.gateway] = now_ms
+    spread.writes_failing[question.gateway] = question.writes_failing
     for upstream in question.refused_by:
         spread.refused_ms[upstream] = now_ms
     after = question.revision if question.control_boot == spread.boot else 0
@@ -108,7 +109,7 @@
         b"" if has_it else configuration.document,
         _watermark_notes(state, now_ms),
         leader_age_ms(state, now_ms),
-        _gateways(state, now_ms),
+        count_gateways(state, now_ms),
         _contended(state, now_ms),
     )
     return [Send(question.gateway, answer)]
@@ -170,10 +171,11 @@
     for address, asked_ms in list(asked.items()):
         if now_ms - asked_ms > PEER_SILENT_MS:
             del asked[address]
+            state.spread.writes_failing.pop(address, None)
     return len(asked)
 
 
-def _gateways(state: ControlState, now_ms: int) -> int:
+def count_gateways(state: ControlState, now_ms: int) -> int:
     """Return about how many gateways there are, as all control processes count them."""
     others = [
         item.gateways
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -13,7 +13,7 @@
 from ..directory import DirectoryEntry, UpstreamState
 from ..positions import Position
 from ..statements import RESUME, StatementKind, UpstreamReply, own
-from . import questions, replication
+from . import directory, questions, replication
 from .effects import Effect, Note, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
 from .service_state import Failover, Question, Stage
@@ -23,6 +23,7 @@
 ORDER_RETRY_MS = 400  # an order without an answer is repeated with the same token
 PROMOTE_LIMIT_MS = 5_000  # a promotion that takes longer is begun anew with a newer token
 RESUME_LIMIT_MS = 3_000  # a replica that can't be reached is resumed after the failover's end
+WRITES_PAUSE_MS = 8_000  # after a failover, so that writes that waited for it are answered first
 PEER_REPORT_MS = 2_500  # how old another control process's view may be
 
 
@@ -121,29 +122,46 @@
 def _begin_where_needed(state: ControlState, now_ms: int, service: str) -> list[Effect]:
     mark = state.watch.marks.get(service)
     previous = mark.upstream if mark else ""
-    reason = _reason(state, now_ms, service, previous)
+    reason, keeps_primary = _reason(state, now_ms, service, previous)
     if not reason:
         return []
-    running = Failover(service, previous, reason, now_ms)
+    running = Failover(service, previous, reason, keeps_primary, now_ms)
     state.failover.running[service] = running
     return _propose(state, now_ms, running)
 
 
-def _reason(state: ControlState, now_ms: int, service: str, previous: str) -> str:
-    """Return why the primary must change, or an empty text."""
+def _reason(state: ControlState, now_ms: int, service: str, previous: str) -> tuple[str, bool]:
+    """Return why the primary must change, or an empty text, and whether it may stay after all."""
     record = state.machine.failovers.get(service)
     if record is not None and record.is_open:
-        return "a former leader left a failover open"
+        return "a former leader left a failover open", True
     entry = state.spread.directory.entries.get(previous)
     if entry is None:
-        return ""
+        return "", False
     if entry.report.state is not UpstreamState.READY:
         others = [item for item in _replicas(state, service, previous) if _is_ready(item)]
-        return "the primary leaves" if others else ""
+        return ("the primary leaves", False) if others else ("", False)
     failing_ms = questions.failing_ms(state, now_ms, service)
-    if failing_ms < SUSPECT_MS or not _majority_fails(state, now_ms, service, previous):
-        return ""
-    return f"the primary has not answered for {failing_ms} ms"
+    if failing_ms >= SUSPECT_MS and _majority_fails(state, now_ms, service, previous):
+        return f"the primary has not answered for {failing_ms} ms", True
+    ended_ms = state.failover.ended_ms.get(service, 0)
+    if now_ms - ended_ms >= WRITES_PAUSE_MS and _most_writes_fail(state, now_ms, service):
+        return "most gateways get no answers to writes", False
+    return "", False
+
+
+def _most_writes_fail(state: ControlState, now_ms: int, service: str) -> bool:
+    """Tell whether most gateways, and two at least, miss the primary's answers to writes.
+
+    So it is where the primary is cut off from its replicas, or from most gateways, and yet answers
+    control.
+    """
+    failing = questions.gateways_failing(state, service)
+    for peer in state.spread.peers.values():
+        if now_ms - peer.heard_ms > PEER_REPORT_MS:
+            continue
+        failing += sum(item.gateways_failing for item in peer.primaries if item.service == service)
+    return failing >= 2 and failing * 2 > directory.count_gateways(state, now_ms)
 
 
 def _majority_fails(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
@@ -183,7 +201,7 @@
 def _pause(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
     """Pause every replica; name the one that received most once all have answered."""
     leading = _answers(state, now_ms, running)
-    if leading and running.reason != "the primary leaves":
+    if leading and running.keeps_primary:
         running.target = leading
         return _order(state, now_ms, running)
     replicas = _replicas(state, running.service, running.previous)
@@ -234,7 +252,7 @@
 
 def _restart(state: ControlState, now_ms: int, running: Failover, reason: str) -> list[Effect]:
     """Begin the failover anew with a newer token."""
-    fresh = Failover(running.service, running.previous, reason, now_ms)
+    fresh = Failover(running.service, running.previous, reason, running.keeps_primary, now_ms)
     state.failover.running[running.service] = fresh
     return _propose(state, now_ms, fresh)
 
@@ -248,6 +266,7 @@
 
 def _end(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
     running.stage = Stage.ENDING
+    state.failover.ended_ms[running.service] = now_ms
     command = encode(EndFailover(running.service, running.token, running.target))
     effects: list[Effect] = [_note("info", "failover_done", running, now_ms)]
     effects += replication.propose(state, command)
--- a/packages/core/src/endivewick_core/control/questions.py
+++ b/packages/core/src/endivewick_core/control/questions.py
@@ -32,10 +32,17 @@
     """Return how this process finds each service's primary."""
     health = []
     for service, mark in state.watch.marks.items():
-        health.append(PrimaryHealth(service, mark.upstream, failing_ms(state, now_ms, service)))
+        late_ms = failing_ms(state, now_ms, service)
+        gateways = gateways_failing(state, service)
+        health.append(PrimaryHealth(service, mark.upstream, late_ms, gateways))
     return health
 
 
+def gateways_failing(state: ControlState, service: str) -> int:
+    """Return how many of this process's gateways get no answers to writes of a service."""
+    return sum(1 for failing in state.spread.writes_failing.values() if service in failing)
+
+
 def failing_ms(state: ControlState, now_ms: int, service: str) -> int:
     """Return how long the primary's answers have been overdue, or 0."""
     mark = state.watch.marks.get(service)
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -73,11 +73,15 @@
 
 @dataclass(slots=True)
 class Failover:
-    """A failover that this leader carries out."""
+    """A failover that this leader carries out.
+
+    ``keeps_primary`` is set where the present primary is named again if it answers after all.
+    """
 
     service: str
     previous: str
     reason: str
+    keeps_primary: bool
     started_ms: int
     stage: Stage = Stage.PROPOSED
     token: int = 0
@@ -93,6 +97,7 @@
 
     running: dict[str, Failover] = field(default_factory=dict)
     to_resume: dict[str, str] = field(default_factory=dict)
+    ended_ms: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -129,3 +134,4 @@
     contended_shared: frozenset[str] = frozenset()
     gateways_ms: dict[str, int] = field(default_factory=dict)
     refused_ms: dict[str, int] = field(default_factory=dict)
+    writes_failing: dict[str, list[str]] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/gateway/answers.py
+++ b/packages/core/src/endivewick_core/gateway/answers.py
@@ -39,7 +39,7 @@
     ]
     late_ms = now_ms - request.received_ms - request.route.objective_ms
     if late_ms > 0:
-        effects.append(_decision("warning", "answered_late", now_ms, request, "ok"))
+        effects.append(_decision(state, "warning", "answered_late", now_ms, request, "ok"))
     return effects + sessions.take_waiting(state, now_ms, session)
 
 
@@ -63,7 +63,7 @@
     elif session.state is TransactionState.OPEN:
         session.state = TransactionState.FAILED
     effects: list[Effect] = [
-        _decision("warning", "failed", now_ms, request, error.fault.value, error),
+        _decision(state, "warning", "failed", now_ms, request, error.fault.value, error),
         AnswerStatement(session.number, (), "", error, session.state, position or session.position),
         _served(now_ms, request, error.fault.value),
     ]
@@ -76,6 +76,7 @@
 
 
 def _decision(
+    state: GatewayState,
     level: str,
     event: str,
     now_ms: int,
@@ -83,12 +84,22 @@
     outcome: str,
     error: Error | None = None,
 ) -> Decision:
+    service = request.route.service
+    history = state.watermarks.get(service)
+    newest = history.newest if history is not None else None
+    heard_ms = state.control.heard_ms
     inputs: dict[str, object] = {
         "statement": request.statement.kind.value,
-        "service": request.route.service,
+        "service": service,
         "freshness": request.route.freshness.value,
         "waited_ms": now_ms - request.received_ms,
         "sent_ms_ago": now_ms - request.sent_ms if request.sent_ms else None,
+        "upstream": request.upstream,
+        "wait_for": request.wait_for,
+        "primary": state.primaries.get(service, ""),
+        "watermark_age_ms": now_ms - newest.as_of_ms if newest else None,
+        "configuration": state.configuration.version,
+        "control_heard_ms_ago": now_ms - heard_ms if heard_ms is not None else None,
         "attempts": request.attempts,
         "tried": sorted(request.tried),
         "last_refusal": request.last_refusal,
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -46,6 +46,7 @@
         link.boot,
         link.revision,
         pool.refusing(state, now_ms),
+        _writes_failing(state, now_ms),
     )
     return [*effects, Send(link.address, question)]
 
@@ -128,6 +129,13 @@
     return effects
 
 
+def _writes_failing(state: GatewayState, now_ms: int) -> list[str]:
+    """Return the services whose primary has answered no write for a while."""
+    limit_ms = state.settings.writes_failing_ms
+    waiting = state.write_waiting_ms
+    return [service for service, since_ms in waiting.items() if now_ms - since_ms >= limit_ms]
+
+
 def _follow_contended(state: GatewayState, now_ms: int, contended: frozenset[str]) -> list[Effect]:
     """Keep to this gateway's share of the upstreams that have refused others."""
     fresh = contended - state.control.contended
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -395,6 +395,8 @@
         name = _prepare(now_ms, connection, session.prepared[statement.name], batch)
         statement = statement._replace(name=name)
     request.sent_ms = now_ms
+    request.upstream = connection.upstream
+    request.wait_for = wait_for
     request.attempts += 1
     state.pools[connection.upstream].running += 1
     pending = Pending(Purpose.WORK, now_ms, request)
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -150,6 +150,8 @@
     item = state.pools[connection.upstream]
     item.running -= 1
     request = pending.request
+    if request is not None and _changes_data(request):
+        state.write_waiting_ms.pop(item.service, None)
     if request is None or request.serial not in state.requests:
         connection.is_used = connection.is_used or connection.in_transaction
         return _settle(state, now_ms, connection)
@@ -171,6 +173,10 @@
     return effects + _settle(state, now_ms, connection)
 
 
+def _changes_data(request: Request) -> bool:
+    return request.is_write or request.statement.kind is StatementKind.COMMIT
+
+
 def _take_error(
     state: GatewayState,
     now_ms: int,
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -27,6 +27,7 @@
     idle_connection_ms: int = 15_000  # one swing of the load, so that crests find connections open
     allowance_step_ms: int = 100  # between two connections above this gateway's share
     borrowed_idle_ms: int = 1_500  # the same above this gateway's share, which others may need
+    writes_failing_ms: int = 1_500  # one statement timeout and half of the next
     unconfigured_ms: int = 1_500  # how long statements wait for the first configuration
     refused_pause_ms: int = 150  # how long an upstream at its connection limit is left alone
     queue_limit: int = 500  # statements that wait in one gateway; memory stays below a megabyte
@@ -57,7 +58,8 @@
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
     sent_ms: int = 0
-    not_before_ms: int = 0
+    upstream: str = ""
+    wait_for: Position | None = None
     last_refusal: str = ""
 
 
@@ -193,7 +195,11 @@
 
 @dataclass(slots=True)
 class GatewayState:
-    """The whole state of a gateway."""
+    """The whole state of a gateway.
+
+    ``write_waiting_ms`` is, by service, when the first write was taken that waits for the primary,
+    if the primary has answered no write since.
+    """
 
     settings: GatewaySettings
     configuration: Configuration = EMPTY
@@ -201,6 +207,7 @@
     control: ControlLink = field(default_factory=ControlLink)
     watermarks: dict[str, WatermarkHistory] = field(default_factory=dict)
     primaries: dict[str, str] = field(default_factory=dict)
+    write_waiting_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
     connections: dict[int, Connection] = field(default_factory=dict)
     sessions: dict[int, Session] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -259,17 +259,20 @@
     """How the sender of a share finds a service's primary.
 
     ``failing_ms`` is how long its questions have gone without an answer, 0 while they have one.
+    ``gateways_failing`` counts the sender's gateways whose writes go without an answer.
     """
 
     service: str
     upstream: str
     failing_ms: int
+    gateways_failing: int
 
 
 class DirectoryQuestion(NamedTuple):
     """Ask a control process for what changed since the revision named.
 
-    ``refused_by`` names the upstreams that had no connection left for the asker.
+    ``refused_by`` names the upstreams that had no connection left for the asker, and
+    ``writes_failing`` the services none of whose writes has been answered for a while.
     """
 
     gateway: str
@@ -278,6 +281,7 @@
     control_boot: str
     revision: int
     refused_by: list[str]
+    writes_failing: list[str]
 
 
 class DirectoryAnswer(NamedTuple):
--- a/packages/ctl/src/endivewick_ctl/main.py
+++ b/packages/ctl/src/endivewick_ctl/main.py
@@ -12,6 +12,7 @@
   histogram [CUSTOMER]           run and queue times per customer and class
   drain PROXY                    begin the planned stop of a proxy
   bootstrap                      start a new cluster
+  explain REQUEST-ID [FILE ...]  what became of a request, from log files or standard input
 
 Exit codes: 0 done, 1 refused, 2 wrong use, 3 conflict with another change, 4 no answer or outcome
 unknown, 5 accepted but not yet in force everywhere.
@@ -23,7 +24,7 @@
 
 from absl import app, flags
 
-from . import contracts, reports, upstreams
+from . import contracts, explain, reports, upstreams
 from .client import Target
 from .exceptions import USAGE, CommandFailed
 
@@ -88,6 +89,8 @@
             reports.histogram(_target(), customer, as_json)
         case ["drain", proxy]:
             reports.drain(_target(), proxy, as_json)
+        case ["explain", request_id, *paths]:
+            explain.explain(request_id, paths, as_json)
         case ["bootstrap"]:
             reports.bootstrap(_target(), as_json)
         case _:
--- a/packages/node/src/endivewick_node/logs.py
+++ b/packages/node/src/endivewick_node/logs.py
@@ -114,6 +114,7 @@
         record = message.record
         line = {
             "at": record["time"].isoformat(timespec="milliseconds"),
+            "at_s": round(record["time"].timestamp(), 4),
             "level": record["level"].name.lower(),
             **identity,
             "event": record["extra"].get("event", record["name"]),
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -143,6 +143,30 @@
     assert_that(control.orders[-1].upstream, Not(Equals("u-primary")))
 
 
+def poll(control, gateway, writes_failing):
+    question = DirectoryQuestion(gateway, 1, 1, "boot", 0, [], writes_failing)
+    control.handle(ce.MessageReceived(control.now_ms, question))
+
+
+def test_a_primary_that_answers_control_but_no_writes_is_replaced(control):
+    """It may be cut off from its replicas: a commit then waits for ever."""
+    control.run(8_000)
+    for gateway in ("10.0.0.7:7000", "10.0.0.8:7000"):
+        poll(control, gateway, [SERVICE])
+    poll(control, "10.0.0.9:7000", [])
+    control.run(500)
+    assert_that(control.orders[-1].upstream, Not(Equals("u-primary")))
+
+
+def test_a_primary_that_answers_most_gateways_stays(control):
+    control.run(8_000)
+    poll(control, "10.0.0.7:7000", [SERVICE])
+    for gateway in ("10.0.0.8:7000", "10.0.0.9:7000"):
+        poll(control, gateway, [])
+    control.run(500)
+    assert_that(control.orders, Equals([]))
+
+
 def test_an_upstream_that_crashed_is_not_waited_for_once_its_address_has_a_new_one(control):
     fail_primary(control)
     old = control.upstreams.pop("u-primary")
@@ -195,13 +219,13 @@
 
 
 def test_a_gateway_gets_only_what_changed(control):
-    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0, [])
+    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0, [], [])
     control.replies.clear()
     control.handle(ce.MessageReceived(control.now_ms, question))
     first = control.replies[-1].message
     assert_that(len(first.reports), Equals(3))
     assert_that(first.document, Equals(b"document-1"))
-    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision, [])
+    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision, [], [])
     control.handle(ce.MessageReceived(control.now_ms, question))
     second = control.replies[-1].message
     assert_that((second.reports, second.document), Equals(([], b"")))
@@ -209,7 +233,7 @@
 
 
 def test_an_upstream_that_refused_a_gateway_is_contended_for_all(control):
-    question = DirectoryQuestion("10.0.0.9:7000", 1, 1, "boot", 0, ["u-second"])
+    question = DirectoryQuestion("10.0.0.9:7000", 1, 1, "boot", 0, ["u-second"], [])
     control.handle(ce.MessageReceived(control.now_ms, question))
     assert_that(control.replies[-1].message.contended, Equals(["u-second"]))
     control.shares.clear()
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -130,3 +130,16 @@
     assert_that(gateway.opening, Equals([]))
     gateway.tick(500)
     assert_that(len(gateway.opening), Equals(1))
+
+
+def test_a_gateway_tells_control_of_writes_without_answers(gateway):
+    gateway.session(1, "session")
+    request = gateway.send(1, K.WRITE)
+    gateway.settle()
+    gateway.tick(1_400)
+    assert_that(gateway.messages[-1].message.writes_failing, Equals([]))
+    gateway.tick(300)
+    assert_that(gateway.messages[-1].message.writes_failing, Equals(["orders"]))
+    gateway.reply(gateway.work(request))
+    gateway.tick(300)
+    assert_that(gateway.messages[-1].message.writes_failing, Equals([]))
