Forward statements to holders where an upstream has fewer connections than there are gateways

A few gateways of each data centre, chosen by rendezvous hashing, now hold the connections of a service for their neighbours.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -87,6 +87,10 @@
     """Answer a gateway's poll."""
     spread = state.spread
     spread.gateways_ms[question.gateway] = now_ms
+    if question.is_draining:
+        spread.gateway_centres.pop(question.gateway, None)
+    else:
+        spread.gateway_centres[question.gateway] = question.data_centre
     spread.writes_failing[question.gateway] = question.writes_failing
     for upstream in question.refused_by:
         spread.refused_ms[upstream] = now_ms
@@ -111,6 +115,7 @@
         leader_age_ms(state, now_ms),
         count_gateways(state, now_ms),
         _contended(state, now_ms),
+        _neighbours(state, question.data_centre),
     )
     return [Send(question.gateway, answer)]
 
@@ -172,6 +177,7 @@
         if now_ms - asked_ms > PEER_SILENT_MS:
             del asked[address]
             state.spread.writes_failing.pop(address, None)
+            state.spread.gateway_centres.pop(address, None)
     return len(asked)
 
 
@@ -185,6 +191,12 @@
     return _own_gateways(state, now_ms) + sum(others)
 
 
+def _neighbours(state: ControlState, data_centre: str) -> list[str]:
+    """Return the gateways of a data centre that ask this process."""
+    centres = state.spread.gateway_centres
+    return sorted(address for address, centre in centres.items() if centre == data_centre)
+
+
 def _own_contended(state: ControlState, now_ms: int) -> frozenset[str]:
     """Return the upstreams that refused connections to this process's gateways lately."""
     refused = state.spread.refused_ms
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -133,5 +133,6 @@
     failing_shared: frozenset[str] = frozenset()
     contended_shared: frozenset[str] = frozenset()
     gateways_ms: dict[str, int] = field(default_factory=dict)
+    gateway_centres: dict[str, str] = field(default_factory=dict)
     refused_ms: dict[str, int] = field(default_factory=dict)
     writes_failing: dict[str, list[str]] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -9,7 +9,7 @@
 from ..messages import ControlPeer, DirectoryAnswer, DirectoryQuestion
 from ..positions import Position
 from ..watermarks import WatermarkHistory, note_watermark
-from . import placement, pool, sessions
+from . import holders, placement, pool, sessions
 from .effects import ApplyDocument, Decision, Effect, Send
 from .events import ConfigurationReceived
 from .state import GatewayState
@@ -41,12 +41,14 @@
     version = max(state.configuration.version, state.requested_version)
     question = DirectoryQuestion(
         state.settings.address,
+        state.settings.data_centre,
         link.sequence,
         version,
         link.boot,
         link.revision,
         pool.refusing(state, now_ms),
         _writes_failing(state, now_ms),
+        state.draining_since_ms is not None,
     )
     return [*effects, Send(link.address, question)]
 
@@ -64,6 +66,9 @@
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
     link.gateways = max(1, answer.gateways)
+    if tuple(answer.neighbours) != link.neighbours:
+        link.neighbours = tuple(answer.neighbours)
+        link.ranked.clear()
     effects += _follow_contended(state, now_ms, frozenset(answer.contended))
     for report, age_ms in answer.reports:
         merge_report(state.directory, asked_ms, report, age_ms)
@@ -113,6 +118,10 @@
     heard_ms = state.control.heard_ms
     if heard_ms is None:
         return False
+    if len(state.control.neighbours) > 1 and not any(
+        holders.holds(state, service) for service in state.configuration.services
+    ):
+        return True
     return any(item.connections for item in state.pools.values())
 
 
@@ -122,6 +131,8 @@
     for item in state.pools.values():
         if item.connections or not pool.may_use(state, now_ms, item):
             continue
+        if not holders.holds(state, item.service):
+            continue
         entry = state.directory.entries[item.upstream]
         if is_silent(entry, now_ms):
             continue
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -0,0 +1,73 @@
+"""Holders: which gateways hold an upstream's connections where there are too few for all.
+
+Every gateway holds connections of its own while its share of an upstream's limit is at least
+``SHARE_MIN``. Below that, a few gateways of each data centre hold them for the others, chosen by
+rendezvous hashing over the gateways that control has heard lately, service by service. All gateways
+of a data centre hear the same list, so they agree but for the time of a poll.
+"""
+
+import xxhash
+
+from .state import GatewayState
+
+SHARE_MIN = 2  # one connection for a transaction and one for everything else
+HOLDER_SHARE = 4  # connections that a holder should have at least, for its neighbours together
+AVOID_MS = 2_000  # how long a holder that did not answer is left for the next one
+RESERVED_CONNECTIONS = 4  # of an upstream's limit, for the questions of control
+
+
+def room(state: GatewayState, service: str) -> int:
+    """Return how many connections of an upstream all gateways have together."""
+    known = state.configuration.services.get(service)
+    if known is None:
+        return 0
+    reserved = max(RESERVED_CONNECTIONS, len(state.control.peers) + 1)
+    return max(0, known.connection_limit - reserved)
+
+
+def share(state: GatewayState, service: str) -> int:
+    """Return how many connections of an upstream of a service are this gateway's."""
+    per_gateway = room(state, service) // state.control.gateways
+    if per_gateway >= SHARE_MIN or not state.control.neighbours:
+        return max(1, per_gateway)
+    if not holds(state, service):
+        return 0
+    return max(1, _centre_room(state, service) // _holder_count(state, service))
+
+
+def holds(state: GatewayState, service: str) -> bool:
+    """Tell whether this gateway has connections of its own for a service."""
+    if room(state, service) // state.control.gateways >= SHARE_MIN:
+        return True
+    return state.settings.address in ranked(state, service)[: _holder_count(state, service)]
+
+
+def holder(state: GatewayState, now_ms: int, service: str) -> str:
+    """Return the gateway that holds connections for this one, or an empty text for itself."""
+    if not state.control.neighbours or holds(state, service):
+        return ""
+    choices = ranked(state, service)[: _holder_count(state, service) + 1]
+    for address in choices:
+        if now_ms >= state.control.avoid_until_ms.get(address, 0):
+            return address
+    return choices[0]
+
+
+def ranked(state: GatewayState, service: str) -> list[str]:
+    """Return the gateways of this data centre in the order in which they hold a service."""
+    known = state.control.ranked.get(service)
+    if known is None:
+        known = sorted(
+            state.control.neighbours,
+            key=lambda address: xxhash.xxh3_64_intdigest(f"{service} {address}".encode()),
+        )
+        state.control.ranked[service] = known
+    return known
+
+
+def _centre_room(state: GatewayState, service: str) -> int:
+    return room(state, service) // max(1, len(state.settings.regions))
+
+
+def _holder_count(state: GatewayState, service: str) -> int:
+    return max(1, _centre_room(state, service) // HOLDER_SHARE)
--- a/packages/core/src/endivewick_core/gateway/placement.py
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import position_for
-from . import answers, pool
+from . import answers, forwarding, holders, pool
 from .effects import CloseConnection, Decision, Effect
 from .state import GatewayState, Queued, Request, ServiceQueue, Session, UpstreamPool
 
@@ -40,6 +40,8 @@
     if session.connection is not None:
         connection = state.connections[session.connection]
         return pool.send_pinned(state, now_ms, connection, session, request)
+    if session.origin is None and _is_forwarded(state, now_ms, session, request):
+        return forwarding.forward(state, now_ms, session, request)
     placed = _try(state, now_ms, session, request)
     if placed.is_placed:
         return placed.effects
@@ -53,6 +55,10 @@
     return placed.effects
 
 
+def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
+    return bool(session.holder or holders.holder(state, now_ms, request.route.service))
+
+
 def pump(state: GatewayState, now_ms: int, service: str) -> list[Effect]:
     """Place what waits for connections of a service."""
     queue = state.queues.get(service)
@@ -67,7 +73,7 @@
     state.requests.pop(request.serial, None)
     session.current = None
     if session.connection is None:
-        return []
+        return forwarding.end(state, session)
     connection = state.connections.get(session.connection)
     session.connection = None
     if connection is None:
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -18,7 +18,7 @@
     UpstreamStatement,
     own,
 )
-from . import placement
+from . import holders, placement
 from .effects import CloseConnection, Decision, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -32,7 +32,6 @@
 )
 
 OPENING_LIMIT = 3  # connections that open at a time to one upstream; each takes one of its slots
-RESERVED_CONNECTIONS = 5  # left to control's questions, of the limit of an upstream
 FIRST_CONNECTIONS = 2  # opened at once where many are wanted; more follow in steps
 REFUSAL_KEPT_MS = 1_000  # how long a refusal for the connection limit is reported to control
 PREPARED_PER_CONNECTION = 200  # statements prepared on a connection before it is reset
@@ -116,12 +115,13 @@
         _add_work(state, now_ms, connection, session, request, wait_for, batch)
         _begin_again(state, now_ms, connection, batch)
         return _send(connection, batch)
-    if connection.in_transaction and _is_aligned(connection, session) and wait_for is None:
+    begun = connection.in_transaction and connection.begun_version == _begun_version(state)
+    if begun and _is_aligned(connection, session) and wait_for is None:
         return _continue(state, now_ms, connection, session, request)
     _align(now_ms, connection, session, batch)
     begin = BEGIN_READ_ONLY if wait_for is not None else BEGIN
     batch.append((UpstreamStatement(begin, wait_for), Pending(Purpose.BEGIN, now_ms)))
-    connection.begun_version = state.configuration.version
+    connection.begun_version = _begun_version(state)
     connection.next_request = request
     return _send(connection, batch)
 
@@ -174,7 +174,7 @@
     pool = state.pools[connection.upstream]
     begun = _wants_transaction(state, now_ms, pool)
     clean = not connection.is_dirty and not connection.is_used
-    if connection.in_transaction and connection.begun_version != state.configuration.version:
+    if connection.in_transaction and connection.begun_version != _begun_version(state):
         clean = False
     if clean and connection.in_transaction == begun:
         return make_idle(state, now_ms, connection)
@@ -226,8 +226,8 @@
     effects: list[Effect] = []
     for pool in list(state.pools.values()):
         usable = may_use(state, now_ms, pool)
-        share = _share(state, pool)
-        kept = 1 if usable else 0
+        share = holders.share(state, pool.service)
+        kept = min(1, share) if usable else 0
         for number in list(pool.idle):
             connection = pool.connections[number]
             if len(pool.connections) <= kept:
@@ -243,19 +243,8 @@
     return effects
 
 
-def _share(state: GatewayState, pool: UpstreamPool) -> int:
-    """Return this gateway's part of the connections that an upstream takes."""
-    return max(1, _room(state, pool) // state.control.gateways)
-
-
-def _room(state: GatewayState, pool: UpstreamPool) -> int:
-    """Return how many connections of an upstream all gateways have together."""
-    service = state.configuration.services.get(pool.service)
-    return max(0, service.connection_limit - RESERVED_CONNECTIONS) if service else 0
-
-
 def _is_above_share(state: GatewayState, pool: UpstreamPool) -> bool:
-    return len(pool.connections) > _share(state, pool)
+    return len(pool.connections) > holders.share(state, pool.service)
 
 
 def _allowance(state: GatewayState, now_ms: int, pool: UpstreamPool) -> int:
@@ -264,7 +253,8 @@
     It is the gateway's share, and one more each ``allowance_step_ms`` while connections are wanted
     and no gateway was refused one. Growing in steps leaves room for gateways that start together.
     """
-    share = _share(state, pool)
+    # One that was asked to run another gateway's statements needs a connection, whatever its share.
+    share = max(1, holders.share(state, pool.service))
     if pool.upstream in state.control.contended:
         pool.allowance = share
         return share
@@ -275,7 +265,7 @@
         return pool.allowance
     if now_ms - pool.grown_ms >= state.settings.allowance_step_ms:
         pool.grown_ms = now_ms
-        pool.allowance = min(len(pool.connections) + 1, _room(state, pool))
+        pool.allowance = min(len(pool.connections) + 1, holders.room(state, pool.service))
     return pool.allowance
 
 
@@ -286,7 +276,7 @@
         for item in state.pools.values()
         if item.full_ms is not None
         and now_ms - item.full_ms < REFUSAL_KEPT_MS
-        and len(item.connections) < _share(state, item)
+        and len(item.connections) < holders.share(state, item.service)
     ]
 
 
@@ -419,10 +409,15 @@
     """Begin the next transaction ahead, where the upstream is the primary."""
     pool = state.pools[connection.upstream]
     if _wants_transaction(state, now_ms, pool):
-        connection.begun_version = state.configuration.version
+        connection.begun_version = _begun_version(state)
         batch.append((UpstreamStatement(BEGIN), Pending(Purpose.BEGIN, now_ms)))
 
 
+def _begun_version(state: GatewayState) -> int:
+    """Return the newest configuration that statements on a connection may belong to."""
+    return max(state.configuration.version, state.begun_floor)
+
+
 def _wants_transaction(state: GatewayState, now_ms: int, pool: UpstreamPool) -> bool:
     usable = may_use(state, now_ms, pool) and now_ms >= pool.refused_until_ms
     return usable and is_primary(state, pool)
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from ..messages import DirectoryAnswer
-from . import control_link, placement, pool, results, sessions
+from ..messages import DirectoryAnswer, ForwardedEnd, ForwardedReply, ForwardedStatement
+from . import control_link, forwarding, placement, pool, results, sessions
 from .effects import Decision, Effect
 from .events import (
     ConfigurationReceived,
@@ -27,7 +27,7 @@
 def reduce(state: GatewayState, event: Event) -> list[Effect]:
     """Change ``state`` by one event and return the effects, in the order to carry out."""
     effects: list[Effect] = _HANDLERS[type(event)](state, event)
-    return effects
+    return forwarding.pass_back(state, effects)
 
 
 def _tick(state: GatewayState, event: Tick) -> list[Effect]:
@@ -35,6 +35,7 @@
     effects = control_link.check_poll(state, now_ms)
     effects += results.check_deadlines(state, now_ms)
     effects += results.check_silent(state, now_ms)
+    effects += forwarding.check_late(state, now_ms)
     effects += sessions.check_idle(state, now_ms)
     effects += sessions.check_unconfigured(state, now_ms)
     effects += control_link.open_ahead(state, now_ms)
@@ -50,6 +51,12 @@
 def _receive(state: GatewayState, event: MessageReceived) -> list[Effect]:
     if isinstance(event.message, DirectoryAnswer):
         return control_link.handle_answer(state, event.now_ms, event.message)
+    if isinstance(event.message, ForwardedStatement):
+        return forwarding.handle_statement(state, event.now_ms, event.message)
+    if isinstance(event.message, ForwardedReply):
+        return forwarding.handle_reply(state, event.now_ms, event.message)
+    if isinstance(event.message, ForwardedEnd):
+        return forwarding.handle_end(state, event.now_ms, event.message)
     name = type(event.message).__name__
     return [Decision("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
 
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -14,7 +14,7 @@
     UpstreamReply,
 )
 from ..watermarks import WatermarkHistory, note_watermark
-from . import answers, placement, pool
+from . import answers, forwarding, placement, pool
 from .effects import CloseConnection, Decision, Effect
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
 from .state import Connection, GatewayState, Pending, Purpose, Request, Session
@@ -290,7 +290,7 @@
     error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
     number = session.connection
     session.connection = None
-    effects = answers.fail(state, now_ms, request, error)
+    effects = forwarding.end(state, session) + answers.fail(state, now_ms, request, error)
     connection = state.connections.get(number) if number is not None else None
     if connection is not None:
         effects += pool.close(state, connection)
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -7,7 +7,7 @@
 
 from ..routes import Route
 from ..statements import Error, Fault, Statement, StatementKind, TransactionState
-from . import answers, placement, pool
+from . import answers, forwarding, placement, pool
 from .effects import AcceptSession, CloseSession, Effect, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
 from .state import GatewayState, PreparedStatement, Request, Session
@@ -73,6 +73,9 @@
             continue
         session.state = TransactionState.FAILED
         effects += pool.release_session(state, now_ms, session)
+        if session.origin is not None:
+            del state.sessions[session.number]
+            state.remote.pop(session.origin, None)
     return effects
 
 
@@ -94,7 +97,7 @@
     """Close the sessions that are between operations; on the last call, those in a transaction."""
     effects: list[Effect] = []
     for session in list(state.sessions.values()):
-        if session.current is not None or session.waiting:
+        if session.current is not None or session.waiting or session.origin is not None:
             continue
         if session.state is TransactionState.IDLE or is_last_call:
             effects += _end(state, now_ms, session)
@@ -110,7 +113,7 @@
         return answers.refuse_own(session, statement.kind, statement.request_id, fault)
     if statement.kind is StatementKind.ROLLBACK:
         session.state = TransactionState.IDLE
-        effects = pool.release_session(state, now_ms, session)
+        effects = forwarding.end(state, session) + pool.release_session(state, now_ms, session)
         return answers.answer_own(session) + effects
     if statement.kind is StatementKind.BEGIN:
         session.state = TransactionState.OPEN
@@ -200,7 +203,8 @@
 
 def _route(state: GatewayState, session: Session) -> Route | None:
     """Return the route in force: a transaction keeps that of its first statement upstream."""
-    if session.state is TransactionState.OPEN and session.connection is not None:
+    is_started = session.connection is not None or bool(session.holder)
+    if session.state is TransactionState.OPEN and is_started:
         return session.route
     session.route = state.configuration.routes.get(session.workspace)
     return session.route
@@ -216,6 +220,8 @@
     request = session.current
     if request is not None:
         return placement.abandon(state, now_ms, session, request)
+    if session.holder:
+        return forwarding.end(state, session)
     return pool.release_session(state, now_ms, session)
 
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -61,11 +61,17 @@
     upstream: str = ""
     wait_for: Position | None = None
     last_refusal: str = ""
+    forwarded_to: str = ""
+    origin_number: int = 0
 
 
 @dataclass(slots=True)
 class Session:
-    """A client's session; ``connection`` is pinned while a transaction runs upstream."""
+    """A client's session; ``connection`` is pinned while a transaction runs upstream.
+
+    ``holder`` is the gateway that runs its transaction, where that is another one. ``origin`` names
+    a session of another gateway that this one runs statements for: its address, boot and number.
+    """
 
     number: int
     workspace: str
@@ -81,6 +87,9 @@
     connection: int | None = None
     waiting: deque[Statement] = field(default_factory=deque)
     active_ms: int = 0
+    holder: str = ""
+    origin: tuple[str, str, int] | None = None
+    origin_number: int = 0
 
 
 class Purpose(StrEnum):
@@ -175,6 +184,8 @@
     revision: int = 0
     gateways: int = 1
     contended: frozenset[str] = frozenset()
+    neighbours: tuple[str, ...] = ()
+    ranked: dict[str, list[str]] = field(default_factory=dict)
 
 
 class Queued(NamedTuple):
@@ -197,6 +208,8 @@
 class GatewayState:
     """The whole state of a gateway.
 
+    ``remote`` are the sessions of other gateways that this one runs statements for, and
+    ``begun_floor`` the newest configuration that is known to be in force at any of them.
     ``write_waiting_ms`` is, by service, when the first write was taken that waits for the primary,
     if the primary has answered no write since.
     """
@@ -213,6 +226,9 @@
     sessions: dict[int, Session] = field(default_factory=dict)
     requests: dict[int, Request] = field(default_factory=dict)
     queues: dict[str, ServiceQueue] = field(default_factory=dict)
+    remote: dict[tuple[str, str, int], int] = field(default_factory=dict)
+    next_remote: int = 0
+    begun_floor: int = 0
     requested_version: int = 0
     next_connection: int = 1
     next_serial: int = 1
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -11,6 +11,9 @@
 
 from .codec import build_codec
 from .directory import UpstreamReport
+from .positions import Position
+from .routes import Route
+from .statements import Statement
 
 
 class Member(NamedTuple):
@@ -276,12 +279,14 @@
     """
 
     gateway: str
+    data_centre: str
     sequence: int
     configuration_version: int
     control_boot: str
     revision: int
     refused_by: list[str]
     writes_failing: list[str]
+    is_draining: bool
 
 
 class DirectoryAnswer(NamedTuple):
@@ -291,7 +296,8 @@
     to the asker. ``document`` is the configuration, or empty where the asker has it.
     ``leader_age_ms`` tells how long ago the sender last knew itself up to date, and ``gateways``
     how many share the connections of each upstream. ``contended`` names the upstreams that have
-    refused connections to some gateway lately.
+    refused connections to some gateway lately, and ``neighbours`` the gateways of the asker's data
+    centre.
     """
 
     sequence: int
@@ -305,6 +311,7 @@
     leader_age_ms: int
     gateways: int
     contended: list[str]
+    neighbours: list[str]
 
 
 class DirectoryShare(NamedTuple):
@@ -322,6 +329,55 @@
     contended: list[str]
 
 
+# Between gateways.
+
+
+class ForwardedStatement(NamedTuple):
+    """A session's statement on its way to the gateway that holds connections for its service.
+
+    ``state`` is the session's, and ``is_started`` tells that statements of its transaction have run
+    already. ``shape`` and ``is_prepared_write`` are those of the prepared statement that runs.
+    ``left_ms`` is what is left of the statement's timeout.
+    """
+
+    origin: str
+    boot: str
+    session: int
+    number: int
+    statement: Statement
+    route: Route
+    state: str
+    is_read_only: bool
+    is_started: bool
+    values: dict[str, str]
+    shape: str
+    is_prepared_write: bool
+    position: Position | None
+    configuration_version: int
+    left_ms: int
+
+
+class ForwardedReply(NamedTuple):
+    """The answer to a ForwardedStatement; ``fault`` is empty where it succeeded."""
+
+    holder: str
+    number: int
+    rows: list[str]
+    proof: str
+    fault: str
+    text: str
+    retry_after_ms: int
+    position: Position | None
+
+
+class ForwardedEnd(NamedTuple):
+    """Roll back what a session has open at the receiver."""
+
+    origin: str
+    boot: str
+    session: int
+
+
 class DirectoryShareReceived(NamedTuple):
     """Confirm a DirectoryShare."""
 
@@ -349,6 +405,9 @@
         DirectoryAnswer,
         DirectoryShare,
         DirectoryShareReceived,
+        ForwardedStatement,
+        ForwardedReply,
+        ForwardedEnd,
     )
 )
 
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -156,6 +156,7 @@
             0,
             1,
             [],
+            [],
         )
         self.handle(ev.MessageReceived(self.now_ms, answer._replace(**changes)))
 
@@ -232,9 +233,9 @@
         return WatermarkNote(SERVICE, upstream, term, number, age_ms)
 
 
-def ready_gateway(version=1, connections=1, **changes):
+def ready_gateway(version=1, connections=1, address="10.0.0.9:7000", **changes):
     """Return a gateway with a configuration, three upstreams and open connections."""
-    settings = GatewaySettings("10.0.0.9:7000", "b", "dc-a", REGIONS, [CONTROL])
+    settings = GatewaySettings(address, "b", "dc-a", REGIONS, [CONTROL])
     gateway = Gateway(GatewayState(settings))
     gateway.tick()
     gateway.handle(ev.ConfigurationReceived(gateway.now_ms, configuration(version, **changes)))
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -144,7 +144,7 @@
 
 
 def poll(control, gateway, writes_failing):
-    question = DirectoryQuestion(gateway, 1, 1, "boot", 0, [], writes_failing)
+    question = DirectoryQuestion(gateway, "dc-a", 1, 1, "boot", 0, [], writes_failing, False)
     control.handle(ce.MessageReceived(control.now_ms, question))
 
 
@@ -219,21 +219,32 @@
 
 
 def test_a_gateway_gets_only_what_changed(control):
-    question = DirectoryQuestion("10.0.0.9:7000", 1, 0, "", 0, [], [])
+    question = DirectoryQuestion("10.0.0.9:7000", "dc-a", 1, 0, "", 0, [], [], False)
     control.replies.clear()
     control.handle(ce.MessageReceived(control.now_ms, question))
     first = control.replies[-1].message
     assert_that(len(first.reports), Equals(3))
     assert_that(first.document, Equals(b"document-1"))
-    question = DirectoryQuestion("10.0.0.9:7000", 2, 1, first.control_boot, first.revision, [], [])
+    question = DirectoryQuestion(
+        "10.0.0.9:7000", "dc-a", 2, 1, first.control_boot, first.revision, [], [], False
+    )
     control.handle(ce.MessageReceived(control.now_ms, question))
     second = control.replies[-1].message
     assert_that((second.reports, second.document), Equals(([], b"")))
     assert_that(second.watermarks[0].upstream, Equals("u-primary"))
 
 
+def test_a_gateway_that_stops_is_no_neighbour_any_more(control):
+    poll(control, "10.0.0.7:7000", [])
+    poll(control, "10.0.0.8:7000", [])
+    assert_that(control.replies[-1].message.neighbours, Equals(["10.0.0.7:7000", "10.0.0.8:7000"]))
+    question = DirectoryQuestion("10.0.0.7:7000", "dc-a", 2, 1, "boot", 0, [], [], True)
+    control.handle(ce.MessageReceived(control.now_ms, question))
+    assert_that(control.replies[-1].message.neighbours, Equals(["10.0.0.8:7000"]))
+
+
 def test_an_upstream_that_refused_a_gateway_is_contended_for_all(control):
-    question = DirectoryQuestion("10.0.0.9:7000", 1, 1, "boot", 0, ["u-second"], [])
+    question = DirectoryQuestion("10.0.0.9:7000", "dc-a", 1, 1, "boot", 0, ["u-second"], [], False)
     control.handle(ce.MessageReceived(control.now_ms, question))
     assert_that(control.replies[-1].message.contended, Equals(["u-second"]))
     control.shares.clear()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,193 @@
+"""Gateways that forward to the one of their data centre that holds connections."""
+
+import pytest
+from endivewick_core.codec import decode, encode
+from endivewick_core.gateway import events as ev
+from endivewick_core.gateway import holders
+from endivewick_core.messages import CODEC
+from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
+from gateway_driver import CONTROL, PRIMARY, REPLICA, SERVICE, ready_gateway
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Is, Not
+
+K = StatementKind
+ADDRESSES = [f"10.0.0.{number}:7000" for number in range(20, 24)]
+
+
+class Centre:
+    """The gateways of one data centre, among 74 before 21 connections."""
+
+    def __init__(self):
+        self.gateways = {}
+        for address in ADDRESSES:
+            gateway = ready_gateway(address=address, limit=21)
+            gateway.tick(300)
+            gateway.poll_answer([], [gateway.mark(10)], gateways=74, neighbours=ADDRESSES)
+            self.gateways[address] = gateway
+        some = self.gateways[ADDRESSES[0]]
+        self.holder_address = holders.ranked(some.state, SERVICE)[0]
+        self.holder = self.gateways[self.holder_address]
+        others = [item for item in ADDRESSES if item != self.holder_address]
+        self.entry = self.gateways[others[0]]
+        self.deaf = set()
+
+    def deliver(self):
+        """Carry the messages between the gateways through the real codec."""
+        moved = True
+        while moved:
+            moved = False
+            for gateway in self.gateways.values():
+                messages, gateway.messages = gateway.messages, []
+                for send in messages:
+                    if send.address == CONTROL or send.address in self.deaf:
+                        continue
+                    moved = True
+                    message = decode(CODEC, encode(send.message))
+                    target = self.gateways[send.address]
+                    target.handle(ev.MessageReceived(target.now_ms, message))
+
+
+@pytest.fixture
+def centre():
+    return Centre()
+
+
+def test_one_gateway_of_a_data_centre_holds_the_connections(centre):
+    held = [item for item in centre.gateways.values() if holders.holds(item.state, SERVICE)]
+    assert_that(held, Equals([centre.holder]))
+
+
+def test_every_gateway_holds_its_own_where_there_are_enough():
+    gateway = ready_gateway(limit=21)
+    gateway.tick(300)
+    gateway.poll_answer([], [], gateways=6, neighbours=ADDRESSES)
+    assert_that(holders.holds(gateway.state, SERVICE), Equals(True))
+
+
+def test_a_read_runs_at_the_holder_and_answers_the_client(centre):
+    centre.entry.session(1, "bounded")
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    item = centre.holder.work(request)
+    assert_that(item.upstream, Equals(REPLICA))
+    centre.holder.reply(item, rows=("x",))
+    centre.deliver()
+    answer = centre.entry.answers[-1]
+    assert_that((answer.rows, answer.proof), Equals((("x",), "proof-10")))
+    assert_that(centre.holder.state.sessions, Equals({}))
+
+
+def test_a_session_sees_its_own_commit_through_the_holder(centre):
+    centre.entry.session(1, "session")
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    centre.holder.settle()
+    centre.holder.reply(centre.holder.work(request), number=42)
+    centre.deliver()
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    assert_that(centre.holder.work(request).wait_for.offset, Equals(42))
+
+
+def test_a_transaction_stays_at_its_holder(centre):
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    connections = []
+    for kind in (K.READ, K.WRITE, K.COMMIT):
+        request = centre.entry.send(1, kind)
+        centre.deliver()
+        item = centre.holder.work(request)
+        connections.append(item.connection)
+        centre.holder.reply(item)
+        centre.deliver()
+    assert_that(connections, Equals([connections[0]] * 3))
+    assert_that(centre.entry.answers[-1].state, Equals(TransactionState.IDLE))
+    assert_that(centre.holder.state.sessions, Equals({}))
+
+
+def test_a_rollback_ends_the_transaction_at_the_holder(centre):
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    centre.holder.reply(centre.holder.work(request))
+    centre.deliver()
+    centre.entry.send(1, K.ROLLBACK)
+    centre.deliver()
+    assert_that(centre.holder.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
+    assert_that(centre.holder.state.sessions, Equals({}))
+
+
+def test_a_client_that_leaves_ends_its_transaction_at_the_holder(centre):
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    centre.holder.reply(centre.holder.work(request))
+    centre.deliver()
+    centre.entry.handle(ev.SessionClosed(centre.entry.now_ms, 1))
+    centre.deliver()
+    assert_that(centre.holder.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
+
+
+def test_a_transaction_whose_holder_forgot_it_is_aborted(centre):
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    centre.holder.reply(centre.holder.work(request))
+    centre.deliver()
+    centre.holder.tick(3_100)
+    centre.entry.send(1, K.COMMIT)
+    centre.deliver()
+    answer = centre.entry.answers[-1]
+    assert_that((answer.error.fault, answer.state), Equals((Fault.ABORTED, TransactionState.IDLE)))
+
+
+def test_a_write_whose_holder_is_lost_promises_nothing(centre):
+    centre.entry.session(1, "session")
+    centre.entry.send(1, K.WRITE)
+    centre.deaf = {centre.holder_address}
+    centre.deliver()
+    centre.entry.tick(1_000)
+    assert_that(centre.entry.answers[-1].error.fault, Equals(Fault.TIMEOUT))
+
+
+def test_a_read_whose_holder_is_lost_is_sent_to_the_next_one(centre):
+    centre.entry.session(1, "bounded")
+    request = centre.entry.send(1, K.READ)
+    centre.deaf = {centre.holder_address}
+    centre.deliver()
+    centre.entry.tick(520)
+    target = [item.address for item in centre.entry.messages if item.address != CONTROL]
+    assert_that(target, Not(Contains(centre.holder_address)))
+    second = centre.entry if not target else centre.gateways[target[-1]]
+    centre.deliver()
+    second.open_all()
+    assert_that(second.work(request), Not(Is(None)))
+
+
+def test_a_refusal_of_the_holder_reaches_the_client_as_it_is(centre):
+    centre.entry.session(1, "strict")
+    request = centre.entry.send(1, K.EXECUTE, name="s", argument="a")
+    assert_that(centre.entry.answers[-1].error.fault, Equals(Fault.UNKNOWN_STATEMENT))
+    centre.entry.send(1, K.PREPARE, name="s", argument="q1", is_write=True)
+    request = centre.entry.send(1, K.EXECUTE, name="s", argument="a")
+    centre.deliver()
+    centre.holder.settle()
+    item = centre.holder.work(request)
+    assert_that(item.upstream, Equals(PRIMARY))
+    centre.holder.reply(item, error=Error(Fault.FAILED, "constraint"))
+    centre.deliver()
+    assert_that(centre.entry.answers[-1].error.fault, Equals(Fault.FAILED))
+
+
+def test_a_statement_runs_in_no_transaction_older_than_its_configuration(centre):
+    """The entry may have a newer configuration than the holder."""
+    centre.entry.state.configuration = centre.entry.state.configuration._replace(version=9)
+    centre.entry.session(1, "strict")
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    assert_that(centre.holder.work(request), Is(None))
+    centre.holder.settle()
+    assert_that(centre.holder.work(request), Not(Is(None)))
