Count only writes that were sent against a primary; forward only below one connection a gateway

A transaction whose connection was lost at its holder is aborted; its next statement would have begun another.

--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -143,8 +143,13 @@
 def _writes_failing(state: GatewayState, now_ms: int) -> list[str]:
     """Return the services whose primary has answered no write for a while."""
     limit_ms = state.settings.writes_failing_ms
-    waiting = state.write_waiting_ms
-    return [service for service, since_ms in waiting.items() if now_ms - since_ms >= limit_ms]
+    failing: list[str] = []
+    for service in state.configuration.services:
+        unanswered_ms = now_ms - state.write_waiting_ms.get(service, now_ms)
+        unreachable_ms = now_ms - state.unreachable_ms.get(service, now_ms)
+        if max(unanswered_ms, unreachable_ms) >= limit_ms:
+            failing.append(service)
+    return failing
 
 
 def _follow_contended(state: GatewayState, now_ms: int, contended: frozenset[str]) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -114,7 +114,7 @@
     known = state.sessions.get(number) if number is not None else None
     if known is not None and known.current is not None:
         return []
-    if known is None and message.is_started:
+    if message.is_started and (known is None or known.connection is None):
         return [_refusal(state, message, Fault.ABORTED, "the transaction was rolled back")]
     session = known or _open(state, key)
     state.begun_floor = max(state.begun_floor, message.configuration_version)
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -10,7 +10,7 @@
 
 from .state import GatewayState
 
-SHARE_MIN = 2  # one connection for a transaction and one for everything else
+SHARE_MIN = 1  # below one connection each, gateways can't serve by themselves
 HOLDER_SHARE = 4  # connections that a holder should have at least, for its neighbours together
 AVOID_MS = 2_000  # how long a holder that did not answer is left for the next one
 RESERVED_CONNECTIONS = 4  # of an upstream's limit, for the questions of control
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -303,6 +303,8 @@
     """Take an upstream for a service's primary; end the idle transactions on the others."""
     previous = state.primaries.get(service, "")
     state.primaries[service] = primary
+    state.write_waiting_ms.pop(service, None)
+    state.unreachable_ms.pop(service, None)
     entry = state.directory.entries.get(primary)
     inputs: dict[str, object] = {
         "service": service,
@@ -387,6 +389,8 @@
     request.sent_ms = now_ms
     request.upstream = connection.upstream
     request.wait_for = wait_for
+    if request.changes_data:
+        state.write_waiting_ms.setdefault(request.route.service, now_ms)
     request.attempts += 1
     state.pools[connection.upstream].running += 1
     pending = Pending(Purpose.WORK, now_ms, request)
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -33,7 +33,10 @@
         return [CloseConnection(event.connection)]
     connection.is_open = True
     connection.heard_ms = event.now_ms
-    state.pools[connection.upstream].failures = 0
+    item = state.pools[connection.upstream]
+    item.failures = 0
+    if pool.is_primary(state, item):
+        state.unreachable_ms.pop(item.service, None)
     return pool.release(state, event.now_ms, connection)
 
 
@@ -72,6 +75,8 @@
         item.failures += 1
         if event.error.fault is Fault.TOO_MANY_CONNECTIONS:
             item.full_ms = now_ms
+        elif pool.is_primary(state, item):
+            state.unreachable_ms.setdefault(item.service, now_ms)
         item.closed_until_ms = now_ms + _pause_ms(state, item.failures, event.error.fault)
     inputs: dict[str, object] = {
         "upstream": connection.upstream,
@@ -150,7 +155,7 @@
     item = state.pools[connection.upstream]
     item.running -= 1
     request = pending.request
-    if request is not None and _changes_data(request):
+    if request is not None and request.changes_data:
         state.write_waiting_ms.pop(item.service, None)
     if request is None or request.serial not in state.requests:
         connection.is_used = connection.is_used or connection.in_transaction
@@ -173,10 +178,6 @@
     return effects + _settle(state, now_ms, connection)
 
 
-def _changes_data(request: Request) -> bool:
-    return request.is_write or request.statement.kind is StatementKind.COMMIT
-
-
 def _take_error(
     state: GatewayState,
     now_ms: int,
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -171,8 +171,6 @@
     request.is_write = _is_write(session, statement)
     session.current = request
     state.requests[request.serial] = request
-    if request.is_write or statement.kind is StatementKind.COMMIT:
-        state.write_waiting_ms.setdefault(route.service, now_ms)
     return placement.place(state, now_ms, request)
 
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -9,7 +9,7 @@
 from ..messages import ControlPeer
 from ..positions import ZERO, Position
 from ..routes import EMPTY, Configuration, Route
-from ..statements import Statement, TransactionState
+from ..statements import Statement, StatementKind, TransactionState
 from ..watermarks import WatermarkHistory
 
 
@@ -64,6 +64,11 @@
     forwarded_to: str = ""
     origin_number: int = 0
 
+    @property
+    def changes_data(self) -> bool:
+        """Tell whether an upstream answers only once a replica has what it changes."""
+        return self.is_write or self.statement.kind is StatementKind.COMMIT
+
 
 @dataclass(slots=True)
 class Session:
@@ -210,8 +215,8 @@
 
     ``remote`` are the sessions of other gateways that this one runs statements for, and
     ``begun_floor`` the newest configuration that is known to be in force at any of them.
-    ``write_waiting_ms`` is, by service, when the first write was taken that waits for the primary,
-    if the primary has answered no write since.
+    ``write_waiting_ms`` is, by service, when the first write was sent of which the primary has not
+    answered any since, and ``unreachable_ms`` since when it can't be reached.
     """
 
     settings: GatewaySettings
@@ -221,6 +226,7 @@
     watermarks: dict[str, WatermarkHistory] = field(default_factory=dict)
     primaries: dict[str, str] = field(default_factory=dict)
     write_waiting_ms: dict[str, int] = field(default_factory=dict)
+    unreachable_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
     connections: dict[int, Connection] = field(default_factory=dict)
     sessions: dict[int, Session] = field(default_factory=dict)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -144,6 +144,22 @@
     assert_that((answer.error.fault, answer.state), Equals((Fault.ABORTED, TransactionState.IDLE)))
 
 
+def test_a_transaction_whose_connection_was_lost_does_not_go_on_elsewhere(centre):
+    """Its next statement would run outside the transaction that the client began."""
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    item = centre.holder.work(request)
+    centre.holder.reply(item)
+    centre.deliver()
+    centre.holder.lose(item.connection)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    assert_that(centre.holder.work(request), Is(None))
+    assert_that(centre.entry.answers[-1].error.fault, Equals(Fault.ABORTED))
+
+
 def test_a_write_whose_holder_is_lost_promises_nothing(centre):
     centre.entry.session(1, "session")
     centre.entry.send(1, K.WRITE)
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -143,3 +143,24 @@
     gateway.reply(gateway.work(request))
     gateway.tick(300)
     assert_that(gateway.messages[-1].message.writes_failing, Equals([]))
+
+
+def test_a_gateway_tells_nothing_of_writes_that_it_could_not_send(gateway):
+    """A shortage of connections is no reason to replace the primary."""
+    gateway.lose(next(n for n, u in gateway.upstream_of.items() if u == PRIMARY))
+    gateway.session(1, "session")
+    gateway.send(1, K.WRITE)
+    for _ in range(20):
+        while gateway.opening:
+            gateway.lose(gateway.opening.pop(), Fault.TOO_MANY_CONNECTIONS)
+        gateway.tick(100)
+    assert_that(gateway.messages[-1].message.writes_failing, Equals([]))
+
+
+def test_a_gateway_tells_control_of_a_primary_that_it_cannot_reach(gateway):
+    gateway.lose(next(n for n, u in gateway.upstream_of.items() if u == PRIMARY))
+    for _ in range(40):
+        while gateway.opening:
+            gateway.lose(gateway.opening.pop(), Fault.ABORTED)
+        gateway.tick(100)
+    assert_that(gateway.messages[-1].message.writes_failing, Equals(["orders"]))
