--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -30,6 +30,7 @@
 SHARE_MS = 1_000  # how often the recent reports are repeated to the other control processes
 SHARED_AGE_MS = 10_000  # how long a change is repeated
 PEER_SILENT_MS = 2_500  # two shares of a peer were missed
+GATEWAY_SILENT_MS = 1_000  # three polls of a gateway were missed; it may ask another by then
 CONTENDED_MS = 2_000  # how long gateways keep to their shares after a refusal
 CONFIRM_MS = 700  # how long a leaving upstream's acknowledgement waits; the sender waits 1,000 ms
 
@@ -174,7 +175,7 @@
     """Return how many gateways have asked this process lately."""
     asked = state.spread.gateways_ms
     for address, asked_ms in list(asked.items()):
-        if now_ms - asked_ms > PEER_SILENT_MS:
+        if now_ms - asked_ms > GATEWAY_SILENT_MS:
             del asked[address]
             state.spread.writes_failing.pop(address, None)
             state.spread.gateway_centres.pop(address, None)
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -76,7 +76,7 @@
     for note in answer.watermarks:
         history = state.watermarks.setdefault(note.service, WatermarkHistory())
         note_watermark(history, asked_ms - note.age_ms, Position(note.term, note.offset))
-    effects += _follow_primaries(state, now_ms, answer)
+    effects += _follow_primaries(state, now_ms, asked_ms, answer)
     if answer.document and answer.configuration_version > state.requested_version:
         state.requested_version = answer.configuration_version
         effects.append(ApplyDocument(answer.configuration_version, answer.document))
@@ -164,17 +164,27 @@
     return effects
 
 
-def _follow_primaries(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
-    """Take for primary what control's watermark came from, or else what reports itself so."""
+def _follow_primaries(
+    state: GatewayState, now_ms: int, asked_ms: int, answer: DirectoryAnswer
+) -> list[Effect]:
+    """Take for primary what led last, as control has asked, or at first what says that it leads.
+
+    A control process that was frozen or cut off may name a former primary.
+    """
     effects: list[Effect] = []
-    told = {note.service: note.upstream for note in answer.watermarks}
+    for note in answer.watermarks:
+        led_ms = asked_ms - note.age_ms
+        if led_ms <= state.led_ms.get(note.service, 0):
+            continue
+        state.led_ms[note.service] = led_ms
+        if state.primaries.get(note.service) != note.upstream:
+            effects += pool.follow_primary(state, now_ms, note.service, note.upstream)
     for entry in state.directory.entries.values():
         report = entry.report
-        if report.is_primary and report.state is not UpstreamState.GONE:
-            told.setdefault(report.service, report.upstream)
-    for service, upstream in told.items():
-        if state.primaries.get(service) != upstream:
-            effects += pool.follow_primary(state, now_ms, service, upstream)
+        if not report.is_primary or report.state is UpstreamState.GONE:
+            continue
+        if report.service not in state.primaries:
+            effects += pool.follow_primary(state, now_ms, report.service, report.upstream)
     return effects
 
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -215,8 +215,9 @@
 
     ``remote`` are the sessions of other gateways that this one runs statements for, and
     ``begun_floor`` the newest configuration that is known to be in force at any of them.
-    ``write_waiting_ms`` is, by service, when the first write was sent of which the primary has not
-    answered any since, and ``unreachable_ms`` since when it can't be reached.
+    By service, ``led_ms`` is when the primary is last known to have led, ``write_waiting_ms`` when
+    the first write was sent of which the primary has not answered any since, and
+    ``unreachable_ms`` since when it can't be reached.
     """
 
     settings: GatewaySettings
@@ -225,6 +226,7 @@
     control: ControlLink = field(default_factory=ControlLink)
     watermarks: dict[str, WatermarkHistory] = field(default_factory=dict)
     primaries: dict[str, str] = field(default_factory=dict)
+    led_ms: dict[str, int] = field(default_factory=dict)
     write_waiting_ms: dict[str, int] = field(default_factory=dict)
     unreachable_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
--- a/packages/ctl/src/endivewick_ctl/explain.py
+++ b/packages/ctl/src/endivewick_ctl/explain.py
@@ -38,8 +38,24 @@
     if as_json:
         print_json([line.fields for line in story])
         return
+    for line, count in _collapse(story, own):
+        repeated = f"  (and {count - 1} more like it)" if count > 1 else ""
+        print(_describe(line, own[0].at_s, line in own) + repeated)
+
+
+def _collapse(story: list[LogLine], own: list[LogLine]) -> list[tuple[LogLine, int]]:
+    """Count the lines that differ from an earlier one by their time only."""
+    counts: dict[str, int] = {}
+    firsts: list[tuple[str, LogLine]] = []
     for line in story:
-        print(_describe(line, own[0].at_s, line in own))
+        names = ("vm", "event", "outcome", "request_id")
+        key = json.dumps([line.fields.get(name) for name in names])
+        if line not in own:
+            key += json.dumps(line.fields.get("inputs", {}).get("upstream", ""))
+        if key not in counts:
+            firsts.append((key, line))
+        counts[key] = counts.get(key, 0) + 1
+    return [(line, counts[key]) for key, line in firsts]
 
 
 def _bears_on(line: LogLine, own: list[LogLine]) -> bool:
@@ -51,6 +67,8 @@
     vms = {item.fields.get("vm") for item in own}
     if line.fields.get("vm") in vms:
         return True
+    if line.fields.get("role") != "control":
+        return False
     services = {item.fields.get("inputs", {}).get("service") for item in own} - {None}
     text = json.dumps(line.fields)
     return any(service in text for service in services)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -13,8 +13,20 @@
 def log_file(tmp_path):
     lines = [
         {"at_s": 10.0, "vm": "e1", "event": "primary_believed", "outcome": "u-1"},
-        {"at_s": 10.2, "vm": "c1", "event": "failover_needed", "text": "orders: no answer"},
-        {"at_s": 10.3, "vm": "c1", "event": "failover_needed", "text": "stock: no answer"},
+        {
+            "at_s": 10.2,
+            "vm": "c1",
+            "role": "control",
+            "event": "failover_needed",
+            "text": "orders: no answer",
+        },
+        {
+            "at_s": 10.3,
+            "vm": "c1",
+            "role": "control",
+            "event": "failover_needed",
+            "text": "stock: no answer",
+        },
         {"at_s": 1.0, "vm": "e1", "event": "started", "text": "long ago"},
         {
             "at_s": 11.0,
--- a/tests/test_gateway_reads.py
+++ b/tests/test_gateway_reads.py
@@ -169,3 +169,11 @@
     gateway.poll_answer([], [gateway.mark(11, term=2, upstream=REPLICA)])
     written = gateway.writes[-2:]
     assert_that(sorted(written), Equals([[K.BEGIN], [K.ROLLBACK]]))
+
+
+def test_a_control_process_that_was_frozen_does_not_bring_a_former_primary_back(gateway):
+    gateway.tick(300)
+    gateway.poll_answer([], [gateway.mark(11, term=2, upstream=REPLICA)])
+    gateway.tick(300)
+    gateway.poll_answer([], [gateway.mark(10, age_ms=4_000)])
+    assert_that(gateway.state.primaries["orders"], Equals(REPLICA))
