--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -35,7 +35,7 @@
         request.route,
         session.state.value,
         session.is_read_only,
-        session.statements_run > 0,
+        session.state is TransactionState.OPEN and session.statements_run > 0,
         session.values,
         prepared.shape if prepared else "",
         bool(prepared and prepared.is_write),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -105,6 +105,20 @@
     assert_that(centre.holder.state.sessions, Equals({}))
 
 
+def test_a_statement_after_a_transaction_stands_by_itself(centre):
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    for kind in (K.READ, K.COMMIT):
+        request = centre.entry.send(1, kind)
+        centre.deliver()
+        centre.holder.reply(centre.holder.work(request))
+        centre.deliver()
+    centre.holder.settle()
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    assert_that(centre.holder.work(request), Not(Is(None)))
+
+
 def test_a_rollback_ends_the_transaction_at_the_holder(centre):
     centre.entry.session(1, "strict")
     centre.entry.send(1, K.BEGIN)
