--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -2,8 +2,9 @@
 
 Every record is ``length, inverted length, checksum, payload``. Entries that are appended together
 are one record, and nothing is reported as stored before ``fdatasync`` returned. On loading, a
-record that ends beyond the file is a write that was cut short and is removed; a record whose length
-or checksum does not fit is corruption of synced data, and the process refuses to start.
+record that ends beyond the file, or the last one where it ends in zeros that its checksum doesn't
+cover, is a write that was cut short and is removed; any other record whose length or checksum does
+not fit is corruption of synced data, and the process refuses to start.
 """
 
 import fcntl
@@ -180,11 +181,16 @@
             return None, offset
         length, inverted, checksum = _HEADER.unpack_from(data, offset)
         if length ^ _LENGTH_MASK != inverted:
+            if not any(data[offset + 1 :]) or not any(data[offset + _HEADER.size - 8 :]):
+                return None, offset
             raise StorageCorrupt(self._advice(f"{name} is corrupt at byte {offset}"))
         payload = data[start : start + length]
         if len(payload) < length:
             return None, offset
         if xxhash.xxh3_64_intdigest(payload) != checksum:
+            # A write that was never synced may be kept in part, with zeros for the rest of it.
+            if start + length == len(data) and not payload[-1]:
+                return None, offset
             raise StorageCorrupt(self._advice(f"{name} is corrupt at byte {offset}"))
         return payload, start + length
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -91,6 +91,21 @@
     assert_that(load(written).entries, Equals(entries(1, 5)))
 
 
+@pytest.mark.parametrize("kept", range(0, 60, 3))
+def test_tail_that_was_kept_in_part_is_removed(written, kept):
+    """After a loss of power an unsynced write may be torn: its rest reads as zeros."""
+    path = written / LOG_FILE
+    synced = path.read_bytes()
+    storage = Storage(written)
+    storage.load("control-1")
+    storage.append(0, entries(6, 8))
+    storage.close()
+    whole = path.read_bytes()
+    end = len(synced) + kept
+    path.write_bytes(whole[:end] + bytes(len(whole) - end))
+    assert_that(load(written).entries, Equals(entries(1, 5)))
+
+
 def test_corruption_of_any_byte_is_refused_with_advice(written):
     """A corrupt length must not pass for a write that was cut short."""
     path = written / LOG_FILE
