--- a/packages/core/src/endivewick_core/gateway/placement.py
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -21,6 +21,8 @@
 REMOTE_LATENCY_MS = 70.0  # and for another region
 OPENING_COST_MS = 40.0  # a new connection: its handshake and a round trip
 PRIMARY_FACTOR = 1.5  # keeps the primary's slots for what it alone can serve
+FAILURE_FACTOR = 10.0  # an upstream that fails a third of its statements costs four times as much
+FAILURE_KEPT = 0.8  # of the share of failures, a second later; so it is tried again in time
 BUSY_PAUSE_MS = 15  # how long an upstream that refused for lack of room is left alone
 REFUSED_PAUSE_MS = 100  # how long a primary that refused as a replica is left alone
 LAGGING_PAUSE_MS = 150  # how long a replica that lacked a position is left alone
@@ -135,6 +137,7 @@
     """Let latencies drift back to their first estimates, so that a slow upstream is tried again."""
     for item in state.pools.values():
         item.latency_ms += 0.1 * (_first_latency(state, item) - item.latency_ms)
+        item.failure_rate *= FAILURE_KEPT
 
 
 def _pump_heap(state: GatewayState, now_ms: int, heap: list[Queued]) -> list[Effect]:
@@ -204,6 +207,7 @@
     entry = state.directory.entries[item.upstream]
     slots = max(1, entry.report.slots)
     cost_ms = item.latency_ms * (1 + item.running / slots)
+    cost_ms *= 1 + FAILURE_FACTOR * item.failure_rate
     if is_primary:
         cost_ms *= PRIMARY_FACTOR
     if not item.idle:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -17,9 +17,18 @@
 from . import answers, forwarding, placement, pool
 from .effects import CloseConnection, Decision, Effect
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
-from .state import Connection, GatewayState, Pending, Purpose, Request, Session
+from .state import (
+    Connection,
+    GatewayState,
+    Pending,
+    Purpose,
+    Request,
+    Session,
+    UpstreamPool,
+)
 
 LATENCY_WEIGHT = 0.2  # of a new answer in the running mean
+FAILURE_WEIGHT = 0.1  # of a new outcome in the running share of failures
 READ_ATTEMPTS = 3  # how often a single read is sent
 REOPEN_MS = 100  # the first pause after a failed connection; it doubles with each failure
 REOPEN_LIMIT_MS = 2_000  # the longest pause, so that a returning upstream is found in time
@@ -88,6 +97,8 @@
     outcome = event.error.fault.value
     effects.append(Decision("warning", "upstream_connection_lost", "", "", inputs, outcome))
     for pending in connection.pending:
+        if pending.purpose is Purpose.WORK:
+            _note_outcome(item, failed=True)
         if pending.request is not None:
             effects += _lose(state, now_ms, connection, pending.request)
     if connection.next_request is not None:
@@ -161,6 +172,8 @@
         connection.is_used = connection.is_used or connection.in_transaction
         return _settle(state, now_ms, connection)
     session = state.sessions[request.session]
+    if reply.error is None or reply.error.fault not in UPSTREAM_DID_NOT_RUN:
+        _note_outcome(item, reply.error is not None)
     if reply.error is not None:
         return _take_error(state, now_ms, connection, session, request, reply)
     took_ms = now_ms - pending.sent_ms
@@ -178,6 +191,11 @@
     return effects + _settle(state, now_ms, connection)
 
 
+def _note_outcome(item: UpstreamPool, failed: bool) -> None:
+    """Keep the share of statements that fail at an upstream, whatever its health probe says."""
+    item.failure_rate += FAILURE_WEIGHT * (failed - item.failure_rate)
+
+
 def _take_error(
     state: GatewayState,
     now_ms: int,
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -161,6 +161,7 @@
     idle: list[int] = field(default_factory=list)
     running: int = 0
     latency_ms: float = 0.0
+    failure_rate: float = 0.0
     position: Position = ZERO
     closed_until_ms: int = 0
     lagging_until_ms: int = 0
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -1,7 +1,7 @@
 """Loads that a gateway must carry well; each test names the pattern that it answers."""
 
-from endivewick_core.statements import Fault, StatementKind
-from gateway_driver import PRIMARY, ready_gateway
+from endivewick_core.statements import Error, Fault, StatementKind
+from gateway_driver import FAR_REPLICA, PRIMARY, REPLICA, ready_gateway
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
@@ -68,3 +68,25 @@
     gateway.tick(300)
     question = gateway.messages[-1].message
     assert_that(question.refused_by, Equals([PRIMARY]))
+
+
+def test_reads_leave_a_replica_that_fails_part_of_them_and_come_back():
+    """Pattern: a replica fails half of its statements while its health probe is good."""
+    gateway = ready_gateway()
+    gateway.session(1, "bounded")
+    served = []
+    for number in range(40):
+        request = gateway.send(1, K.READ)
+        while (item := gateway.work(request)) is not None:
+            fails = item.upstream == REPLICA and number % 2
+            served.append(item.upstream)
+            gateway.reply(item, error=Error(Fault.FAILED, "") if fails else None)
+            gateway.settle()
+        gateway.open_all()
+    assert_that(served[-10:].count(REPLICA) < 3, Equals(True))
+    assert_that(FAR_REPLICA in served or PRIMARY in served, Equals(True))
+    for _ in range(60):
+        gateway.tick(1_000)
+        gateway.poll_answer([], [gateway.mark(10)])
+    request = gateway.send(1, K.READ)
+    assert_that(gateway.work(request).upstream, Equals(REPLICA))
