--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -34,6 +34,7 @@
     now_ms = event.now_ms
     effects = control_link.check_poll(state, now_ms)
     effects += results.check_deadlines(state, now_ms)
+    effects += results.repeat_late_reads(state, now_ms)
     effects += results.check_silent(state, now_ms)
     effects += forwarding.check_late(state, now_ms)
     effects += sessions.check_idle(state, now_ms)
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -30,6 +30,12 @@
 LATENCY_WEIGHT = 0.2  # of a new answer in the running mean
 FAILURE_WEIGHT = 0.1  # of a new outcome in the running share of failures
 READ_ATTEMPTS = 3  # how often a single read is sent
+RETRY_SHARE = 0.1  # of the answers: how many reads may be sent once more, so that load can't double
+RETRY_BUDGET_LIMIT = 20.0  # reads that may be sent once more in a burst
+LATE_MS = 250  # an answer is overdue after this and LATE_FACTOR times the upstream's mean latency
+LATE_FACTOR = 2.5
+SILENT_MS = 1_000  # how long a connection may owe an answer that nobody waits for
+SILENT_MARGIN_MS = 250  # a timeout is reported before its connection is closed
 REOPEN_MS = 100  # the first pause after a failed connection; it doubles with each failure
 REOPEN_LIMIT_MS = 2_000  # the longest pause, so that a returning upstream is found in time
 MOVED_PAUSE_MS = 1_000  # an address that another upstream has; a report corrects it
@@ -130,7 +136,7 @@
             if not connection.pending:
                 continue
             oldest_ms = max(connection.heard_ms, connection.pending[0].sent_ms)
-        limit_ms = state.settings.open_timeout_ms if not connection.is_open else _SILENT_MS
+        limit_ms = _silent_limit_ms(state, connection)
         if now_ms - oldest_ms < limit_ms:
             continue
         effects.append(CloseConnection(connection.number))
@@ -139,7 +145,45 @@
     return effects
 
 
-_SILENT_MS = 5_000  # longer than any statement timeout of the contracts
+def repeat_late_reads(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Send single reads once more whose answers are overdue, within the retry budget.
+
+    An upstream may lose an answer, and a connection may go silent, while both look well. The first
+    answer counts; a late one is dropped.
+    """
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        if not request.sent_ms or request.forwarded_to or request.attempts >= READ_ATTEMPTS:
+            continue
+        item = state.pools.get(request.upstream)
+        late_ms = LATE_MS + LATE_FACTOR * (item.latency_ms if item is not None else 0)
+        if now_ms - request.sent_ms < late_ms or state.retry_budget < 1:
+            continue
+        session = state.sessions[request.session]
+        if session.state is not TransactionState.IDLE or request.is_write:
+            continue
+        state.retry_budget -= 1
+        _detach(state, request)
+        error = Error(Fault.TIMEOUT, f"no answer for {now_ms - request.sent_ms} ms")
+        effects += placement.refuse(state, now_ms, request, request.upstream, error)
+    return effects
+
+
+def _detach(state: GatewayState, request: Request) -> None:
+    """Let nobody wait any more for the answer that is under way."""
+    for connection in state.connections.values():
+        for pending in connection.pending:
+            if pending.request is request:
+                pending.request = None
+
+
+def _silent_limit_ms(state: GatewayState, connection: Connection) -> int:
+    """Return how long a connection may owe an answer: the statement's timeout and a little more."""
+    if not connection.is_open:
+        return state.settings.open_timeout_ms
+    if not connection.pending or connection.pending[0].request is None:
+        return SILENT_MS
+    return connection.pending[0].request.route.timeout_ms + SILENT_MARGIN_MS
 
 
 def _take_begin(
@@ -176,6 +220,7 @@
         _note_outcome(item, reply.error is not None)
     if reply.error is not None:
         return _take_error(state, now_ms, connection, session, request, reply)
+    state.retry_budget = min(RETRY_BUDGET_LIMIT, state.retry_budget + RETRY_SHARE)
     took_ms = now_ms - pending.sent_ms
     item.latency_ms += LATENCY_WEIGHT * (took_ms - item.latency_ms)
     _note_positions(state, connection, session, request, pending, reply)
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -214,6 +214,8 @@
 class GatewayState:
     """The whole state of a gateway.
 
+    ``retry_budget`` is how many late reads may be sent once more now.
+
     ``remote`` are the sessions of other gateways that this one runs statements for, and
     ``begun_floor`` the newest configuration that is known to be in force at any of them.
     By service, ``led_ms`` is when the primary is last known to have led, ``write_waiting_ms`` when
@@ -242,6 +244,7 @@
     next_connection: int = 1
     next_serial: int = 1
     queued: int = 0
+    retry_budget: float = 10.0
     sweep_due_ms: int = 0
     draining_since_ms: int | None = None
     drain_until_ms: int = 0
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -90,3 +90,44 @@
         gateway.poll_answer([], [gateway.mark(10)])
     request = gateway.send(1, K.READ)
     assert_that(gateway.work(request).upstream, Equals(REPLICA))
+
+
+def test_reads_whose_answers_are_lost_are_sent_once_more():
+    """Pattern: the primary runs statements and loses a fifth of its answers."""
+    gateway = ready_gateway(connections=4)
+    gateway.session(1, "strict")
+    request = gateway.send(1, K.READ)
+    lost = gateway.work(request)
+    gateway.sent = [item for item in gateway.sent if item.connection != lost.connection]
+    for _ in range(30):
+        gateway.tick(20)
+        gateway.open_all()
+    again = gateway.work(request)
+    assert_that(again.connection != lost.connection, Equals(True))
+    gateway.reply(again, rows=("x",))
+    assert_that([item.rows for item in gateway.answers], Equals([("x",)]))
+
+
+def test_a_connection_that_owes_an_answer_is_given_up_soon_after_the_timeout():
+    """Pattern: the same; silent connections must not take a gateway's share."""
+    gateway = ready_gateway()
+    gateway.session(1, "session")
+    gateway.send(1, K.WRITE)
+    held = [item.number for item in connections_to(gateway, PRIMARY)]
+    gateway.settle()
+    gateway.tick(1_000)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.TIMEOUT))
+    gateway.tick(300)
+    assert_that(gateway.closed, Equals(held))
+
+
+def test_late_reads_are_repeated_within_a_budget():
+    """Pattern: an overload makes every answer late; repeating all would double it."""
+    gateway = ready_gateway(connections=6)
+    gateway.state.retry_budget = 2.0
+    crowd(gateway, 30, workspace="bounded")
+    for _ in range(10):
+        gateway.open_all()
+        gateway.tick(60)
+    repeated = [item for item in gateway.decisions if item.event == "placed_again"]
+    assert_that(len(repeated), Equals(2))
