--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -5,6 +5,9 @@
 only after another control process has it, so that the loss of one process doesn't lose it.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+
 from ..directory import (
     UpstreamReport,
     UpstreamState,
@@ -62,7 +65,12 @@
 def handle_share(state: ControlState, now_ms: int, share: DirectoryShare) -> list[Effect]:
     """Take another control process's reports."""
     state.spread.peers[share.sender.address] = Peer(
-        share.sender, now_ms, share.primaries, share.gateways, share.contended
+        share.sender,
+        now_ms,
+        share.primaries,
+        share.gateways,
+        share.contended,
+        share.wanted,
     )
     effects: list[Effect] = []
     for report, age_ms in share.reports:
@@ -93,6 +101,7 @@
     else:
         spread.gateway_centres[question.gateway] = question.data_centre
     spread.writes_failing[question.gateway] = question.writes_failing
+    spread.wanted[question.gateway] = question.wanted
     for upstream in question.refused_by:
         spread.refused_ms[upstream] = now_ms
     after = question.revision if question.control_boot == spread.boot else 0
@@ -178,6 +187,7 @@
         if now_ms - asked_ms > GATEWAY_SILENT_MS:
             del asked[address]
             state.spread.writes_failing.pop(address, None)
+            state.spread.wanted.pop(address, None)
             state.spread.gateway_centres.pop(address, None)
     return len(asked)
 
@@ -207,12 +217,23 @@
     return frozenset(refused)
 
 
-def _contended(state: ControlState, now_ms: int) -> list[str]:
+def _contended(state: ControlState, now_ms: int) -> dict[str, int]:
+    """Return the contended upstreams, with how many connections all gateways want of each."""
     contended = set(_own_contended(state, now_ms))
+    wanted = [_add_up(state.spread.wanted.values())]
     for item in state.spread.peers.values():
         if now_ms - item.heard_ms < PEER_SILENT_MS:
             contended.update(item.contended)
-    return sorted(contended)
+            wanted.append(item.wanted)
+    total = _add_up(wanted)
+    return {upstream: total.get(upstream, 0) for upstream in sorted(contended)}
+
+
+def _add_up(counts: Iterable[dict[str, int]]) -> dict[str, int]:
+    total: Counter[str] = Counter()
+    for count in counts:
+        total.update(count)
+    return dict(total)
 
 
 def _others(state: ControlState) -> list[str]:
@@ -241,6 +262,7 @@
         questions.primary_health(state, now_ms),
         _own_gateways(state, now_ms),
         sorted(_own_contended(state, now_ms)),
+        _add_up(state.spread.wanted.values()),
     )
     return [Send(address, share) for address in _others(state)]
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -118,6 +118,7 @@
     primaries: list[PrimaryHealth]
     gateways: int = 0
     contended: list[str] = field(default_factory=list)
+    wanted: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -136,3 +137,4 @@
     gateway_centres: dict[str, str] = field(default_factory=dict)
     refused_ms: dict[str, int] = field(default_factory=dict)
     writes_failing: dict[str, list[str]] = field(default_factory=dict)
+    wanted: dict[str, dict[str, int]] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -9,7 +9,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-SILENT_MS = 4_000  # three report intervals of 1,200 ms, and the time that a report travels
 FORGET_MS = 60_000  # longer than any delayed report may travel
 
 
@@ -109,11 +108,6 @@
     return report
 
 
-def is_silent(entry: DirectoryEntry, now_ms: int) -> bool:
-    """Tell whether an upstream's reports have stopped."""
-    return now_ms - entry.heard_ms > SILENT_MS
-
-
 def forget_gone(directory: Directory, now_ms: int) -> None:
     """Drop the entries that can't be confused with a late report any more."""
     for name, entry in list(directory.entries.items()):
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -5,11 +5,11 @@
 the question was sent, so they can only look older than they are.
 """
 
-from ..directory import UpstreamState, is_silent, merge_report
+from ..directory import UpstreamState, merge_report
 from ..messages import ControlPeer, DirectoryAnswer, DirectoryQuestion
 from ..positions import Position
 from ..watermarks import WatermarkHistory, note_watermark
-from . import holders, placement, pool, sessions
+from . import holders, limits, placement, pool, sessions, upkeep
 from .effects import ApplyDocument, Decision, Effect, Send
 from .events import ConfigurationReceived
 from .state import GatewayState
@@ -46,8 +46,9 @@
         version,
         link.boot,
         link.revision,
-        pool.refusing(state, now_ms),
+        limits.refusing(state, now_ms),
         _writes_failing(state, now_ms),
+        limits.wanted(state),
         state.draining_since_ms is not None,
     )
     return [*effects, Send(link.address, question)]
@@ -69,7 +70,7 @@
     if tuple(answer.neighbours) != link.neighbours:
         link.neighbours = tuple(answer.neighbours)
         link.ranked.clear()
-    effects += _follow_contended(state, now_ms, frozenset(answer.contended))
+    effects += _follow_contended(state, now_ms, answer.contended)
     for report, age_ms in answer.reports:
         merge_report(state.directory, asked_ms, report, age_ms)
         placement.add_pool(state, report.upstream, report.service)
@@ -101,7 +102,7 @@
         "routes": len(configuration.routes),
     }
     state.configuration = configuration
-    effects = pool.renew_transactions(state, event.now_ms)
+    effects = upkeep.renew_transactions(state, event.now_ms)
     if not inputs["previous"]:
         for session in list(state.sessions.values()):
             effects += sessions.take_waiting(state, event.now_ms, session)
@@ -133,9 +134,6 @@
             continue
         if not holders.holds(state, item.service):
             continue
-        entry = state.directory.entries[item.upstream]
-        if is_silent(entry, now_ms):
-            continue
         effects += pool.open_connection(state, now_ms, item)
     return effects
 
@@ -152,15 +150,15 @@
     return failing
 
 
-def _follow_contended(state: GatewayState, now_ms: int, contended: frozenset[str]) -> list[Effect]:
+def _follow_contended(state: GatewayState, now_ms: int, contended: dict[str, int]) -> list[Effect]:
     """Keep to this gateway's share of the upstreams that have refused others."""
-    fresh = contended - state.control.contended
+    fresh = contended.keys() - state.control.contended.keys()
     state.control.contended = contended
     effects: list[Effect] = []
     for upstream in sorted(fresh):
         item = state.pools.get(upstream)
         if item is not None:
-            effects += pool.give_back(state, now_ms, item)
+            effects += upkeep.give_back(state, now_ms, item)
     return effects
 
 
@@ -178,13 +176,13 @@
             continue
         state.led_ms[note.service] = led_ms
         if state.primaries.get(note.service) != note.upstream:
-            effects += pool.follow_primary(state, now_ms, note.service, note.upstream)
+            effects += upkeep.follow_primary(state, now_ms, note.service, note.upstream)
     for entry in state.directory.entries.values():
         report = entry.report
         if not report.is_primary or report.state is UpstreamState.GONE:
             continue
         if report.service not in state.primaries:
-            effects += pool.follow_primary(state, now_ms, report.service, report.upstream)
+            effects += upkeep.follow_primary(state, now_ms, report.service, report.upstream)
     return effects
 
 
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -18,8 +18,8 @@
     UpstreamStatement,
     own,
 )
-from . import holders, placement
-from .effects import CloseConnection, Decision, Effect, OpenConnection, SendStatements
+from . import limits, placement
+from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
     GatewayState,
@@ -32,8 +32,6 @@
 )
 
 OPENING_LIMIT = 3  # connections that open at a time to one upstream; each takes one of its slots
-FIRST_CONNECTIONS = 2  # opened at once where many are wanted; more follow in steps
-REFUSAL_KEPT_MS = 1_000  # how long a refusal for the connection limit is reported to control
 PREPARED_PER_CONNECTION = 200  # statements prepared on a connection before it is reset
 
 Batch = list[tuple[UpstreamStatement, Pending]]
@@ -66,7 +64,7 @@
     entry = state.directory.entries.get(pool.upstream)
     if service is None or entry is None or now_ms < pool.closed_until_ms:
         return []
-    if len(pool.connections) >= _allowance(state, now_ms, pool):
+    if len(pool.connections) >= limits.allowance(state, now_ms, pool):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
     if opening >= min(OPENING_LIMIT, max(1, wanted)):
@@ -195,13 +193,20 @@
     pool = state.pools[connection.upstream]
     connection.session = None
     connection.idle_since_ms = now_ms
-    above = pool.upstream in state.control.contended and _is_above_share(state, pool)
+    above = pool.upstream in state.control.contended and limits.is_above_share(state, pool)
     if above or not may_use(state, now_ms, pool):
         return close(state, connection)
     pool.idle.append(connection.number)
     return placement.pump(state, now_ms, pool.service)
 
 
+def renew(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
+    """Clean an idle connection again, as what it should be has changed."""
+    pool = state.pools[connection.upstream]
+    pool.idle.remove(connection.number)
+    return release(state, now_ms, connection)
+
+
 def close(state: GatewayState, connection: Connection) -> list[Effect]:
     """Close a connection that serves nobody."""
     forget(state, connection)
@@ -218,112 +223,6 @@
     pool.running -= sum(1 for item in connection.pending if item.purpose is Purpose.WORK)
 
 
-def close_unused(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Close what was idle for long, keeping one, and all idle ones of upstreams that leave.
-
-    Connections above this gateway's share of an upstream's limit are given back soon.
-    """
-    effects: list[Effect] = []
-    for pool in list(state.pools.values()):
-        usable = may_use(state, now_ms, pool)
-        share = holders.share(state, pool.service)
-        kept = min(1, share) if usable else 0
-        for number in list(pool.idle):
-            connection = pool.connections[number]
-            if len(pool.connections) <= kept:
-                break
-            borrowed = len(pool.connections) > share
-            limit_ms = state.settings.idle_connection_ms if usable else 0
-            if borrowed:
-                limit_ms = min(limit_ms, state.settings.borrowed_idle_ms)
-            if now_ms - connection.idle_since_ms >= limit_ms:
-                effects += close(state, connection)
-        if not pool.connections and pool.upstream not in state.directory.entries:
-            del state.pools[pool.upstream]
-    return effects
-
-
-def _is_above_share(state: GatewayState, pool: UpstreamPool) -> bool:
-    return len(pool.connections) > holders.share(state, pool.service)
-
-
-def _allowance(state: GatewayState, now_ms: int, pool: UpstreamPool) -> int:
-    """Return how many connections this gateway may have to an upstream now.
-
-    It is the gateway's share, and one more each ``allowance_step_ms`` while connections are wanted
-    and no gateway was refused one. Growing in steps leaves room for gateways that start together.
-    """
-    # One that was asked to run another gateway's statements needs a connection, whatever its share.
-    share = max(1, holders.share(state, pool.service))
-    if pool.upstream in state.control.contended:
-        pool.allowance = share
-        return share
-    first = min(share, FIRST_CONNECTIONS)
-    if pool.allowance < first:
-        pool.allowance = first
-    if len(pool.connections) < pool.allowance:
-        return pool.allowance
-    if now_ms - pool.grown_ms >= state.settings.allowance_step_ms:
-        pool.grown_ms = now_ms
-        pool.allowance = min(len(pool.connections) + 1, holders.room(state, pool.service))
-    return pool.allowance
-
-
-def refusing(state: GatewayState, now_ms: int) -> list[str]:
-    """Return the upstreams that lately refused this gateway a connection of its share."""
-    return [
-        item.upstream
-        for item in state.pools.values()
-        if item.full_ms is not None
-        and now_ms - item.full_ms < REFUSAL_KEPT_MS
-        and len(item.connections) < holders.share(state, item.service)
-    ]
-
-
-def give_back(state: GatewayState, now_ms: int, pool: UpstreamPool) -> list[Effect]:
-    """Close the idle connections above this gateway's share."""
-    effects: list[Effect] = []
-    while pool.idle and _is_above_share(state, pool):
-        effects += close(state, pool.connections[pool.idle[0]])
-    return effects
-
-
-def renew_transactions(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Begin the idle transactions anew, so that none is older than the configuration in force."""
-    effects: list[Effect] = []
-    for connection in list(state.connections.values()):
-        pool = state.pools[connection.upstream]
-        if connection.number in pool.idle and connection.in_transaction:
-            pool.idle.remove(connection.number)
-            effects += release(state, now_ms, connection)
-    return effects
-
-
-def follow_primary(state: GatewayState, now_ms: int, service: str, primary: str) -> list[Effect]:
-    """Take an upstream for a service's primary; end the idle transactions on the others."""
-    previous = state.primaries.get(service, "")
-    state.primaries[service] = primary
-    state.write_waiting_ms.pop(service, None)
-    state.unreachable_ms.pop(service, None)
-    entry = state.directory.entries.get(primary)
-    inputs: dict[str, object] = {
-        "service": service,
-        "previous": previous,
-        "report_age_ms": now_ms - entry.heard_ms if entry else None,
-    }
-    effects: list[Effect] = [Decision("info", "primary_believed", "", "", inputs, primary)]
-    for pool in state.pools.values():
-        if pool.service != service:
-            continue
-        for number in list(pool.idle):
-            connection = pool.connections[number]
-            if connection.in_transaction == (pool.upstream == primary):
-                continue
-            pool.idle.remove(number)
-            effects += release(state, now_ms, connection)
-    return effects + placement.pump(state, now_ms, service)
-
-
 def _is_aligned(connection: Connection, session: Session) -> bool:
     return not connection.is_dirty and connection.values == session.values
 
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from ..messages import DirectoryAnswer, ForwardedEnd, ForwardedReply, ForwardedStatement
-from . import control_link, forwarding, placement, pool, results, sessions
+from . import control_link, forwarding, placement, results, sessions, upkeep
 from .effects import Decision, Effect
 from .events import (
     ConfigurationReceived,
@@ -44,7 +44,7 @@
         effects += placement.pump(state, now_ms, service)
     if now_ms >= state.sweep_due_ms:
         state.sweep_due_ms = now_ms + SLOW_SWEEP_MS
-        effects += pool.close_unused(state, now_ms)
+        effects += upkeep.close_unused(state, now_ms)
         placement.cool_latencies(state)
     return effects + _check_drain(state, now_ms)
 
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -292,7 +292,6 @@
     item = state.pools[connection.upstream]
     if reply.position is None:
         return
-    item.position = reply.position
     committed = request.is_write and session.state is TransactionState.IDLE
     if request.statement.kind is StatementKind.COMMIT:
         committed = session.wrote
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -7,7 +7,7 @@
 
 from ..directory import Directory
 from ..messages import ControlPeer
-from ..positions import ZERO, Position
+from ..positions import Position
 from ..routes import EMPTY, Configuration, Route
 from ..statements import Statement, StatementKind, TransactionState
 from ..watermarks import WatermarkHistory
@@ -162,7 +162,6 @@
     running: int = 0
     latency_ms: float = 0.0
     failure_rate: float = 0.0
-    position: Position = ZERO
     closed_until_ms: int = 0
     lagging_until_ms: int = 0
     busy_until_ms: int = 0
@@ -175,7 +174,11 @@
 
 @dataclass(slots=True)
 class ControlLink:
-    """The polling of control: whom this gateway asks, and what it has heard."""
+    """The polling of control: whom this gateway asks, and what it has heard.
+
+    ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
+    gateways want together.
+    """
 
     address: str = ""
     peers: list[ControlPeer] = field(default_factory=list)
@@ -189,7 +192,7 @@
     boot: str = ""
     revision: int = 0
     gateways: int = 1
-    contended: frozenset[str] = frozenset()
+    contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked: dict[str, list[str]] = field(default_factory=dict)
 
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/upkeep.py
@@ -0,0 +1,72 @@
+"""The upkeep of idle connections: what is closed, given back or begun anew, and when."""
+
+from . import limits, placement, pool
+from .effects import Decision, Effect
+from .state import GatewayState, UpstreamPool
+
+
+def close_unused(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Close what was idle for long, keeping one, and all idle ones of upstreams that leave.
+
+    Connections above this gateway's share of an upstream's limit are given back soon.
+    """
+    effects: list[Effect] = []
+    for item in list(state.pools.values()):
+        usable = pool.may_use(state, now_ms, item)
+        share = limits.share(state, item)
+        kept = min(1, share) if usable else 0
+        for number in list(item.idle):
+            connection = item.connections[number]
+            if len(item.connections) <= kept:
+                break
+            borrowed = len(item.connections) > share
+            limit_ms = state.settings.idle_connection_ms if usable else 0
+            if borrowed:
+                limit_ms = min(limit_ms, state.settings.borrowed_idle_ms)
+            if now_ms - connection.idle_since_ms >= limit_ms:
+                effects += pool.close(state, connection)
+        if not item.connections and item.upstream not in state.directory.entries:
+            del state.pools[item.upstream]
+    return effects
+
+
+def give_back(state: GatewayState, now_ms: int, item: UpstreamPool) -> list[Effect]:
+    """Close the idle connections above this gateway's share."""
+    effects: list[Effect] = []
+    while item.idle and limits.is_above_share(state, item):
+        effects += pool.close(state, item.connections[item.idle[0]])
+    return effects
+
+
+def renew_transactions(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Begin the idle transactions anew, so that none is older than the configuration in force."""
+    effects: list[Effect] = []
+    for connection in list(state.connections.values()):
+        item = state.pools[connection.upstream]
+        if connection.number in item.idle and connection.in_transaction:
+            effects += pool.renew(state, now_ms, connection)
+    return effects
+
+
+def follow_primary(state: GatewayState, now_ms: int, service: str, primary: str) -> list[Effect]:
+    """Take an upstream for a service's primary; end the idle transactions on the others."""
+    previous = state.primaries.get(service, "")
+    state.primaries[service] = primary
+    state.write_waiting_ms.pop(service, None)
+    state.unreachable_ms.pop(service, None)
+    entry = state.directory.entries.get(primary)
+    inputs: dict[str, object] = {
+        "service": service,
+        "previous": previous,
+        "report_age_ms": now_ms - entry.heard_ms if entry else None,
+    }
+    effects: list[Effect] = [Decision("info", "primary_believed", "", "", inputs, primary)]
+    for item in state.pools.values():
+        if item.service != service:
+            continue
+        for number in list(item.idle):
+            connection = item.connections[number]
+            if connection.in_transaction == (item.upstream == primary):
+                continue
+            effects += pool.renew(state, now_ms, connection)
+    return effects + placement.pump(state, now_ms, service)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -275,7 +275,8 @@
     """Ask a control process for what changed since the revision named.
 
     ``refused_by`` names the upstreams that had no connection left for the asker, and
-    ``writes_failing`` the services none of whose writes has been answered for a while.
+    ``writes_failing`` the services none of whose writes has been answered for a while. ``wanted``
+    is how many connections the asker wants, by upstream.
     """
 
     gateway: str
@@ -286,6 +287,7 @@
     revision: int
     refused_by: list[str]
     writes_failing: list[str]
+    wanted: dict[str, int]
     is_draining: bool
 
 
@@ -296,8 +298,8 @@
     to the asker. ``document`` is the configuration, or empty where the asker has it.
     ``leader_age_ms`` tells how long ago the sender last knew itself up to date, and ``gateways``
     how many share the connections of each upstream. ``contended`` names the upstreams that have
-    refused connections to some gateway lately, and ``neighbours`` the gateways of the asker's data
-    centre.
+    refused connections to some gateway lately, with how many all gateways want, and ``neighbours``
+    the gateways of the asker's data centre.
     """
 
     sequence: int
@@ -310,7 +312,7 @@
     watermarks: list[WatermarkNote]
     leader_age_ms: int
     gateways: int
-    contended: list[str]
+    contended: dict[str, int]
     neighbours: list[str]
 
 
@@ -318,7 +320,8 @@
     """Pass reports on to another control process.
 
     ``serial`` is echoed, 0 asks for no echo. ``gateways`` counts those that ask the sender, and
-    ``contended`` names the upstreams that refused connections to them lately.
+    ``contended`` names the upstreams that refused connections to them lately. ``wanted`` is how
+    many connections they want together, by upstream.
     """
 
     sender: ControlPeer
@@ -327,6 +330,7 @@
     primaries: list[PrimaryHealth]
     gateways: int
     contended: list[str]
+    wanted: dict[str, int]
 
 
 # Between gateways.
--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -173,7 +173,7 @@
             failing = not self.upstreams[primary].reachable if primary else False
             told = failing_ms if failing_ms is not None else (1_000 if failing else 0)
             health = [PrimaryHealth(SERVICE, primary, told, 0)] if primary else []
-            share = DirectoryShare(peer(address), 0, [], health, 0, [])
+            share = DirectoryShare(peer(address), 0, [], health, 0, [], {})
             self.handle(ce.MessageReceived(self.now_ms, share))
 
     def report_all(self):
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -155,7 +155,7 @@
             list(watermarks),
             0,
             1,
-            [],
+            {},
             [],
         )
         self.handle(ev.MessageReceived(self.now_ms, answer._replace(**changes)))
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -144,7 +144,7 @@
 
 
 def poll(control, gateway, writes_failing):
-    question = DirectoryQuestion(gateway, "dc-a", 1, 1, "boot", 0, [], writes_failing, False)
+    question = DirectoryQuestion(gateway, "dc-a", 1, 1, "boot", 0, [], writes_failing, {}, False)
     control.handle(ce.MessageReceived(control.now_ms, question))
 
 
@@ -219,14 +219,14 @@
 
 
 def test_a_gateway_gets_only_what_changed(control):
-    question = DirectoryQuestion("10.0.0.9:7000", "dc-a", 1, 0, "", 0, [], [], False)
+    question = DirectoryQuestion("10.0.0.9:7000", "dc-a", 1, 0, "", 0, [], [], {}, False)
     control.replies.clear()
     control.handle(ce.MessageReceived(control.now_ms, question))
     first = control.replies[-1].message
     assert_that(len(first.reports), Equals(3))
     assert_that(first.document, Equals(b"document-1"))
     question = DirectoryQuestion(
-        "10.0.0.9:7000", "dc-a", 2, 1, first.control_boot, first.revision, [], [], False
+        "10.0.0.9:7000", "dc-a", 2, 1, first.control_boot, first.revision, [], [], {}, False
     )
     control.handle(ce.MessageReceived(control.now_ms, question))
     second = control.replies[-1].message
@@ -238,15 +238,17 @@
     poll(control, "10.0.0.7:7000", [])
     poll(control, "10.0.0.8:7000", [])
     assert_that(control.replies[-1].message.neighbours, Equals(["10.0.0.7:7000", "10.0.0.8:7000"]))
-    question = DirectoryQuestion("10.0.0.7:7000", "dc-a", 2, 1, "boot", 0, [], [], True)
+    question = DirectoryQuestion("10.0.0.7:7000", "dc-a", 2, 1, "boot", 0, [], [], {}, True)
     control.handle(ce.MessageReceived(control.now_ms, question))
     assert_that(control.replies[-1].message.neighbours, Equals(["10.0.0.8:7000"]))
 
 
 def test_an_upstream_that_refused_a_gateway_is_contended_for_all(control):
-    question = DirectoryQuestion("10.0.0.9:7000", "dc-a", 1, 1, "boot", 0, ["u-second"], [], False)
+    question = DirectoryQuestion(
+        "10.0.0.9:7000", "dc-a", 1, 1, "boot", 0, ["u-second"], [], {"u-second": 9}, False
+    )
     control.handle(ce.MessageReceived(control.now_ms, question))
-    assert_that(control.replies[-1].message.contended, Equals(["u-second"]))
+    assert_that(control.replies[-1].message.contended, Equals({"u-second": 9}))
     control.shares.clear()
     control.handle(ce.Tick(control.now_ms + 1, 0.5))
     assert_that(control.shares[-1][1].contended, Equals(["u-second"]))
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -1,5 +1,6 @@
 """Loads that a gateway must carry well; each test names the pattern that it answers."""
 
+from endivewick_core.gateway import limits
 from endivewick_core.statements import Error, Fault, StatementKind
 from gateway_driver import FAR_REPLICA, PRIMARY, REPLICA, ready_gateway
 from testtools.assertions import assert_that
@@ -49,7 +50,7 @@
     held = len(connections_to(gateway, PRIMARY))
     assert_that(held > 4, Equals(True))
     gateway.tick(300)
-    gateway.poll_answer([], [gateway.mark(10)], gateways=4, contended=[PRIMARY])
+    gateway.poll_answer([], [gateway.mark(10)], gateways=4, contended={PRIMARY: 0})
     for request in requests:
         item = gateway.work(request)
         if item is not None:
@@ -58,6 +59,21 @@
     assert_that(len(connections_to(gateway, PRIMARY)), Equals(4))
 
 
+def test_a_share_follows_demand_while_connections_are_contended():
+    """Pattern: one gateway of six has a third of the load of a contended primary."""
+    gateway = ready_gateway(limit=21)
+    crowd(gateway, 30)
+    for _ in range(8):
+        gateway.tick(60)
+        gateway.open_all()
+    wants = limits.wanted(gateway.state)[PRIMARY]
+    gateway.tick(300)
+    contended = {PRIMARY: 3 * wants}
+    gateway.poll_answer([], [gateway.mark(10)], gateways=6, contended=contended)
+    pool = gateway.state.pools[PRIMARY]
+    assert_that(limits.share(gateway.state, pool), Equals(17 // 3))
+
+
 def test_a_refused_gateway_asks_the_others_for_its_share():
     """Pattern: a gateway finds the primary full of its neighbours' connections."""
     gateway = ready_gateway(limit=21)
