Wait for a replaced voter in every log before the test ends the leader; show why

Cause of test_wiped_member_joins_under_a_new_identity failing once beside load (30 s without a leader): the test ended the leader when it had only proposed the new voter, so the two others knew of two voters, one of them the dead leader. Traced over the reducers: with that change in the leader's log only, there is no leader until it returns. The new test shows it; the old one now waits until the change is in every log and is otherwise as strict.

--- a/tests/test_control_search.py
+++ b/tests/test_control_search.py
@@ -88,3 +88,30 @@
 
     monkeypatch.setattr(Driver, "restart", restart)
     assert_that(any(walk(seed)[1] for seed in range(WALKS)), Equals(True))
+
+
+def test_a_membership_that_only_the_leader_has_waits_for_its_return():
+    """A replaced voter's lost identity is removed first; then two voters need each other."""
+    driver = ready_driver(1)
+    leader = driver.leader()
+    lost, stays = (name for name in CONTROLS if name != leader)
+
+    def voters(name):
+        return len(driver.processes[name].state.membership.voters)
+
+    driver.restart(lost, wipe=True)
+    while not (voters(leader) == voters(stays) == 2):
+        driver.run(1)
+    driver.cut(leader, stays, both=False)
+    driver.cut(leader, lost, both=False)
+    while voters(leader) == 2:
+        driver.run(1)
+    assert_that((voters(stays), voters(lost)), Equals((2, 2)))
+    driver.kill(leader)
+    driver.heal()
+    driver.run(10_000)
+    roles = {str(driver.processes[name].state.role) for name in (stays, lost)}
+    assert_that("leader" in roles, Equals(False))
+    driver.restart(leader)
+    driver.run(10_000)
+    assert_that(all(voters(name) == 3 for name in CONTROLS), Equals(True))
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -183,6 +183,21 @@
     trio.run(run)
 
 
+async def in_every_log(cluster, leader, voters):
+    """Wait until the other members have a membership with so many voters.
+
+    The leader says that a member votes when it proposes it. Until others have the change, two
+    voters remain without it, and the loss of the leader leaves them waiting for its return:
+    test_a_membership_that_only_the_leader_has_waits_for_its_return shows that.
+    """
+    for name, address in cluster.operator_addresses.items():
+        while name != leader:
+            reply = await cl.call(address, "GET", "/v1/status")
+            if reply is not None and len(reply.body["voters"]) == voters:
+                break
+            await trio.sleep(cl.POLL_S)
+
+
 def test_wiped_member_joins_under_a_new_identity():
     async def run():
         async with system(6) as cluster:
@@ -197,6 +212,7 @@
             with trio.fail_after(LIMIT_S):
                 while log.read_text().count("holds everything and votes now") < 3:
                     await trio.sleep(cl.POLL_S)
+                await in_every_log(cluster, status["leader"], voters=3)
             cluster.processes[status["leader"]].kill()
             reply = await cl.call_leader(cluster, "GET", "/v1/contracts/farms")
             assert_that(reply.status, Equals(200))
