Open and advance a request in one place, whether it runs here or at a holder

A prepared statement travels as itself in place of two fields; with them an empty shape ended the holder with a KeyError, which the new test shows. Removed what nothing read: a purpose, two numbers, a table, unused parameters.

Behaviour otherwise as it was, but for one bound that stood twice with < and <=: a control process heard exactly 2,500 ms ago now counts as heard for all that ask.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -32,7 +32,6 @@
 
 SHARE_MS = 1_000  # how often the recent reports are repeated to the other control processes
 SHARED_AGE_MS = 10_000  # how long a change is repeated
-PEER_SILENT_MS = 2_500  # two shares of a peer were missed
 GATEWAY_SILENT_MS = 1_000  # three polls of a gateway were missed; it may ask another by then
 CONTENDED_MS = 2_000  # how long gateways keep to their shares after a refusal
 CONFIRM_MS = 700  # how long a leaving upstream's acknowledgement waits; the sender waits 1,000 ms
@@ -46,7 +45,7 @@
     effects: list[Effect] = []
     if changed:
         effects.append(_seen(report))
-    if report.state is UpstreamState.LEAVING and _others(state):
+    if report.state is UpstreamState.LEAVING:
         return effects + _confirm(state, now_ms, event.number, report, report_to)
     if changed:
         effects += _share(state, now_ms, [HeardReport(report, 0)], 0)
@@ -105,11 +104,10 @@
     for upstream in question.refused_by:
         spread.refused_ms[upstream] = now_ms
     after = question.revision if question.control_boot == spread.boot else 0
-    is_new = question.control_boot != spread.boot
     reports = [
         HeardReport(entry.report, now_ms - entry.heard_ms)
         for entry in spread.directory.entries.values()
-        if is_new or entry.revision > after
+        if entry.revision > after
     ]
     configuration = state.machine.configuration
     has_it = question.configuration_version >= configuration.version
@@ -173,11 +171,8 @@
 
 
 def _known_peers(state: ControlState, now_ms: int) -> list[ControlPeer]:
-    known = [state.settings.me]
-    for item in state.spread.peers.values():
-        if now_ms - item.heard_ms < PEER_SILENT_MS:
-            known.append(item.peer)
-    return known
+    heard = questions.heard_peers(state, now_ms)
+    return [state.settings.me, *(item.peer for item in heard)]
 
 
 def _own_gateways(state: ControlState, now_ms: int) -> int:
@@ -194,12 +189,8 @@
 
 def count_gateways(state: ControlState, now_ms: int) -> int:
     """Return about how many gateways there are, as all control processes count them."""
-    others = [
-        item.gateways
-        for item in state.spread.peers.values()
-        if now_ms - item.heard_ms < PEER_SILENT_MS
-    ]
-    return _own_gateways(state, now_ms) + sum(others)
+    others = questions.heard_peers(state, now_ms)
+    return _own_gateways(state, now_ms) + sum(item.gateways for item in others)
 
 
 def _neighbours(state: ControlState, data_centre: str) -> list[str]:
@@ -219,13 +210,11 @@
 
 def _contended(state: ControlState, now_ms: int) -> dict[str, int]:
     """Return the contended upstreams, with how many connections all gateways want of each."""
-    contended = set(_own_contended(state, now_ms))
-    wanted = [_add_up(state.spread.wanted.values())]
-    for item in state.spread.peers.values():
-        if now_ms - item.heard_ms < PEER_SILENT_MS:
-            contended.update(item.contended)
-            wanted.append(item.wanted)
-    total = _add_up(wanted)
+    others = questions.heard_peers(state, now_ms)
+    contended = _own_contended(state, now_ms).union(*(item.contended for item in others))
+    if not contended:
+        return {}
+    total = _add_up([*state.spread.wanted.values(), *(item.wanted for item in others)])
     return {upstream: total.get(upstream, 0) for upstream in sorted(contended)}
 
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -24,7 +24,6 @@
 PROMOTE_LIMIT_MS = 5_000  # a promotion that takes longer is begun anew with a newer token
 RESUME_LIMIT_MS = 3_000  # a replica that can't be reached is resumed after the failover's end
 WRITES_PAUSE_MS = 8_000  # after a failover, so that writes that waited for it are answered first
-PEER_REPORT_MS = 2_500  # how old another control process's view may be
 
 
 def check_failovers(state: ControlState, now_ms: int) -> list[Effect]:
@@ -50,12 +49,10 @@
     """Record how far a paused replica had received."""
     if reply.error is not None or reply.status is None:
         return []
-    for running in state.failover.running.values():
-        entry = state.spread.directory.entries.get(upstream)
-        if entry is None or entry.report.service != running.service:
-            continue
-        if running.stage is Stage.PAUSING:
-            running.received[upstream] = reply.status.received
+    entry = state.spread.directory.entries.get(upstream)
+    running = state.failover.running.get(entry.report.service) if entry is not None else None
+    if running is not None and running.stage is Stage.PAUSING:
+        running.received[upstream] = reply.status.received
     return []
 
 
@@ -138,7 +135,7 @@
     entry = state.spread.directory.entries.get(previous)
     if entry is None:
         return "", False
-    if entry.report.state is not UpstreamState.READY:
+    if not _is_ready(entry):
         others = [item for item in _replicas(state, service, previous) if _is_ready(item)]
         return ("the primary leaves", False) if others else ("", False)
     failing_ms = questions.failing_ms(state, now_ms, service)
@@ -157,9 +154,7 @@
     control.
     """
     failing = questions.gateways_failing(state, service)
-    for peer in state.spread.peers.values():
-        if now_ms - peer.heard_ms > PEER_REPORT_MS:
-            continue
+    for peer in questions.heard_peers(state, now_ms):
         failing += sum(item.gateways_failing for item in peer.primaries if item.service == service)
     return failing >= 2 and failing * 2 > directory.count_gateways(state, now_ms)
 
@@ -167,9 +162,7 @@
 def _majority_fails(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
     """Tell whether most control processes that were heard lately miss the primary's answers."""
     asked, failing = 1, 1
-    for peer in state.spread.peers.values():
-        if now_ms - peer.heard_ms > PEER_REPORT_MS:
-            continue
+    for peer in questions.heard_peers(state, now_ms):
         asked += 1
         for health in peer.primaries:
             if health.service == service and health.upstream == primary and health.failing_ms:
@@ -235,7 +228,7 @@
         replicas,
         key=lambda item: (
             received[item.report.upstream],
-            item.report.state is UpstreamState.READY,
+            _is_ready(item),
             item.report.upstream,
         ),
     )
--- a/packages/core/src/endivewick_core/control/operators.py
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -67,7 +67,7 @@
     if state.role is not Role.LEADER or state.leading is None:
         return [_send_on(state, now_ms, number)]
     if isinstance(request, PutConfigurationRequest):
-        return _propose_configuration(state, now_ms, number, request)
+        return _append_change(state, now_ms, number, PutConfiguration(*request))
     if isinstance(request, PutContractRequest | SetUpstreamRequest):
         return _propose_change(state, now_ms, number, request)
     waiting = WaitingRead(state.leading.round_number + 1, number, request)
@@ -182,15 +182,6 @@
     return _refuse(number, _not_leader(state))
 
 
-def _propose_configuration(
-    state: ControlState, now_ms: int, number: int, request: PutConfigurationRequest
-) -> list[Effect]:
-    assert state.leading is not None
-    effects = replication.propose(state, encode(PutConfiguration(*request)))
-    state.leading.changes[state.log.last_index] = WaitingChange(number, state.term)
-    return effects + replication.start_round(state, now_ms)
-
-
 def _propose_change(
     state: ControlState, now_ms: int, number: int, request: PutContractRequest | SetUpstreamRequest
 ) -> list[Effect]:
@@ -201,6 +192,12 @@
     command = _command(request)
     if isinstance(command, Failure):
         return [_refuse(number, command)]
+    return _append_change(state, now_ms, number, command)
+
+
+def _append_change(state: ControlState, now_ms: int, number: int, command: Any) -> list[Effect]:
+    """Append an operator's change, whose answer waits for its commitment."""
+    assert state.leading is not None
     effects = replication.propose(state, encode(command))
     state.leading.changes[state.log.last_index] = WaitingChange(number, state.term)
     return effects + replication.start_round(state, now_ms)
--- a/packages/core/src/endivewick_core/control/questions.py
+++ b/packages/core/src/endivewick_core/control/questions.py
@@ -2,14 +2,14 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..messages import PrimaryHealth
-from ..positions import ZERO
 from ..statements import BEGIN, ROLLBACK, Statement, UpstreamStatement
 from ..upstream_links import OpenConnection, SendStatements
 from .effects import Effect
-from .service_state import Asked, Question, WatchedConnection
+from .service_state import Asked, Peer, Question, WatchedConnection
 from .state import ControlState
 
 ASK_MS = 400  # a quarter of the shortest staleness that contracts commonly allow
+PEER_SILENT_MS = 2_500  # two shares of another control process were missed
 OVERDUE_MS = 500  # the longest round trip between regions, a lost packet and its repeat
 
 
@@ -38,6 +38,12 @@
     return health
 
 
+def heard_peers(state: ControlState, now_ms: int) -> list[Peer]:
+    """Return the other control processes whose last share is recent."""
+    peers = state.spread.peers.values()
+    return [peer for peer in peers if now_ms - peer.heard_ms <= PEER_SILENT_MS]
+
+
 def gateways_failing(state: ControlState, service: str) -> int:
     """Return how many of this process's gateways get no answers to writes of a service."""
     return sum(1 for failing in state.spread.writes_failing.values() if service in failing)
@@ -97,4 +103,4 @@
 
 def newest_term(state: ControlState, service: str) -> int:
     """Return the highest term that any upstream of a service has shown."""
-    return max(state.watch.terms.get(service, 0), ZERO.term)
+    return state.watch.terms.get(service, 0)
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -55,7 +55,6 @@
     by_upstream: dict[str, int] = field(default_factory=dict)
     reopen_ms: dict[str, int] = field(default_factory=dict)
     marks: dict[str, Mark] = field(default_factory=dict)
-    failing_since_ms: dict[str, int] = field(default_factory=dict)
     terms: dict[str, int] = field(default_factory=dict)
     next_connection: int = 1
 
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -6,16 +6,17 @@
 """
 
 from ..directory import UpstreamState, merge_report
-from ..messages import ControlPeer, DirectoryAnswer, DirectoryQuestion
+from ..messages import DirectoryAnswer, DirectoryQuestion
 from ..positions import Position
 from ..watermarks import WatermarkHistory, note_watermark
 from . import holders, limits, placement, pool, sessions, upkeep
 from .effects import ApplyDocument, Decision, Effect, Send
 from .events import ConfigurationReceived
-from .state import GatewayState
+from .state import GatewayState, distance
 
 AVOID_MS = 2_000  # how long a control process that did not answer is left alone
 FIRST_POLL_MS = 100  # between polls until the first configuration; sessions wait for it
+UNKNOWN_DISTANCE = 3  # beyond another region
 STALE_LEADER_MS = 1_500  # a control process that lost its leader for longer is left for another
 
 
@@ -112,12 +113,11 @@
     return [decision, *effects]
 
 
-def is_ready(state: GatewayState, now_ms: int) -> bool:
+def is_ready(state: GatewayState) -> bool:
     """Tell whether new sessions should come here."""
     if state.draining_since_ms is not None or not state.configuration.version:
         return False
-    heard_ms = state.control.heard_ms
-    if heard_ms is None:
+    if state.control.heard_ms is None:
         return False
     if len(state.control.neighbours) > 1 and not any(
         holders.holds(state, service) for service in state.configuration.services
@@ -130,7 +130,7 @@
     """Keep a connection open to each upstream, so that the first statements don't wait for one."""
     effects: list[Effect] = []
     for item in state.pools.values():
-        if item.connections or not pool.may_use(state, now_ms, item):
+        if item.connections or not pool.may_use(state, item):
             continue
         if not holders.holds(state, item.service):
             continue
@@ -219,20 +219,11 @@
 
 
 def _rank(state: GatewayState, address: str) -> int:
-    """Return how far a control process is: 0 in this data centre, 1 in the region, else 2."""
-    settings = state.settings
+    """Return how far a control process is; one that isn't known is farthest."""
     for peer in state.control.peers:
-        if peer.address != address:
-            continue
-        return distance(settings.regions, settings.data_centre, peer)
-    return 3
-
-
-def distance(regions: dict[str, str], data_centre: str, peer: ControlPeer) -> int:
-    """Return 0 for the same data centre, 1 for the same region, 2 for another."""
-    if peer.data_centre == data_centre:
-        return 0
-    return 1 if regions.get(peer.data_centre) == regions.get(data_centre) else 2
+        if peer.address == address:
+            return distance(state.settings, peer.data_centre)
+    return UNKNOWN_DISTANCE
 
 
 def _decision(level: str, event: str, address: str, outcome: str) -> Decision:
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -6,13 +6,14 @@
 """
 
 from ..messages import ForwardedEnd, ForwardedReply, ForwardedStatement
+from ..positions import Position
 from ..statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
-from . import answers, holders, placement, pool
+from . import answers, holders, placement
 from .effects import AnswerStatement, CloseSession, Decision, Effect, Send
-from .state import GatewayState, PreparedStatement, Request, Session
+from .requests import advance, is_single_read, open_request
+from .state import GatewayState, Request, Session
 
 LATE_READ_MS = 500  # after so long without an answer a single read is sent to another holder
-READ_ATTEMPTS = 3  # how often a single read is sent
 
 
 def forward(state: GatewayState, now_ms: int, session: Session, request: Request) -> list[Effect]:
@@ -21,7 +22,6 @@
     if session.state is TransactionState.OPEN:
         session.holder = address
     statement = request.statement
-    prepared = session.prepared.get(statement.name)
     request.forwarded_to = address
     request.sent_ms = now_ms
     request.upstream = address
@@ -37,8 +37,7 @@
         session.is_read_only,
         session.state is TransactionState.OPEN and session.statements_run > 0,
         session.values,
-        prepared.shape if prepared else "",
-        bool(prepared and prepared.is_write),
+        session.prepared.get(statement.name),
         session.position,
         state.configuration.version,
         max(0, request.deadline_ms - now_ms),
@@ -62,9 +61,8 @@
         if not request.forwarded_to or now_ms - request.sent_ms < LATE_READ_MS:
             continue
         state.control.avoid_until_ms[request.forwarded_to] = now_ms + holders.AVOID_MS
-        session = state.sessions[request.session]
-        single_read = session.state is TransactionState.IDLE and not request.is_write
-        if not single_read or request.attempts >= READ_ATTEMPTS:
+        single_read = is_single_read(state.sessions[request.session], request)
+        if not single_read or request.attempts >= placement.READ_ATTEMPTS:
             continue
         inputs: dict[str, object] = {"holder": request.forwarded_to}
         decision = Decision(
@@ -90,17 +88,9 @@
         session.holder = ""
         error = Error(Fault(reply.fault), reply.text, reply.retry_after_ms)
         return answers.fail(state, now_ms, request, error, reply.position)
-    is_commit = request.statement.kind is StatementKind.COMMIT
-    single = session.state is TransactionState.IDLE
-    if reply.position is not None:
-        if (is_commit and session.wrote) or (single and request.is_write):
-            session.position = max(session.position or reply.position, reply.position)
-    if is_commit:
-        session.state = TransactionState.IDLE
+    advance(session, request, reply.position)
+    if request.statement.kind is StatementKind.COMMIT:
         session.holder = ""
-    elif not single:
-        session.statements_run += 1
-        session.wrote = session.wrote or request.is_write
     passed = UpstreamReply(
         tuple(reply.rows), reply.proof, None, TransactionState.IDLE, reply.position
     )
@@ -115,7 +105,9 @@
     if known is not None and known.current is not None:
         return []
     if message.is_started and (known is None or known.connection is None):
-        return [_refusal(state, message, Fault.ABORTED, "the transaction was rolled back")]
+        error = Error(Fault.ABORTED, "the transaction was rolled back")
+        reply = _reply(state, message.number, (), "", error, message.position)
+        return [Send(message.origin, reply)]
     session = known or _open(state, key)
     state.begun_floor = max(state.begun_floor, message.configuration_version)
     session.workspace = message.route.workspace
@@ -125,35 +117,31 @@
     session.values = message.values
     session.position = message.position
     session.active_ms = now_ms
-    if message.shape:
-        prepared = PreparedStatement(message.shape, message.is_prepared_write)
-        session.prepared = {message.statement.name: prepared}
-    request = Request(
-        session.number,
-        message.statement,
-        message.route,
-        now_ms,
-        now_ms + message.left_ms,
-        state.next_serial,
-        origin_number=message.number,
-    )
-    state.next_serial += 1
-    request.is_write = _is_write(message)
-    session.current = request
-    state.requests[request.serial] = request
     session.origin_number = message.number
+    if message.prepared is not None:
+        session.prepared = {message.statement.name: message.prepared}
+    request = open_request(
+        state, now_ms, session, message.statement, message.route, message.left_ms
+    )
     return placement.place(state, now_ms, request)
 
 
 def handle_end(state: GatewayState, now_ms: int, message: ForwardedEnd) -> list[Effect]:
     """Roll back what a session of another gateway has open here."""
-    number = state.remote.pop((message.origin, message.boot, message.session), None)
-    session = state.sessions.pop(number, None) if number is not None else None
+    number = state.remote.get((message.origin, message.boot, message.session))
+    session = state.sessions.get(number) if number is not None else None
     if session is None:
         return []
-    if session.current is not None:
-        return placement.abandon(state, now_ms, session, session.current)
-    return pool.release_session(state, now_ms, session)
+    forget(state, session)
+    return placement.abandon(state, now_ms, session)
+
+
+def forget(state: GatewayState, session: Session) -> None:
+    """Drop a session of another gateway; a client's own session stays."""
+    if session.origin is None:
+        return
+    del state.sessions[session.number]
+    del state.remote[session.origin]
 
 
 def pass_back(state: GatewayState, effects: list[Effect]) -> list[Effect]:
@@ -161,7 +149,7 @@
     passed: list[Effect] = []
     for effect in effects:
         if isinstance(effect, AnswerStatement) and effect.session < 0:
-            passed += _reply(state, effect)
+            passed += _pass_answer(state, effect)
             continue
         if isinstance(effect, CloseSession) and effect.session < 0:
             continue
@@ -169,33 +157,36 @@
     return passed
 
 
-def _reply(state: GatewayState, answer: AnswerStatement) -> list[Effect]:
+def _pass_answer(state: GatewayState, answer: AnswerStatement) -> list[Effect]:
     session = state.sessions.get(answer.session)
     if session is None or session.origin is None:
         return []
-    error = answer.error
-    reply = ForwardedReply(
+    reply = _reply(
+        state, session.origin_number, answer.rows, answer.proof, answer.error, answer.position
+    )
+    if answer.error is not None or session.state is not TransactionState.OPEN:
+        forget(state, session)
+    return [Send(session.origin[0], reply)]
+
+
+def _reply(
+    state: GatewayState,
+    number: int,
+    rows: tuple[str, ...],
+    proof: str,
+    error: Error | None,
+    position: Position | None,
+) -> ForwardedReply:
+    return ForwardedReply(
         state.settings.address,
-        session.origin_number,
-        list(answer.rows),
-        answer.proof,
+        number,
+        list(rows),
+        proof,
         error.fault.value if error else "",
         error.text if error else "",
         error.retry_after_ms if error else 0,
-        answer.position,
+        position,
     )
-    address = session.origin[0]
-    if error is not None or session.state is not TransactionState.OPEN:
-        del state.sessions[session.number]
-        state.remote.pop(session.origin, None)
-    return [Send(address, reply)]
-
-
-def _refusal(state: GatewayState, message: ForwardedStatement, fault: Fault, text: str) -> Send:
-    reply = ForwardedReply(
-        state.settings.address, message.number, [], "", fault.value, text, 0, message.position
-    )
-    return Send(message.origin, reply)
 
 
 def _open(state: GatewayState, key: tuple[str, str, int]) -> Session:
@@ -204,9 +195,3 @@
     state.sessions[session.number] = session
     state.remote[key] = session.number
     return session
-
-
-def _is_write(message: ForwardedStatement) -> bool:
-    if message.statement.kind is StatementKind.EXECUTE:
-        return message.is_prepared_write
-    return message.statement.kind is StatementKind.WRITE
--- a/packages/core/src/endivewick_core/gateway/limits.py
+++ b/packages/core/src/endivewick_core/gateway/limits.py
@@ -13,15 +13,16 @@
 
 def wanted(state: GatewayState) -> dict[str, int]:
     """Return how many connections this gateway wants, by upstream: those in use, and what waits."""
-    counts: dict[str, int] = {}
-    for pool in state.pools.values():
-        count = len(pool.connections) - len(pool.idle)
-        queue = state.queues.get(pool.service)
-        if queue is not None and state.primaries.get(pool.service) == pool.upstream:
-            count += len(queue.primary)
-        if count:
-            counts[pool.upstream] = count
-    return counts
+    counts = {pool.upstream: _wanted_of(state, pool) for pool in state.pools.values()}
+    return {upstream: count for upstream, count in counts.items() if count}
+
+
+def _wanted_of(state: GatewayState, pool: UpstreamPool) -> int:
+    count = len(pool.connections) - len(pool.idle)
+    queue = state.queues.get(pool.service)
+    if queue is not None and state.primaries.get(pool.service) == pool.upstream:
+        count += len(queue.primary)
+    return count
 
 
 def share(state: GatewayState, pool: UpstreamPool) -> int:
@@ -33,7 +34,7 @@
     total = state.control.contended.get(pool.upstream, 0)
     if not equal or not total:
         return equal
-    own = wanted(state).get(pool.upstream, 0)
+    own = _wanted_of(state, pool)
     return max(1, holders.room(state, pool.service) * own // max(total, own))
 
 
--- a/packages/core/src/endivewick_core/gateway/placement.py
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -13,12 +13,10 @@
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import position_for
 from . import answers, forwarding, holders, pool
-from .effects import CloseConnection, Decision, Effect
-from .state import GatewayState, Queued, Request, ServiceQueue, Session, UpstreamPool
+from .effects import Decision, Effect
+from .state import GatewayState, Queued, Request, ServiceQueue, Session, UpstreamPool, distance
 
-LOCAL_LATENCY_MS = 25.0  # first estimate for an upstream of the same data centre
-REGION_LATENCY_MS = 30.0  # the same for another data centre of the region
-REMOTE_LATENCY_MS = 70.0  # and for another region
+FIRST_LATENCIES_MS = (25.0, 30.0, 70.0)  # estimates for this data centre, region, and another one
 OPENING_COST_MS = 40.0  # a new connection: its handshake and a round trip
 PRIMARY_FACTOR = 1.5  # keeps the primary's slots for what it alone can serve
 FAILURE_FACTOR = 10.0  # an upstream that fails a third of its statements costs four times as much
@@ -26,6 +24,7 @@
 BUSY_PAUSE_MS = 15  # how long an upstream that refused for lack of room is left alone
 REFUSED_PAUSE_MS = 100  # how long a primary that refused as a replica is left alone
 LAGGING_PAUSE_MS = 150  # how long a replica that lacked a position is left alone
+READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_AFTER_MS = 300  # advice for clients that were refused for lack of room
 
 
@@ -70,18 +69,22 @@
     return effects + _pump_heap(state, now_ms, queue.reads)
 
 
-def abandon(state: GatewayState, now_ms: int, session: Session, request: Request) -> list[Effect]:
-    """Give up a request whose session ended; what is open upstream is rolled back."""
-    state.requests.pop(request.serial, None)
-    session.current = None
-    if session.connection is None:
-        return forwarding.end(state, session)
+def end_transaction(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Roll back what a session has open, here or at a holder."""
+    return forwarding.end(state, session) + pool.release_session(state, now_ms, session)
+
+
+def abandon(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Give back what a session that ended held; what is open upstream is rolled back."""
+    request, session.current = session.current, None
+    if request is not None:
+        state.requests.pop(request.serial, None)
+    if request is None or session.connection is None:
+        return end_transaction(state, now_ms, session)
+    # An upstream rolls back at once only what runs on a connection that ends.
     connection = state.connections.get(session.connection)
     session.connection = None
-    if connection is None:
-        return []
-    pool.forget(state, connection)
-    return [CloseConnection(connection.number)]
+    return pool.close(state, connection) if connection is not None else []
 
 
 def refuse(
@@ -142,7 +145,6 @@
 
 def _pump_heap(state: GatewayState, now_ms: int, heap: list[Queued]) -> list[Effect]:
     effects: list[Effect] = []
-    held: list[Queued] = []
     while heap:
         item = heapq.heappop(heap)
         state.queued -= 1
@@ -154,11 +156,9 @@
         effects += placed.effects
         if placed.is_placed:
             continue
-        held.append(item)
-        break
-    for item in held:
         heapq.heappush(heap, item)
         state.queued += 1
+        break
     return effects
 
 
@@ -167,6 +167,10 @@
         position = wait_position(state, now_ms, session, request)
         if position is not None:
             return _try_reading(state, now_ms, session, request, position)
+    return _try_primary(state, now_ms, session, request)
+
+
+def _try_primary(state: GatewayState, now_ms: int, session: Session, request: Request) -> Placed:
     primary = state.primaries.get(request.route.service)
     if primary is None:
         return Placed(False, [])
@@ -183,7 +187,7 @@
     for item in state.pools.values():
         if item.service != service or item.upstream in request.tried:
             continue
-        if not pool.may_use(state, now_ms, item) or now_ms < item.busy_until_ms:
+        if not pool.may_use(state, item) or now_ms < item.busy_until_ms:
             continue
         is_primary = pool.is_primary(state, item)
         if not is_primary and now_ms < item.lagging_until_ms:
@@ -193,13 +197,8 @@
         cost_ms = _cost_ms(state, item, is_primary)
         if best is None or cost_ms < best_cost_ms:
             best, best_cost_ms = item, cost_ms
-    if best is None:
-        primary = state.primaries.get(service)
-        if primary is None:
-            return Placed(False, [])
-        return _try_upstream(state, now_ms, session, request, primary)
-    if pool.is_primary(state, best):
-        return _try_upstream(state, now_ms, session, request, best.upstream)
+    if best is None or pool.is_primary(state, best):
+        return _try_primary(state, now_ms, session, request)
     return _try_upstream(state, now_ms, session, request, best.upstream, position)
 
 
@@ -224,7 +223,7 @@
     wait_for: Position | None = None,
 ) -> Placed:
     item = state.pools.get(upstream)
-    if item is None or not pool.may_use(state, now_ms, item) or now_ms < item.busy_until_ms:
+    if item is None or not pool.may_use(state, item) or now_ms < item.busy_until_ms:
         return Placed(False, [])
     if wait_for is None and now_ms < item.refused_until_ms:
         return Placed(False, [])
@@ -238,18 +237,13 @@
 
 def _first_latency(state: GatewayState, item: UpstreamPool) -> float:
     entry = state.directory.entries.get(item.upstream)
-    settings = state.settings
-    if entry is None or entry.report.data_centre == settings.data_centre:
-        return LOCAL_LATENCY_MS
-    regions = settings.regions
-    if regions.get(entry.report.data_centre) == regions.get(settings.data_centre):
-        return REGION_LATENCY_MS
-    return REMOTE_LATENCY_MS
-
-
-def add_pool(state: GatewayState, upstream: str, service: str) -> UpstreamPool:
-    """Return the pool of an upstream that was announced, with its first latency."""
-    item = pool.pool_of(state, upstream, service)
+    if entry is None:
+        return FIRST_LATENCIES_MS[0]
+    return FIRST_LATENCIES_MS[distance(state.settings, entry.report.data_centre)]
+
+
+def add_pool(state: GatewayState, upstream: str, service: str) -> None:
+    """Keep a pool for an upstream that was announced, with its first latency."""
+    item = state.pools.setdefault(upstream, UpstreamPool(upstream, service))
     if not item.latency_ms:
         item.latency_ms = _first_latency(state, item)
-    return item
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -13,6 +13,7 @@
     BEGIN_READ_ONLY,
     RESET,
     ROLLBACK,
+    PreparedStatement,
     StatementKind,
     TransactionState,
     UpstreamStatement,
@@ -24,7 +25,6 @@
     Connection,
     GatewayState,
     Pending,
-    PreparedStatement,
     Purpose,
     Request,
     Session,
@@ -37,20 +37,12 @@
 Batch = list[tuple[UpstreamStatement, Pending]]
 
 
-def pool_of(state: GatewayState, upstream: str, service: str) -> UpstreamPool:
-    """Return the pool of an upstream, a new one where there is none."""
-    pool = state.pools.get(upstream)
-    if pool is None:
-        pool = state.pools[upstream] = UpstreamPool(upstream, service)
-    return pool
-
-
 def is_primary(state: GatewayState, pool: UpstreamPool) -> bool:
     """Tell whether this gateway takes the pool's upstream for its service's primary."""
     return state.primaries.get(pool.service) == pool.upstream
 
 
-def may_use(state: GatewayState, now_ms: int, pool: UpstreamPool) -> bool:
+def may_use(state: GatewayState, pool: UpstreamPool) -> bool:
     """Tell whether an upstream takes new work."""
     entry = state.directory.entries.get(pool.upstream)
     return entry is not None and entry.report.state is UpstreamState.READY
@@ -194,7 +186,7 @@
     connection.session = None
     connection.idle_since_ms = now_ms
     above = pool.upstream in state.control.contended and limits.is_above_share(state, pool)
-    if above or not may_use(state, now_ms, pool):
+    if above or not may_use(state, pool):
         return close(state, connection)
     pool.idle.append(connection.number)
     return placement.pump(state, now_ms, pool.service)
@@ -322,7 +314,7 @@
 
 
 def _wants_transaction(state: GatewayState, now_ms: int, pool: UpstreamPool) -> bool:
-    usable = may_use(state, now_ms, pool) and now_ms >= pool.refused_until_ms
+    usable = may_use(state, pool) and now_ms >= pool.refused_until_ms
     return usable and is_primary(state, pool)
 
 
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -66,7 +66,7 @@
     if state.draining_since_ms is not None:
         return []
     state.draining_since_ms = event.now_ms
-    state.drain_until_ms = event.now_ms + event.grace_ms
+    state.drain_grace_ms = event.grace_ms
     inputs: dict[str, object] = {"sessions": len(state.sessions), "grace_ms": event.grace_ms}
     return [Decision("info", "draining", "", "", inputs, "started")]
 
@@ -76,8 +76,8 @@
     since_ms = state.draining_since_ms
     if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
         return []
-    half_ms = (state.drain_until_ms - since_ms) // 2
-    return sessions.close_idle(state, now_ms, now_ms - since_ms >= half_ms)
+    is_last_call = now_ms - since_ms >= state.drain_grace_ms // 2
+    return sessions.close_idle(state, now_ms, is_last_call)
 
 
 def is_drained(state: GatewayState, now_ms: int) -> bool:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -17,6 +17,7 @@
 from . import answers, forwarding, placement, pool
 from .effects import CloseConnection, Decision, Effect
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
+from .requests import advance, commits, is_single_read
 from .state import (
     Connection,
     GatewayState,
@@ -29,7 +30,6 @@
 
 LATENCY_WEIGHT = 0.2  # of a new answer in the running mean
 FAILURE_WEIGHT = 0.1  # of a new outcome in the running share of failures
-READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_SHARE = 0.1  # of the answers: how many reads may be sent once more, so that load can't double
 RETRY_BUDGET_LIMIT = 20.0  # reads that may be sent once more in a burst
 LATE_MS = 250  # an answer is overdue after this and LATE_FACTOR times the upstream's mean latency
@@ -153,14 +153,17 @@
     """
     effects: list[Effect] = []
     for request in list(state.requests.values()):
-        if not request.sent_ms or request.forwarded_to or request.attempts >= READ_ATTEMPTS:
+        if (
+            not request.sent_ms
+            or request.forwarded_to
+            or request.attempts >= placement.READ_ATTEMPTS
+        ):
             continue
         item = state.pools.get(request.upstream)
         late_ms = LATE_MS + LATE_FACTOR * (item.latency_ms if item is not None else 0)
         if now_ms - request.sent_ms < late_ms or state.retry_budget < 1:
             continue
-        session = state.sessions[request.session]
-        if session.state is not TransactionState.IDLE or request.is_write:
+        if not is_single_read(state.sessions[request.session], request):
             continue
         state.retry_budget -= 1
         _detach(state, request)
@@ -223,15 +226,14 @@
     state.retry_budget = min(RETRY_BUDGET_LIMIT, state.retry_budget + RETRY_SHARE)
     took_ms = now_ms - pending.sent_ms
     item.latency_ms += LATENCY_WEIGHT * (took_ms - item.latency_ms)
-    _note_positions(state, connection, session, request, pending, reply)
+    in_plain = connection.in_transaction and not session.is_read_only
+    if pool.is_primary(state, item) and (in_plain or commits(session, request)):
+        _note_primary(state, item.service, pending.sent_ms, reply)
+    advance(session, request, reply.position)
     if request.statement.kind is StatementKind.COMMIT:
-        session.state = TransactionState.IDLE
         session.connection = None
         connection.session = None
         connection.is_used = False
-    elif session.state is TransactionState.OPEN:
-        session.statements_run += 1
-        session.wrote = session.wrote or request.is_write
     effects = answers.succeed(state, now_ms, request, reply)
     return effects + _settle(state, now_ms, connection)
 
@@ -255,9 +257,10 @@
     upstream = connection.upstream
     first = session.connection is None or not session.statements_run
     is_commit = request.statement.kind is StatementKind.COMMIT
-    is_single_read = session.state is TransactionState.IDLE and not request.is_write
     may_repeat = error.fault in UPSTREAM_DID_NOT_RUN and first and not is_commit
-    may_repeat = may_repeat or (is_single_read and request.attempts < READ_ATTEMPTS)
+    may_repeat = may_repeat or (
+        is_single_read(session, request) and request.attempts < placement.READ_ATTEMPTS
+    )
     if session.connection == connection.number:
         session.connection = None
         connection.session = None
@@ -281,27 +284,6 @@
     return pool.release(state, now_ms, connection)
 
 
-def _note_positions(
-    state: GatewayState,
-    connection: Connection,
-    session: Session,
-    request: Request,
-    pending: Pending,
-    reply: UpstreamReply,
-) -> None:
-    item = state.pools[connection.upstream]
-    if reply.position is None:
-        return
-    committed = request.is_write and session.state is TransactionState.IDLE
-    if request.statement.kind is StatementKind.COMMIT:
-        committed = session.wrote
-    if committed:
-        session.position = max(session.position or reply.position, reply.position)
-    in_plain = connection.in_transaction and not session.is_read_only
-    if pool.is_primary(state, item) and (committed or in_plain):
-        _note_primary(state, item.service, pending.sent_ms, reply)
-
-
 def _note_primary(state: GatewayState, service: str, sent_ms: int, reply: UpstreamReply) -> None:
     if reply.position is None:
         return
@@ -323,7 +305,7 @@
         if request.is_write:
             error = Error(Fault.OUTCOME_UNKNOWN, f"{upstream} closed the connection")
             return answers.fail(state, now_ms, request, error)
-        if request.attempts < READ_ATTEMPTS:
+        if request.attempts < placement.READ_ATTEMPTS:
             return _place_again(state, now_ms, request, upstream)
         error = Error(Fault.BUSY, f"{upstream} closed the connection", placement.RETRY_AFTER_MS)
         return answers.fail(state, now_ms, request, error)
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -6,11 +6,19 @@
 """
 
 from ..routes import Route
-from ..statements import Error, Fault, Statement, StatementKind, TransactionState
+from ..statements import (
+    Error,
+    Fault,
+    PreparedStatement,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
 from . import answers, forwarding, placement, pool
 from .effects import AcceptSession, CloseSession, Effect, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
-from .state import GatewayState, PreparedStatement, Request, Session
+from .requests import is_write, open_request
+from .state import GatewayState, Session
 
 WAITING_LIMIT = 32  # statements that a client may send ahead on one session
 PREPARED_LIMIT = 256  # prepared names of one session; bounds its memory to some kilobytes
@@ -59,23 +67,24 @@
     session = state.sessions.pop(event.session, None)
     if session is None:
         return []
-    return _abandon(state, event.now_ms, session)
+    return placement.abandon(state, event.now_ms, session)
 
 
 def check_idle(state: GatewayState, now_ms: int) -> list[Effect]:
     """Roll back the transactions that have been idle beyond the limit of the configuration."""
     limit_ms = state.configuration.transaction_idle_ms
     effects: list[Effect] = []
-    for session in list(state.sessions.values()):
-        if session.connection is None or session.current is not None:
+    for connection in list(state.connections.values()):
+        if connection.session is None:
+            continue
+        session = state.sessions.get(connection.session)
+        if session is None or session.current is not None:
             continue
         if now_ms - session.active_ms < limit_ms:
             continue
         session.state = TransactionState.FAILED
         effects += pool.release_session(state, now_ms, session)
-        if session.origin is not None:
-            del state.sessions[session.number]
-            state.remote.pop(session.origin, None)
+        forwarding.forget(state, session)
     return effects
 
 
@@ -113,7 +122,7 @@
         return answers.refuse_own(session, statement.kind, statement.request_id, fault)
     if statement.kind is StatementKind.ROLLBACK:
         session.state = TransactionState.IDLE
-        effects = forwarding.end(state, session) + pool.release_session(state, now_ms, session)
+        effects = placement.end_transaction(state, now_ms, session)
         return answers.answer_own(session) + effects
     if statement.kind is StatementKind.BEGIN:
         session.state = TransactionState.OPEN
@@ -164,13 +173,7 @@
     if route is None:
         fault = _unknown_workspace(session.workspace)
         return answers.refuse_own(session, statement.kind, statement.request_id, fault)
-    request = Request(
-        session.number, statement, route, now_ms, now_ms + route.timeout_ms, state.next_serial
-    )
-    state.next_serial += 1
-    request.is_write = _is_write(session, statement)
-    session.current = request
-    state.requests[request.serial] = request
+    request = open_request(state, now_ms, session, statement, route, route.timeout_ms)
     return placement.place(state, now_ms, request)
 
 
@@ -185,20 +188,13 @@
         if session.state is TransactionState.OPEN:
             session.state = TransactionState.FAILED
         return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
-    if _is_write(session, statement) and session.state is TransactionState.OPEN:
+    if is_write(session, statement) and session.state is TransactionState.OPEN:
         if session.is_read_only:
             session.state = TransactionState.FAILED
             return Error(Fault.READ_ONLY, "the transaction was begun to read only")
     return None
 
 
-def _is_write(session: Session, statement: Statement) -> bool:
-    if statement.kind is StatementKind.EXECUTE:
-        prepared = session.prepared.get(statement.name)
-        return prepared is not None and prepared.is_write
-    return statement.kind is StatementKind.WRITE
-
-
 def _route(state: GatewayState, session: Session) -> Route | None:
     """Return the route in force: a transaction keeps that of its first statement upstream."""
     is_started = session.connection is not None or bool(session.holder)
@@ -210,17 +206,7 @@
 
 def _end(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
     del state.sessions[session.number]
-    return [CloseSession(session.number), *_abandon(state, now_ms, session)]
-
-
-def _abandon(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
-    """Give back what a session that ended held."""
-    request = session.current
-    if request is not None:
-        return placement.abandon(state, now_ms, session, request)
-    if session.holder:
-        return forwarding.end(state, session)
-    return pool.release_session(state, now_ms, session)
+    return [CloseSession(session.number), *placement.abandon(state, now_ms, session)]
 
 
 def _unknown_workspace(workspace: str) -> Error:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -9,7 +9,7 @@
 from ..messages import ControlPeer
 from ..positions import Position
 from ..routes import EMPTY, Configuration, Route
-from ..statements import Statement, StatementKind, TransactionState
+from ..statements import PreparedStatement, Statement, StatementKind, TransactionState
 from ..watermarks import WatermarkHistory
 
 
@@ -33,11 +33,12 @@
     queue_limit: int = 500  # statements that wait in one gateway; memory stays below a megabyte
 
 
-class PreparedStatement(NamedTuple):
-    """What a prepared name runs."""
-
-    shape: str
-    is_write: bool
+def distance(settings: GatewaySettings, data_centre: str) -> int:
+    """Return 0 for the gateway's own data centre, 1 for its region, 2 for another region."""
+    if data_centre == settings.data_centre:
+        return 0
+    regions = settings.regions
+    return 1 if regions.get(data_centre) == regions.get(settings.data_centre) else 2
 
 
 @dataclass(slots=True)
@@ -62,7 +63,6 @@
     wait_for: Position | None = None
     last_refusal: str = ""
     forwarded_to: str = ""
-    origin_number: int = 0
 
     @property
     def changes_data(self) -> bool:
@@ -75,7 +75,8 @@
     """A client's session; ``connection`` is pinned while a transaction runs upstream.
 
     ``holder`` is the gateway that runs its transaction, where that is another one. ``origin`` names
-    a session of another gateway that this one runs statements for: its address, boot and number.
+    a session of another gateway that this one runs statements for: its address, boot and number;
+    ``origin_number`` is that gateway's number of the statement.
     """
 
     number: int
@@ -104,7 +105,6 @@
     BEGIN = "begin"
     ROLLBACK = "rollback"
     WORK = "work"
-    PROBE = "probe"
 
 
 @dataclass(slots=True)
@@ -250,4 +250,4 @@
     retry_budget: float = 10.0
     sweep_due_ms: int = 0
     draining_since_ms: int | None = None
-    drain_until_ms: int = 0
+    drain_grace_ms: int = 0
--- a/packages/core/src/endivewick_core/gateway/upkeep.py
+++ b/packages/core/src/endivewick_core/gateway/upkeep.py
@@ -12,7 +12,7 @@
     """
     effects: list[Effect] = []
     for item in list(state.pools.values()):
-        usable = pool.may_use(state, now_ms, item)
+        usable = pool.may_use(state, item)
         share = limits.share(state, item)
         kept = min(1, share) if usable else 0
         for number in list(item.idle):
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -13,7 +13,7 @@
 from .directory import UpstreamReport
 from .positions import Position
 from .routes import Route
-from .statements import Statement
+from .statements import PreparedStatement, Statement
 
 
 class Member(NamedTuple):
@@ -340,8 +340,8 @@
     """A session's statement on its way to the gateway that holds connections for its service.
 
     ``state`` is the session's, and ``is_started`` tells that statements of its transaction have run
-    already. ``shape`` and ``is_prepared_write`` are those of the prepared statement that runs.
-    ``left_ms`` is what is left of the statement's timeout.
+    already. ``prepared`` is the prepared statement that runs, and ``left_ms`` what is left of the
+    statement's timeout.
     """
 
     origin: str
@@ -354,8 +354,7 @@
     is_read_only: bool
     is_started: bool
     values: dict[str, str]
-    shape: str
-    is_prepared_write: bool
+    prepared: PreparedStatement | None
     position: Position | None
     configuration_version: int
     left_ms: int
--- a/packages/core/src/endivewick_core/statements.py
+++ b/packages/core/src/endivewick_core/statements.py
@@ -41,6 +41,13 @@
     is_read_only: bool = False
 
 
+class PreparedStatement(NamedTuple):
+    """What a prepared name runs."""
+
+    shape: str
+    is_write: bool
+
+
 class UpstreamStatement(NamedTuple):
     """A statement for an upstream; it runs only where the log has reached ``wait_for``."""
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -52,6 +52,18 @@
     return Centre()
 
 
+def begin_with_a_write(centre):
+    """Let a client begin a transaction and write; return the statement that the holder sent."""
+    centre.entry.session(1, "strict")
+    centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.WRITE)
+    centre.deliver()
+    item = centre.holder.work(request)
+    centre.holder.reply(item)
+    centre.deliver()
+    return item
+
+
 def test_one_gateway_of_a_data_centre_holds_the_connections(centre):
     held = [item for item in centre.gateways.values() if holders.holds(item.state, SERVICE)]
     assert_that(held, Equals([centre.holder]))
@@ -120,12 +132,7 @@
 
 
 def test_a_rollback_ends_the_transaction_at_the_holder(centre):
-    centre.entry.session(1, "strict")
-    centre.entry.send(1, K.BEGIN)
-    request = centre.entry.send(1, K.WRITE)
-    centre.deliver()
-    centre.holder.reply(centre.holder.work(request))
-    centre.deliver()
+    begin_with_a_write(centre)
     centre.entry.send(1, K.ROLLBACK)
     centre.deliver()
     assert_that(centre.holder.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
@@ -133,24 +140,14 @@
 
 
 def test_a_client_that_leaves_ends_its_transaction_at_the_holder(centre):
-    centre.entry.session(1, "strict")
-    centre.entry.send(1, K.BEGIN)
-    request = centre.entry.send(1, K.WRITE)
-    centre.deliver()
-    centre.holder.reply(centre.holder.work(request))
-    centre.deliver()
+    begin_with_a_write(centre)
     centre.entry.handle(ev.SessionClosed(centre.entry.now_ms, 1))
     centre.deliver()
     assert_that(centre.holder.writes[-1], Equals([K.ROLLBACK, K.BEGIN]))
 
 
 def test_a_transaction_whose_holder_forgot_it_is_aborted(centre):
-    centre.entry.session(1, "strict")
-    centre.entry.send(1, K.BEGIN)
-    request = centre.entry.send(1, K.WRITE)
-    centre.deliver()
-    centre.holder.reply(centre.holder.work(request))
-    centre.deliver()
+    begin_with_a_write(centre)
     centre.holder.tick(3_100)
     centre.entry.send(1, K.COMMIT)
     centre.deliver()
@@ -160,13 +157,7 @@
 
 def test_a_transaction_whose_connection_was_lost_does_not_go_on_elsewhere(centre):
     """Its next statement would run outside the transaction that the client began."""
-    centre.entry.session(1, "strict")
-    centre.entry.send(1, K.BEGIN)
-    request = centre.entry.send(1, K.WRITE)
-    centre.deliver()
-    item = centre.holder.work(request)
-    centre.holder.reply(item)
-    centre.deliver()
+    item = begin_with_a_write(centre)
     centre.holder.lose(item.connection)
     request = centre.entry.send(1, K.WRITE)
     centre.deliver()
@@ -221,3 +212,12 @@
     assert_that(centre.holder.work(request), Is(None))
     centre.holder.settle()
     assert_that(centre.holder.work(request), Not(Is(None)))
+
+
+def test_a_prepared_statement_of_an_empty_shape_runs_at_the_holder(centre):
+    centre.entry.session(1, "bounded")
+    centre.entry.send(1, K.PREPARE, name="s", argument="")
+    request = centre.entry.send(1, K.EXECUTE, name="s", argument="a")
+    centre.deliver()
+    centre.holder.settle()
+    assert_that(centre.holder.work(request), Not(Is(None)))
