--- a/packages/ctl/src/endivewick_ctl/explain.py
+++ b/packages/ctl/src/endivewick_ctl/explain.py
@@ -7,6 +7,7 @@
 
 import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -27,30 +28,35 @@
 def explain(request_id: str, paths: list[str], as_json: bool) -> None:
     """Print the story of a request from log files, or from standard input where none is named."""
     lines = sorted(_read_all(paths), key=lambda line: line.at_s)
-    own = [line for line in lines if line.fields.get("request_id") == request_id]
+    own = [line for line in lines if _is_own(line, request_id)]
     if not own:
         advice = (
             "check the id and the files; lines of successes in time are not written, and "
             "`left_out` in a line of the same event says whether lines are missing"
         )
         raise CommandFailed(REFUSED, f"no line names request {request_id}", advice)
-    story = [line for line in lines if line in own or _bears_on(line, own)]
+    bears_on = _relevance(own)
+    story = [line for line in lines if _is_own(line, request_id) or bears_on(line)]
     if as_json:
         print_json([line.fields for line in story])
         return
-    for line, count in _collapse(story, own):
+    for line, count in _collapse(story):
         repeated = f"  (and {count - 1} more like it)" if count > 1 else ""
-        print(_describe(line, own[0].at_s, line in own) + repeated)
+        print(_describe(line, own[0].at_s) + repeated)
 
 
-def _collapse(story: list[LogLine], own: list[LogLine]) -> list[tuple[LogLine, int]]:
+def _is_own(line: LogLine, request_id: str) -> bool:
+    return line.fields.get("request_id") == request_id
+
+
+def _collapse(story: list[LogLine]) -> list[tuple[LogLine, int]]:
     """Count the lines that differ from an earlier one by their time only."""
     counts: dict[str, int] = {}
     firsts: list[tuple[str, LogLine]] = []
     for line in story:
         names = ("vm", "event", "outcome", "request_id")
         key = json.dumps([line.fields.get(name) for name in names])
-        if line not in own:
+        if not line.fields.get("request_id"):
             key += json.dumps(line.fields.get("inputs", {}).get("upstream", ""))
         if key not in counts:
             firsts.append((key, line))
@@ -58,25 +64,28 @@
     return [(line, counts[key]) for key, line in firsts]
 
 
-def _bears_on(line: LogLine, own: list[LogLine]) -> bool:
-    """Tell whether a line without this request's id can have decided it."""
-    if line.fields.get("request_id"):
-        return False
-    if not own[0].at_s - BEFORE_S <= line.at_s <= own[-1].at_s + AFTER_S:
-        return False
+def _relevance(own: list[LogLine]) -> Callable[[LogLine], bool]:
+    """Return a function that tells whether a line without a request's id can have decided it."""
+    from_s, to_s = own[0].at_s - BEFORE_S, own[-1].at_s + AFTER_S
     vms = {item.fields.get("vm") for item in own}
-    if line.fields.get("vm") in vms:
-        return True
-    if line.fields.get("role") != "control":
-        return False
     services = {item.fields.get("inputs", {}).get("service") for item in own} - {None}
-    text = json.dumps(line.fields)
-    return any(service in text for service in services)
+
+    def bears_on(line: LogLine) -> bool:
+        if line.fields.get("request_id") or not from_s <= line.at_s <= to_s:
+            return False
+        if line.fields.get("vm") in vms:
+            return True
+        if line.fields.get("role") != "control":
+            return False
+        text = json.dumps(line.fields)
+        return any(service in text for service in services)
+
+    return bears_on
 
 
-def _describe(line: LogLine, start_s: float, is_own: bool) -> str:
+def _describe(line: LogLine, start_s: float) -> str:
     fields = line.fields
-    mark = ">" if is_own else " "
+    mark = ">" if fields.get("request_id") else " "
     offset_ms = round((line.at_s - start_s) * 1000)
     words = [f"{mark} {offset_ms:+6d} ms", str(fields.get("vm", "?")), str(fields.get("event"))]
     outcome = fields.get("outcome") or fields.get("text")
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -38,7 +38,7 @@
 from .clock import draw, now_ms
 from .conf import ClusterSection, HttpSection, Settings, StatsdSection
 from .control_api import parse_operator
-from .exposition import Exposition
+from .exposition import Exposition, serve_metrics
 from .http_server import Answer, Connection, HttpServer, Request
 from .logs import log, log_bounded
 from .metrics import Metrics, open_metrics
@@ -159,9 +159,7 @@
         if plan.services is not None:
             self._upstreams = UpstreamConnections(plan.services.wire, self._poller, self._reduce)
             self._exposition = Exposition()
-            self._metrics_server = HttpServer(
-                {"address": plan.services.metrics_address}, self._answer_metrics, self._poller
-            )
+            serve_metrics(self._exposition, plan.services.metrics_address, self._poller)
 
     def _found(self, founders: tuple[str, ...]) -> None:
         """Start as one of the first voters, whom all of them know without asking."""
@@ -237,9 +235,6 @@
         self._operators[number] = connection
         self._reduce(parsed.unwrap())
 
-    def _answer_metrics(self, request: Request, connection: Connection) -> None:
-        connection.answer(Answer(200, self._exposition.text()))
-
     def _receive(self, sender: str, frame: bytes) -> None:
         message = decode(CODEC, frame)
         if isinstance(message, CodecFault):
--- a/packages/node/src/endivewick_node/exposition.py
+++ b/packages/node/src/endivewick_node/exposition.py
@@ -6,6 +6,9 @@
 from endivewick_core.gateway.effects import Served
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from .http_server import Answer, Connection, HttpServer, Request
+from .sockets import Poller
+
 # From a local read to the longest statement timeout that contracts commonly set.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0)
 WORKSPACES_LIMIT = 500  # workspaces with series of their own; the others share one
@@ -65,3 +68,12 @@
     def text(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self._registry)
+
+
+def serve_metrics(exposition: Exposition, address: str, poller: Poller) -> None:
+    """Serve the metrics at ``address`` for as long as ``poller`` runs."""
+
+    def answer(request: Request, connection: Connection) -> None:
+        connection.answer(Answer(200, exposition.text()))
+
+    HttpServer({"address": address}, answer, poller)
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -25,7 +25,7 @@
 from returns.result import Result
 
 from .clock import now_ms
-from .exposition import Exposition
+from .exposition import Exposition, serve_metrics
 from .http_server import Answer, Connection, HttpServer, Request
 from .logs import log, log_bounded
 from .session_server import SessionServer
@@ -73,9 +73,7 @@
         self._readiness = HttpServer(
             {"address": plan.readiness_address}, self._answer_readiness, self._poller
         )
-        self._metrics_server = HttpServer(
-            {"address": plan.metrics_address}, self._answer_metrics, self._poller
-        )
+        serve_metrics(self._metrics, plan.metrics_address, self._poller)
         self._stopped = trio.Event()
 
     async def run(self) -> None:
@@ -134,12 +132,9 @@
             failure = Failure(UNKNOWN_PATH, f"{request.path} is not served here")
             connection.answer(Answer(404, failure_body(failure)))
             return
-        ready = is_ready(self._state, now_ms())
+        ready = is_ready(self._state)
         connection.answer(Answer(200 if ready else 503, {"ready": ready}))
 
-    def _answer_metrics(self, request: Request, connection: Connection) -> None:
-        connection.answer(Answer(200, self._metrics.text()))
-
     def _apply_document(self, effect: fx.ApplyDocument) -> None:
         decoded = self._plan.decode_configuration(expand(effect.document))
         if isinstance(decoded, Failed):
--- a/packages/node/src/endivewick_node/logs.py
+++ b/packages/node/src/endivewick_node/logs.py
@@ -9,7 +9,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -80,19 +80,12 @@
     left_out: int = 0
 
 
-@dataclass(slots=True)
-class _Budgets:
-    """The budgets of all events of the process."""
-
-    by_event: dict[str, _Budget] = field(default_factory=dict)
-
-
-_budgets = _Budgets()
+_budgets: dict[str, _Budget] = {}  # by event
 
 
 def log_bounded(level: str, event: str, text: str, **fields: object) -> None:
     """Write one line, unless the event's budget for this second is used up."""
-    budget = _budgets.by_event.setdefault(event, _Budget())
+    budget = _budgets.setdefault(event, _Budget())
     second = int(time.monotonic())
     if second != budget.second:
         budget.second, budget.written = second, 0
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -15,7 +15,6 @@
 from .statement_wire import ClientReader, Quit, Startup, StatementWire, WireFault
 
 ACCEPTS_PER_TURN = 64
-RESERVED_DESCRIPTORS = 400  # for files, upstream connections and messages between processes
 SILENT_CLIENT_MS = 10_000  # unacknowledged bytes of this age end a client's connection
 UNSENT_LIMIT_BYTES = 4 * 1024 * 1024  # answers that a client doesn't read
 
@@ -24,7 +23,7 @@
 
 @dataclass(slots=True, eq=False)
 class ClientConnection:
-    """A client's connection; ``is_open`` once its session was accepted."""
+    """A client's connection; ``is_named`` once it has named its workspace."""
 
     number: int
     stream: socket.socket
@@ -77,10 +76,6 @@
         if not client.writer.is_busy:
             self._close(client)
 
-    def count(self) -> int:
-        """Return how many connections are open."""
-        return len(self._connections)
-
     def _accept(self, events: int) -> None:
         for _ in range(ACCEPTS_PER_TURN):
             stream = sockets.accept_now(self._listener)
