--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import pytest
 from endivewick_bench.checkers import CHECKERS
+from gateway_driver import ready_gateway
 
 
 def pytest_terminal_summary(terminalreporter):
@@ -38,3 +39,9 @@
 def loopback():
     """Return a loopback network that no other test process uses, as its first three octets."""
     return f"127.{160 + os.getpid() % 90}.{os.getpid() // 90 % 250}"
+
+
+@pytest.fixture
+def gateway():
+    """Return a gateway with a configuration, three upstreams and open connections."""
+    return ready_gateway()
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -23,6 +23,14 @@
     control.break_connections("u-primary")
 
 
+def fail_over(control):
+    """Let the primary fail, and carry out the order that follows."""
+    fail_primary(control)
+    control.run(3_000)
+    control.platform(FailoverOutcome.ACCEPTED)
+    control.promote(control.orders[-1].upstream)
+
+
 def test_the_primary_is_the_upstream_that_accepts_a_transaction(control):
     mark = control.state.watch.marks[SERVICE]
     assert_that((mark.upstream, mark.position), Equals(("u-primary", Position(1, 10))))
@@ -83,10 +91,7 @@
 
 
 def test_the_replicas_receive_again_after_a_failover(control):
-    fail_primary(control)
-    control.run(3_000)
-    control.platform(FailoverOutcome.ACCEPTED)
-    control.promote(control.orders[-1].upstream)
+    fail_over(control)
     control.run(5_000)
     paused = {item.name for item in control.upstreams.values() if item.paused_term}
     assert_that(paused, Equals(set()))
@@ -95,10 +100,7 @@
 
 def test_a_failover_is_carried_out_once(control):
     """The end of a failover must be in the log before the leader looks for open ones again."""
-    fail_primary(control)
-    control.run(3_000)
-    control.platform(FailoverOutcome.ACCEPTED)
-    control.promote(control.orders[-1].upstream)
+    fail_over(control)
     control.run(10_000)
     assert_that(control.notes.count("failover_needed"), Equals(1))
     assert_that(control.state.machine.failovers[SERVICE].is_open, Equals(False))
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -1,19 +1,13 @@
 """What a gateway says became of a statement whose answer did not come."""
 
-import pytest
 from endivewick_core.statements import Error, Fault, StatementKind
-from gateway_driver import PRIMARY, REPLICA, ready_gateway
+from gateway_driver import PRIMARY, REPLICA
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
 
 K = StatementKind
 
 
-@pytest.fixture
-def gateway():
-    return ready_gateway()
-
-
 def test_a_single_write_without_an_answer_is_in_doubt(gateway):
     gateway.session(1, "session")
     request = gateway.send(1, K.WRITE)
--- a/tests/test_gateway_reads.py
+++ b/tests/test_gateway_reads.py
@@ -1,6 +1,5 @@
 """Reads of a gateway: how fresh they are, and where they go."""
 
-import pytest
 from endivewick_core.gateway import events as ev
 from endivewick_core.statements import Error, Fault, StatementKind
 from gateway_driver import (
@@ -18,11 +17,6 @@
 K = StatementKind
 
 
-@pytest.fixture
-def gateway():
-    return ready_gateway()
-
-
 def test_a_bounded_read_goes_to_the_nearest_replica_at_a_watermark(gateway):
     gateway.session(1, "bounded")
     item = gateway.work(gateway.send(1, K.READ))
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -1,6 +1,5 @@
 """Sessions of a gateway: values, prepared statements and transactions on pooled connections."""
 
-import pytest
 from endivewick_core.gateway import events as ev
 from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
 from gateway_driver import PRIMARY, REPLICA, configuration, ready_gateway
@@ -10,11 +9,6 @@
 K = StatementKind
 
 
-@pytest.fixture
-def gateway():
-    return ready_gateway()
-
-
 def test_a_session_of_an_unknown_workspace_is_refused(gateway):
     gateway.session(1, "nobody")
     assert_that(gateway.refused[0].error.fault, Equals(Fault.UNKNOWN_WORKSPACE))
