--- a/packages/bench/src/endivewick_bench/cluster.py
+++ b/packages/bench/src/endivewick_bench/cluster.py
@@ -64,17 +64,19 @@
 
 @dataclass(slots=True)
 class Process:
-    """One process that the launcher started."""
+    """One process that the launcher started; ``environment`` adds to the launcher's own."""
 
     name: str
     arguments: list[str]
     log_path: Path
+    environment: dict[str, str] = field(default_factory=dict)
     popen: "subprocess.Popen[bytes] | None" = None
 
     def start(self) -> None:
         """Start it, adding to its log file."""
         with self.log_path.open("ab") as log:
-            self.popen = subprocess.Popen(self.arguments, stdout=log, stderr=log)
+            variables = {**os.environ, **self.environment}
+            self.popen = subprocess.Popen(self.arguments, stdout=log, stderr=log, env=variables)
 
     def signal(self, number: int) -> None:
         """Send it a signal."""
@@ -130,9 +132,9 @@
         return sorted(self.folder.glob("*.history"))
 
 
-def default_net() -> str:
-    """Return a loopback network of this process's own."""
-    return f"127.{50 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
+def default_net(run: int = 0) -> str:
+    """Return a loopback network of this process's own, another one for each ``run``."""
+    return f"127.{50 + os.getpid() % 100}.{(os.getpid() // 100 + run) % 250}"
 
 
 def plan(
--- a/packages/bench/src/endivewick_bench/http_client.py
+++ b/packages/bench/src/endivewick_bench/http_client.py
@@ -13,11 +13,12 @@
 
 
 class Reply(NamedTuple):
-    """A whole answer; ``token`` is the session token that came with it."""
+    """A whole answer, the session token that came with it, and where a redirect leads."""
 
     status: int
     body: dict[str, Any]
     token: str
+    location: str = ""
 
 
 class ConnectionLost(Exception):
@@ -32,12 +33,13 @@
     stream: socket.socket | None = None
     parser: Any = None
     token: str = ""
+    location: str = ""
     body: bytearray = field(default_factory=bytearray)
     complete: bool = False
 
     def on_message_begin(self) -> None:
         """Start an answer."""
-        self.token = ""
+        self.token = self.location = ""
         self.body = bytearray()
         self.complete = False
 
@@ -45,6 +47,8 @@
         """Take one header."""
         if name == TOKEN_HEADER.encode():
             self.token = value.decode("latin-1")
+        if name.lower() == b"location":
+            self.location = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
@@ -74,7 +78,8 @@
         except BaseException:
             self.close()
             raise
-        return Reply(self.parser.get_status_code(), msgspec.json.decode(self.body), self.token)
+        body = msgspec.json.decode(self.body) if self.body else {}
+        return Reply(self.parser.get_status_code(), body, self.token, self.location)
 
     def close(self) -> None:
         """Close the connection; the next call opens another."""
--- a/packages/bench/src/endivewick_bench/plots.py
+++ b/packages/bench/src/endivewick_bench/plots.py
@@ -19,6 +19,34 @@
 PARTS = ("detection", "revocation", "spreading", "promotion", "resumption")
 
 
+def plot_soak(
+    answers: list[tuple[float, bool]], faults: list[tuple[float, str]], path: Path
+) -> None:
+    """Draw the answers a second, good and bad, and when each fault struck.
+
+    ``answers`` are times in ms with whether the answer was a success, ``faults`` times with names.
+    """
+    first_ms = answers[0][0]
+    seconds = int((answers[-1][0] - first_ms) // 1000) + 1
+    figure, axes = pyplot.subplots(figsize=(10, 5))
+    for is_good, label in ((True, "served"), (False, "refused, cut or unknown")):
+        counts = [0] * seconds
+        for at_ms, good in answers:
+            if good is is_good:
+                counts[int((at_ms - first_ms) // 1000)] += 1
+        axes.step(range(seconds), counts, where="post", label=label)
+    for at_ms, name in faults:
+        axes.axvline((at_ms - first_ms) / 1000, color="0.85", zorder=0)
+        place = ((at_ms - first_ms) / 1000, 1.0)
+        axes.annotate(
+            name, place, xycoords=("data", "axes fraction"), rotation=90, va="top", fontsize=5
+        )
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("answers a second")
+    axes.legend(fontsize="small", loc="lower left")
+    _save(figure, path)
+
+
 def plot_crest(result: dict[str, Any], path: Path) -> None:
     """Draw goodput over the load, with and without admission control."""
     figure, axes = pyplot.subplots(figsize=(6, 4))
--- a/packages/bench/src/endivewick_bench/relay.py
+++ b/packages/bench/src/endivewick_bench/relay.py
@@ -1,16 +1,36 @@
-"""A TCP relay that can cut a link without closing it, in one direction or both.
+"""A TCP relay that can delay, reset, cut or silence what passes through it.
 
 While a direction is cut, its bytes are read and thrown away, so both ends see a connection that is
-open and silent; new connections are accepted and stay silent too.
+open and silent; new connections are accepted and stay silent too. A silenced connection stays so
+for good, while new ones work.
 """
 
+import socket
+import struct
 from dataclasses import dataclass, field
+from random import Random
 
 import trio
 from endivewick_node.conf import split_address
 
 from .standins.database import admin_address
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with no time: a close sends a reset
+
+
+@dataclass(slots=True, eq=False)
+class RelayedConnection:
+    """One connection through a relay."""
+
+    caller: trio.SocketStream
+    target: trio.SocketStream
+    is_silent: bool = False
+
+    def close(self) -> None:
+        """Close both ends."""
+        for stream in (self.caller, self.target):
+            stream.socket.close()
+
 
 @dataclass(slots=True)
 class Relay:
@@ -20,7 +40,8 @@
     target_address: str
     cut_to_target: bool = False
     cut_from_target: bool = False
-    streams: list[trio.SocketStream] = field(default_factory=list)
+    delay_ms: float = 0.0
+    connections: list[RelayedConnection] = field(default_factory=list)
 
     async def serve(self) -> None:
         """Relay connections until cancelled."""
@@ -36,14 +57,30 @@
         self.cut_to_target, self.cut_from_target = to_target, from_target
 
     def heal(self) -> None:
-        """Let bytes pass again; connections that lost bytes are closed."""
+        """Let bytes pass again, at once; connections that lost bytes are closed."""
         was_cut = self.cut_to_target or self.cut_from_target
         self.cut_to_target = self.cut_from_target = False
+        self.delay_ms = 0.0
         if not was_cut:
             return
-        for stream in self.streams:
-            stream.socket.close()
-        self.streams.clear()
+        for connection in self.connections:
+            connection.close()
+        self.connections.clear()
+
+    def silence(self, share: float, random: Random) -> None:
+        """Let a share of the open connections go silent for good."""
+        for connection in self.connections:
+            connection.is_silent = connection.is_silent or random.random() < share
+
+    def reset(self, share: float, random: Random) -> None:
+        """Reset a share of the open connections."""
+        for connection in list(self.connections):
+            if random.random() >= share:
+                continue
+            for stream in (connection.caller, connection.target):
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            connection.close()
+            self.connections.remove(connection)
 
     async def _relay(self, caller: trio.SocketStream) -> None:
         try:
@@ -51,22 +88,30 @@
         except OSError:
             await caller.aclose()
             return
-        self.streams += [caller, target]
-        async with caller, target, trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy, caller, target, True, nursery.cancel_scope)
-            nursery.start_soon(self._copy, target, caller, False, nursery.cancel_scope)
+        connection = RelayedConnection(caller, target)
+        self.connections.append(connection)
+        try:
+            async with caller, target, trio.open_nursery() as nursery:
+                nursery.start_soon(self._copy, connection, True, nursery.cancel_scope)
+                nursery.start_soon(self._copy, connection, False, nursery.cancel_scope)
+        finally:
+            if connection in self.connections:
+                self.connections.remove(connection)
 
     async def _copy(
-        self,
-        source: trio.SocketStream,
-        sink: trio.SocketStream,
-        to_target: bool,
-        scope: trio.CancelScope,
+        self, connection: RelayedConnection, to_target: bool, scope: trio.CancelScope
     ) -> None:
+        source, sink = connection.caller, connection.target
+        if not to_target:
+            source, sink = sink, source
         try:
             async for data in source:
-                if not (self.cut_to_target if to_target else self.cut_from_target):
-                    await sink.send_all(data)
+                is_cut = self.cut_to_target if to_target else self.cut_from_target
+                if is_cut or connection.is_silent:
+                    continue
+                if self.delay_ms:
+                    await trio.sleep(self.delay_ms / 1000)
+                await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real programs under faults from outside, checked by what callers see."""
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/soak/checks.py
@@ -0,0 +1,398 @@
+"""The soak's checks: one per promise, fed with each event as it happens.
+
+A check is a function that takes an event and returns what it breaks. Each keeps the little that it
+needs, so checking goes on while the soak runs. All times are of one clock.
+"""
+
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from endivewick_core.routes import Freshness
+from endivewick_core.statements import Fault
+
+from .history import (
+    Answered,
+    Committed,
+    ConfigurationAcknowledged,
+    ConfigurationRead,
+    Disturbed,
+    EndedByItself,
+    Event,
+    Invoked,
+    Leaving,
+    Ordered,
+    Promoted,
+    Ran,
+    StopPlanned,
+)
+
+CALM_MS = 5_000  # the platform's time until a fault that has ended no longer excuses anything
+LEAVING_LIMIT_MS = 7_000  # the platform's limit for work at an upstream that leaves
+IN_FORCE_LIMIT_MS = 4_000  # the platform's limit until a configuration is in force
+LOSS_SLACK_MS = 200  # the platform's limit for a request that was on its way to a close
+STOP_MS = 7_000  # the platform's time for a planned stop, and a second
+
+
+class Violation(NamedTuple):
+    """A broken promise and the event that shows it."""
+
+    promise: str
+    text: str
+    event: Event
+
+
+Check = Callable[[Event], list[Violation]]
+
+
+def check_text() -> Check:
+    """Upstreams run only what clients sent, unchanged."""
+    sent: dict[str, str] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Invoked):
+            sent[event.request_id] = event.text
+        if not isinstance(event, Ran) or sent.get(event.request_id) == event.text:
+            return []
+        text = f"{event.request_id}: sent {sent.get(event.request_id)!r}, ran {event.text!r}"
+        return [Violation("text", text, event)]
+
+    return check
+
+
+def check_answers() -> Check:
+    """A success carries the proof and the rows of an upstream that ran that request."""
+    ran: dict[str, set[tuple[str, tuple[str, ...]]]] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Ran):
+            ran.setdefault(event.request_id, set()).add((event.proof, event.rows))
+        if not isinstance(event, Answered) or event.outcome != "ok":
+            return []
+        if (event.proof, event.rows) in ran.get(event.request_id, set()):
+            return []
+        text = f"{event.request_id}: {event.proof!r} {event.rows} is no upstream's answer"
+        return [Violation("answers", text, event)]
+
+    return check
+
+
+def check_transactions() -> Check:
+    """The statements of a transaction run in one upstream transaction, which nobody shares."""
+    place_of: dict[str, tuple[str, int, int]] = {}
+    settled: dict[str, tuple[str, int, int]] = {}
+    owner_of: dict[tuple[str, int, int], str] = {}
+    invoked: dict[str, Invoked] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Invoked):
+            invoked[event.request_id] = event
+        if isinstance(event, Answered) and event.outcome == "ok" and event.request_id in place_of:
+            transaction = invoked[event.request_id].transaction
+            if transaction:
+                settled.setdefault(transaction, place_of[event.request_id])
+        if not isinstance(event, Ran) or event.request_id not in invoked:
+            return []
+        request = invoked[event.request_id]
+        found: list[Violation] = []
+        if event.values != request.values:
+            text = f"{event.request_id}: ran with {event.values}, not {request.values}"
+            found.append(Violation("transactions", text, event))
+        place = (event.upstream, event.connection, event.transaction)
+        place_of[event.request_id] = place
+        owner = request.transaction or event.request_id
+        if event.transaction and owner_of.setdefault(place, owner) != owner:
+            text = f"{event.request_id} of {owner} ran in the transaction of {owner_of[place]}"
+            found.append(Violation("transactions", text, event))
+        known = settled.get(request.transaction, place)
+        if known != place:
+            text = f"{request.transaction} went from {known} to {place}"
+            found.append(Violation("transactions", text, event))
+        return found
+
+    return check
+
+
+def check_once() -> Check:
+    """A request's write is committed once, and never where the client was told it isn't kept."""
+    refused: set[str] = set()
+    committed: dict[str, tuple[str, int]] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Answered) and event.promises_nothing_kept:
+            refused.add(event.request_id)
+            if event.request_id not in committed:
+                return []
+            text = f"{event.request_id} was committed and then refused as not kept"
+            return [Violation("not_kept", text, event)]
+        if isinstance(event, Promoted):
+            for request_id, (service, _) in list(committed.items()):
+                if service == event.service and request_id not in event.log:
+                    del committed[request_id]
+        if not isinstance(event, Committed):
+            return []
+        found: list[Violation] = []
+        for request_id in event.request_ids:
+            if request_id in committed:
+                text = f"{request_id} was committed twice"
+                found.append(Violation("once", text, event))
+            if request_id in refused:
+                text = f"{request_id} was committed after it was refused as not kept"
+                found.append(Violation("not_kept", text, event))
+            committed[request_id] = (event.service, event.number)
+        return found
+
+    return check
+
+
+@dataclass(slots=True)
+class Acknowledged:
+    """The acknowledged commits of one service: when, and up to which entry of the log."""
+
+    at_ms: list[float] = field(default_factory=list)
+    newest: list[int] = field(default_factory=list)
+
+    def add(self, at_ms: float, number: int) -> None:
+        """Record an acknowledgement."""
+        self.at_ms.append(at_ms)
+        self.newest.append(max(number, self.newest[-1] if self.newest else 0))
+
+    def before(self, at_ms: float) -> int:
+        """Return the newest entry that was acknowledged before a time."""
+        place = bisect_left(self.at_ms, at_ms)
+        return self.newest[place - 1] if place else 0
+
+
+def check_freshness() -> Check:
+    """A read sees every commit that its route's freshness asks for."""
+    invoked: dict[str, Invoked] = {}
+    number_of: dict[str, int] = {}
+    by_service: dict[str, Acknowledged] = {}
+    by_session: dict[str, Acknowledged] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Invoked):
+            invoked[event.request_id] = event
+        if isinstance(event, Committed):
+            for request_id in event.request_ids:
+                number_of[request_id] = event.number
+        if isinstance(event, Answered) and event.outcome == "ok" and event.request_id in number_of:
+            request, number = invoked[event.request_id], number_of[event.request_id]
+            by_service.setdefault(request.service, Acknowledged()).add(event.at_ms, number)
+            by_session.setdefault(request.session, Acknowledged()).add(event.at_ms, number)
+        if not isinstance(event, Ran) or event.kind != "read" or event.request_id not in invoked:
+            return []
+        request = invoked[event.request_id]
+        limit_ms = request.began_ms
+        if request.freshness is not Freshness.PRIMARY:
+            limit_ms -= request.staleness_ms
+        due = by_service.setdefault(request.service, Acknowledged()).before(limit_ms)
+        if request.freshness is Freshness.SESSION and request.session in by_session:
+            due = max(due, by_session[request.session].before(request.began_ms))
+        if event.applied >= due:
+            return []
+        text = f"{event.request_id} read a log of {event.applied} entries, {due} were due"
+        return [Violation("freshness", text, event)]
+
+    return check
+
+
+def check_lost() -> Check:
+    """A promoted upstream has every acknowledged commit."""
+    service_of: dict[str, str] = {}
+    acknowledged: dict[str, set[str]] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if isinstance(event, Committed):
+            service_of.update(dict.fromkeys(event.request_ids, event.service))
+        if isinstance(event, Answered) and event.outcome == "ok":
+            service = service_of.get(event.request_id)
+            if service is not None:
+                acknowledged.setdefault(service, set()).add(event.request_id)
+        if not isinstance(event, Promoted):
+            return []
+        missing = acknowledged.get(event.service, set()) - event.log
+        if not missing:
+            return []
+        text = f"{event.upstream} leads term {event.term} without {sorted(missing)[:5]}"
+        return [Violation("lost", text, event)]
+
+    return check
+
+
+def check_tokens() -> Check:
+    """No two holders order with one token."""
+    holder_of: dict[tuple[str, int], str] = {}
+
+    def check(event: Event) -> list[Violation]:
+        if not isinstance(event, Ordered):
+            return []
+        known = holder_of.setdefault((event.service, event.token), event.holder)
+        if known == event.holder:
+            return []
+        text = f"{event.holder} and {known} ordered with token {event.token}"
+        return [Violation("tokens", text, event)]
+
+    return check
+
+
+def check_leaving() -> Check:
+    """An upstream that leaves gets no request that a client sent long after the acknowledgement."""
+    left_ms: dict[str, float] = {}
+    invoked: dict[str, Invoked] = {}
+    disturbed_ms = float("-inf")
+
+    def check(event: Event) -> list[Violation]:
+        nonlocal disturbed_ms
+        if isinstance(event, Disturbed):
+            disturbed_ms = event.at_ms
+        if isinstance(event, Leaving):
+            left_ms.setdefault(event.upstream, event.at_ms)
+        if isinstance(event, Invoked):
+            invoked[event.request_id] = event
+        if not isinstance(event, Ran) or event.upstream not in left_ms:
+            return []
+        request = invoked.get(event.request_id)
+        if request is None or event.at_ms - disturbed_ms < CALM_MS + LEAVING_LIMIT_MS:
+            return []
+        late_ms = request.began_ms - left_ms[event.upstream]
+        if late_ms <= LEAVING_LIMIT_MS:
+            return []
+        text = f"{event.request_id} ran at {event.upstream} {late_ms:.0f} ms after it left"
+        return [Violation("leaving", text, event)]
+
+    return check
+
+
+def check_configuration() -> Check:
+    """Acknowledged configurations are valid, are read back, and are in force in time.
+
+    The soak never uses the name of a removed workspace again.
+    """
+    acknowledged: list[ConfigurationAcknowledged] = []
+    invoked: dict[str, Invoked] = {}
+    disturbed_ms = float("-inf")
+
+    def due(at_ms: float) -> ConfigurationAcknowledged | None:
+        known = [item for item in acknowledged if item.at_ms < at_ms]
+        return max(known, key=lambda item: item.version, default=None)
+
+    def check_in_force(event: Ran | Answered, served: bool) -> list[Violation]:
+        request = invoked.get(event.request_id)
+        if request is None or event.at_ms - disturbed_ms < CALM_MS + IN_FORCE_LIMIT_MS:
+            return []
+        newest = due(request.began_ms - IN_FORCE_LIMIT_MS)
+        if newest is None or (request.workspace in newest.workspaces) == served:
+            return []
+        others = [item for item in acknowledged if request.workspace in item.workspaces]
+        if served and not any(item.version < newest.version for item in others):
+            return []
+        if not served and any(request.workspace not in item.workspaces for item in acknowledged):
+            return []
+        done = "ran" if served else "was refused"
+        text = f"{event.request_id} for {request.workspace} {done}, {newest.version} was due"
+        return [Violation("configuration", text, event)]
+
+    def check(event: Event) -> list[Violation]:
+        nonlocal disturbed_ms
+        if isinstance(event, Disturbed):
+            disturbed_ms = event.at_ms
+        if isinstance(event, ConfigurationAcknowledged):
+            if not event.is_valid:
+                text = f"version {event.version} is invalid and was acknowledged"
+                return [Violation("configuration", text, event)]
+            acknowledged.append(event)
+        if isinstance(event, ConfigurationRead):
+            newest = due(event.asked_ms)
+            if newest is not None and event.version < newest.version:
+                text = f"read version {event.version} after {newest.version} was acknowledged"
+                return [Violation("configuration", text, event)]
+        if isinstance(event, Invoked):
+            invoked[event.request_id] = event
+        if isinstance(event, Ran):
+            return check_in_force(event, True)
+        if isinstance(event, Answered) and event.outcome == Fault.UNKNOWN_WORKSPACE:
+            return check_in_force(event, False)
+        return []
+
+    return check
+
+
+def check_planned_stop() -> Check:
+    """A planned stop of a gateway, with no fault around, cuts no request that it has taken.
+
+    A request that was on its way when the gateway closed a session between operations doesn't
+    count, unless it ran or its connection stayed open for longer than the platform's slack.
+    """
+    ran: set[str] = set()
+    stopped: list[StopPlanned] = []
+    invoked: dict[str, Invoked] = {}
+    disturbed_ms = float("-inf")
+
+    def check(event: Event) -> list[Violation]:
+        nonlocal disturbed_ms
+        if isinstance(event, Disturbed):
+            disturbed_ms = event.at_ms
+        if isinstance(event, StopPlanned):
+            stopped.append(event)
+        if isinstance(event, Ran):
+            ran.add(event.request_id)
+        if isinstance(event, Invoked):
+            invoked[event.request_id] = event
+        if not isinstance(event, Answered) or event.outcome != "cut":
+            return []
+        request = invoked[event.request_id]
+        if event.at_ms - disturbed_ms < CALM_MS:
+            return []
+        if event.request_id not in ran and event.at_ms - request.at_ms <= LOSS_SLACK_MS:
+            return []
+        for stop in stopped:
+            if stop.gateway == request.gateway and 0 <= event.at_ms - stop.at_ms <= STOP_MS:
+                text = f"{event.request_id} was cut by the planned stop of {stop.gateway}"
+                return [Violation("planned_stop", text, event)]
+        return []
+
+    return check
+
+
+def check_processes() -> Check:
+    """No process ends by itself."""
+
+    def check(event: Event) -> list[Violation]:
+        if not isinstance(event, EndedByItself):
+            return []
+        text = f"{event.process} ended with code {event.code}"
+        return [Violation("processes", text, event)]
+
+    return check
+
+
+CHECKS: dict[str, Callable[[], Check]] = {
+    "text": check_text,
+    "answers": check_answers,
+    "transactions": check_transactions,
+    "once": check_once,
+    "freshness": check_freshness,
+    "lost": check_lost,
+    "tokens": check_tokens,
+    "leaving": check_leaving,
+    "configuration": check_configuration,
+    "planned_stop": check_planned_stop,
+    "processes": check_processes,
+}
+
+
+@dataclass(slots=True)
+class Recorder:
+    """The history of a run and what its checks found."""
+
+    events: list[Event] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+    checks: list[Check] = field(default_factory=lambda: [make() for make in CHECKS.values()])
+
+    def add(self, event: Event) -> None:
+        """Record an event and check it at once."""
+        self.events.append(event)
+        for check in self.checks:
+            self.violations += check(event)
--- /dev/null
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -0,0 +1,379 @@
+"""The system under a soak: its settings, its processes, its relays and its stand-ins."""
+
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+import trio
+from endivewick_core.routes import Configuration, Freshness, Route, Service
+from endivewick_node.http_server import Answer, Connection, HttpServer, Request
+from endivewick_node.sockets import Poller
+
+from ..checkers import clock_ms
+from ..cluster import Process
+from ..http_client import ConnectionLost, HttpClient, Reply
+from ..relay import Relay
+from . import database as db
+from .checks import Recorder
+from .history import (
+    ConfigurationAcknowledged,
+    ConfigurationRead,
+    Disturbed,
+    EndedByItself,
+    Ordered,
+    Promoted,
+)
+from .upstreams import CONNECTION_LIMIT, PROMOTE_S, ServiceStandIn, Upstream
+from .wire import ProcessPlan, SoakWire
+
+CENTRES = {"north-a": "north", "south-a": "south", "west-a": "west"}
+GRACE_S = 6
+LOST_DISKS = 1
+CONTROLS = 3
+UPSTREAMS = 3
+RELAYED_CONTROL = "control-1"
+MESSAGE_PORT = 7440  # the first port that the settings keep for messages between processes
+OPERATOR_TIMEOUT_S = 1.0
+OPERATOR_PAUSE_S = 0.1
+PROBE_S = 0.3
+PROBE_TIMEOUT_S = 0.5
+MISSES = 2
+WATCH_S = 0.05
+STALENESS_MS = 1_500
+TIMEOUT_MS = 1_000
+OBJECTIVE_MS = 600
+
+
+class Node(NamedTuple):
+    """One process of the system and its addresses; ``session_relay`` stands before a gateway."""
+
+    plan: ProcessPlan
+    process: Process
+    session_relay: Relay | None
+
+
+@dataclass(slots=True)
+class System:
+    """Everything of one run."""
+
+    wire: SoakWire
+    folder: Path
+    net: str
+    random: Random
+    recorder: Recorder = field(default_factory=Recorder)
+    gateways: dict[str, Node] = field(default_factory=dict)
+    controls: dict[str, Node] = field(default_factory=dict)
+    services: dict[str, ServiceStandIn] = field(default_factory=dict)
+    upstream_relays: dict[str, Relay] = field(default_factory=dict)
+    message_relays: list[Relay] = field(default_factory=list)
+    ready: set[str] = field(default_factory=set)
+    stopped: set[str] = field(default_factory=set)
+    lose_orders: float = 0.0
+    newest_tokens: dict[str, int] = field(default_factory=dict)
+    configuration: Configuration = Configuration(0, {}, {}, 3_000)
+    newest_version: int = 0
+    removed_routes: dict[str, Route] = field(default_factory=dict)
+    operator_addresses: list[str] = field(default_factory=list)
+    serial: int = 0
+    is_wiping: bool = False
+    background: trio.Nursery | None = None
+
+    def nodes(self) -> dict[str, Node]:
+        """Return every process by name."""
+        return {**self.controls, **self.gateways}
+
+    def disturb(self, what: str) -> None:
+        """Record a fault."""
+        self.recorder.add(Disturbed(clock_ms(), what))
+
+    def start(self, name: str) -> None:
+        """Start a process unless it runs."""
+        self.stopped.discard(name)
+        process = self.nodes()[name].process
+        if process.popen is None or process.popen.poll() is not None:
+            process.start()
+
+    def kill(self, name: str) -> None:
+        """Kill a process."""
+        self.stopped.add(name)
+        self.nodes()[name].process.kill()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a process a signal; one that ends it counts as told to."""
+        if number == signal.SIGTERM:
+            self.stopped.add(name)
+        self.nodes()[name].process.signal(number)
+
+
+def plan_system(
+    wire: SoakWire, folder: Path, net: str, random: Random, gateways: int, services: int
+) -> System:
+    """Write the settings of a system; start nothing."""
+    system = System(wire, folder, net, random)
+    centres = list(CENTRES)
+    seeds = [f"{net}.{101 + number}:8782" for number in range(CONTROLS)]
+    system.operator_addresses = seeds
+    for number in range(CONTROLS):
+        folder_of = folder / f"control-{number + 1}"
+        folder_of.mkdir()
+        plan = ProcessPlan(
+            f"control-{number + 1}",
+            f"{net}.{101 + number}",
+            centres[number],
+            CENTRES,
+            seeds,
+            True,
+            str(folder_of),
+            "",
+            "",
+            seeds[number],
+            f"{net}.250:8783",
+            LOST_DISKS,
+            GRACE_S,
+            {},
+        )
+        system.controls[plan.name] = _node(system, plan, "control", None)
+    for number in range(gateways):
+        ip = f"{net}.{1 + number}"
+        plan = ProcessPlan(
+            f"gateway-{number + 1}",
+            ip,
+            centres[number % len(centres)],
+            CENTRES,
+            seeds,
+            True,
+            "",
+            f"{ip}:8784",
+            f"{ip}:8785",
+            "",
+            f"{net}.250:8783",
+            LOST_DISKS,
+            GRACE_S,
+            {},
+        )
+        relay = Relay(f"{ip}:9784", plan.session_address)
+        system.gateways[plan.name] = _node(system, plan, "gateway", relay)
+    _relay_messages(system)
+    for number in range(services):
+        _plan_service(system, f"service{number}", number)
+    system.configuration = _first_configuration(services)
+    return system
+
+
+async def run_system(system: System, nursery: trio.Nursery) -> None:
+    """Start the stand-ins and every process."""
+    for relay in [*system.upstream_relays.values(), *system.message_relays]:
+        nursery.start_soon(relay.serve)
+    for node in system.gateways.values():
+        assert node.session_relay is not None
+        nursery.start_soon(node.session_relay.serve)
+    for service in system.services.values():
+        nursery.start_soon(service.run)
+    poller = Poller()
+    nursery.start_soon(poller.run)
+    section: Any = {"address": f"{system.net}.250:8783"}
+
+    def take(request: Request, connection: Connection) -> None:
+        nursery.start_soon(_take_order, system, request, connection)
+
+    HttpServer(section, take, poller)
+    for name in system.nodes():
+        system.start(name)
+    nursery.start_soon(_watch_processes, system)
+    nursery.start_soon(_balance, system)
+
+
+async def put_configuration(
+    system: System, configuration: Configuration, is_valid: bool = True, body: Any = None
+) -> bool:
+    """Send a configuration to any control process until one answers; tell whether it took it."""
+    document = body or system.wire.encode_configuration(configuration)
+    while True:
+        reply = await _ask_control(system, "PUT", document)
+        if reply is not None and reply.status == 200:
+            names = frozenset(configuration.routes)
+            system.newest_version = max(system.newest_version, configuration.version)
+            event = ConfigurationAcknowledged(clock_ms(), configuration.version, is_valid, names)
+            system.recorder.add(event)
+            return True
+        if reply is not None and 400 <= reply.status < 500:
+            return False
+        await trio.sleep(OPERATOR_PAUSE_S)
+
+
+async def read_configuration(system: System) -> bool:
+    """Ask one control process for the newest configuration; tell whether it knew."""
+    asked_ms = clock_ms()
+    reply = await _ask_control(system, "GET", None)
+    if reply is None or reply.status != 200:
+        return False
+    version = system.wire.read_version(reply.body)
+    system.recorder.add(ConfigurationRead(clock_ms(), asked_ms, version))
+    return True
+
+
+async def _ask_control(system: System, method: str, body: Any) -> Reply | None:
+    address = system.random.choice(system.operator_addresses)
+    path = system.wire.configuration_path
+    for _ in range(3):
+        client = HttpClient(address)
+        try:
+            with trio.fail_after(OPERATOR_TIMEOUT_S):
+                reply = await client.call(method, path, body)
+        except (ConnectionLost, trio.TooSlowError, msgspec.DecodeError):
+            return None
+        finally:
+            client.close()
+        if reply.status != 307:
+            return reply
+        address = reply.location.removeprefix("http://").partition("/")[0]
+    return None
+
+
+def change_routes(system: System, serial: int) -> Configuration:
+    """Return the next configuration: a workspace is added, and an older extra one removed."""
+    old = system.configuration
+    routes = dict(old.routes)
+    extras = [name for name in routes if name.startswith("extra")]
+    if len(extras) > 3:
+        system.removed_routes[extras[0]] = routes.pop(extras[0])
+    added = f"extra{serial}"
+    routes[added] = _route(added, "service0", Freshness.SESSION)
+    return old._replace(version=old.version + 1 + serial % 3, routes=routes)
+
+
+def _route(workspace: str, service: str, freshness: Freshness) -> Route:
+    staleness_ms = 0 if freshness is Freshness.PRIMARY else STALENESS_MS
+    return Route(workspace, service, freshness, TIMEOUT_MS, OBJECTIVE_MS, 1, staleness_ms)
+
+
+def _first_configuration(services: int) -> Configuration:
+    routes: dict[str, Route] = {}
+    for number in range(services):
+        for freshness in Freshness:
+            name = f"{freshness.value}{number}"
+            routes[name] = _route(name, f"service{number}", freshness)
+    known = {
+        f"service{number}": Service(f"service{number}", CONNECTION_LIMIT, 1)
+        for number in range(services)
+    }
+    return Configuration(1, routes, known, 3_000)
+
+
+def write_settings(system: System, plan: ProcessPlan) -> None:
+    """Write a process's settings file; all but one reach the first control through its relay."""
+    routes: dict[str, str] = {}
+    if plan.name != RELAYED_CONTROL:
+        routes = {relay.target_address: relay.listen_address for relay in system.message_relays}
+    text = system.wire.encode_settings(plan._replace(routes=routes))
+    (system.folder / f"{plan.name}.toml").write_text(text)
+
+
+def _node(system: System, plan: ProcessPlan, role: str, relay: Relay | None) -> Node:
+    path = system.folder / f"{plan.name}.toml"
+    process = Process(
+        plan.name,
+        [*system.wire.start_command, role],
+        system.folder / f"{plan.name}.log",
+        {system.wire.settings_variable: str(path)},
+    )
+    return Node(plan, process, relay)
+
+
+def _relay_messages(system: System) -> None:
+    """Put a relay before the first control process, for messages from every other process."""
+    victim = system.controls[RELAYED_CONTROL].plan.ip
+    relay = Relay(f"{system.net}.200:{MESSAGE_PORT}", f"{victim}:{MESSAGE_PORT}")
+    system.message_relays.append(relay)
+    for node in system.nodes().values():
+        write_settings(system, node.plan)
+
+
+def _plan_service(system: System, service: str, number: int) -> None:
+    database = db.Database(service)
+    stand_in = ServiceStandIn(
+        database, {}, system.wire, system.recorder, system.random, system.operator_addresses
+    )
+    for place, centre in enumerate(list(CENTRES)[:UPSTREAMS]):
+        name = f"{service}-{place + 1}"
+        member = db.Member(name, centre, is_leader=place == number % UPSTREAMS, lag_ms=30.0)
+        database.members[name] = member
+        address = f"{system.net}.{150 + 10 * number + place}:9000"
+        relay = Relay(f"{system.net}.{150 + 10 * number + place}:9001", address)
+        system.upstream_relays[relay.listen_address] = relay
+        upstream = Upstream(member, address, relay.listen_address, int(clock_ms()) + place)
+        stand_in.upstreams[name] = upstream
+    system.services[service] = stand_in
+
+
+async def _take_order(system: System, request: Request, connection: Connection) -> None:
+    """Carry out an order to change a primary, as the platform does."""
+    order = system.wire.read_order(request)
+    if order is None:
+        connection.answer(Answer(404, {}))
+        return
+    answers = system.random.random() >= system.lose_orders
+    if not answers:
+        await trio.sleep(system.random.uniform(0.5, 4.0))
+    if order.token < system.newest_tokens.get(order.service, 0):
+        connection.answer(Answer(409, {}))
+        return
+    system.newest_tokens[order.service] = order.token
+    stand_in = system.services[order.service]
+    upstream = stand_in.upstreams.get(order.upstream)
+    if upstream is None or not upstream.member.is_up:
+        connection.answer(Answer(409, {}))
+        return
+    event = Ordered(clock_ms(), order.service, order.upstream, order.holder, order.token)
+    system.recorder.add(event)
+    if answers:
+        connection.answer(Answer(200, {}))
+    if upstream.member.is_leader:
+        return
+    await trio.sleep(PROMOTE_S)
+    if order.token < system.newest_tokens[order.service] or not upstream.member.is_up:
+        return
+    member = db.promote(stand_in.database, order.upstream)
+    log = frozenset(item for entry in member.log for item in entry.request_ids)
+    system.recorder.add(Promoted(clock_ms(), order.service, order.upstream, member.term, log))
+
+
+async def _watch_processes(system: System) -> None:
+    """Record processes that end by themselves, and start them again."""
+    while True:
+        for name, node in system.nodes().items():
+            popen = node.process.popen
+            if popen is None or name in system.stopped or popen.poll() is None:
+                continue
+            system.recorder.add(EndedByItself(clock_ms(), name, popen.returncode))
+            node.process.start()
+        await trio.sleep(WATCH_S)
+
+
+async def _balance(system: System) -> None:
+    """Keep the set of gateways that new sessions go to, as the platform's balancer does."""
+    async with trio.open_nursery() as nursery:
+        for name, node in system.gateways.items():
+            nursery.start_soon(_probe, system, name, node.plan.readiness_address)
+
+
+async def _probe(system: System, name: str, address: str) -> None:
+    misses = MISSES
+    while True:
+        status = 0
+        client = HttpClient(address)
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            try:
+                status = (await client.call("GET", system.wire.readiness_path)).status
+            except ConnectionLost:
+                status = 0
+        client.close()
+        misses = 0 if status == 200 else misses + 1
+        if not misses:
+            system.ready.add(name)
+        if misses >= MISSES:
+            system.ready.discard(name)
+        await trio.sleep(PROBE_S)
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -25,6 +25,7 @@
 from returns.result import Result
 
 from .clock import now_ms
+from .conf import ClusterSection
 from .exposition import Exposition, serve_metrics
 from .http_server import Answer, Connection, HttpServer, Request
 from .logs import log, log_bounded
@@ -42,7 +43,8 @@
     """What a gateway process is started with.
 
     ``decode_configuration`` reads an operator's document, and ``readiness_path`` is where the
-    balancer asks whether new sessions should come here.
+    balancer asks whether new sessions should come here. ``routes`` maps message addresses of other
+    processes to the addresses at which this one reaches them.
     """
 
     settings: GatewaySettings
@@ -54,6 +56,7 @@
     grace_ms: int
     wire: StatementWire
     decode_configuration: Callable[[bytes], Result[Configuration, Failure]]
+    routes: dict[str, str]
 
 
 class GatewayNode:
@@ -65,7 +68,8 @@
         self._state = GatewayState(plan.settings)
         self._metrics = Exposition()
         self._poller = Poller()
-        self._transport = Transport({"address": plan.settings.address}, self._count_dropped)
+        section: ClusterSection = {"address": plan.settings.address, "routes": plan.routes}
+        self._transport = Transport(section, self._count_dropped)
         self._upstreams = UpstreamConnections(plan.wire, self._poller, self._reduce)
         self._sessions = SessionServer(
             plan.session_address, plan.session_limit, plan.wire, self._poller, self._reduce
