Take no answer without a proof for that of a client's statement

Cause: an upstream that loses one answer and goes on answers the statement of ours behind it, and the gateway took that for the client's: a read or a COMMIT that succeeded with no proof. The connection is given up now, and the statement has the outcome of one whose connection was lost. Two tests fail without the change.

--- a/packages/bench/src/endivewick_bench/http_client.py
+++ b/packages/bench/src/endivewick_bench/http_client.py
@@ -78,7 +78,7 @@
         except BaseException:
             self.close()
             raise
-        body = msgspec.json.decode(self.body) if self.body else {}
+        body: dict[str, Any] = msgspec.json.decode(self.body) if self.body else {}
         return Reply(self.parser.get_status_code(), body, self.token, self.location)
 
     def close(self) -> None:
--- a/packages/bench/src/endivewick_bench/soak/faults.py
+++ b/packages/bench/src/endivewick_bench/soak/faults.py
@@ -4,7 +4,6 @@
 import shutil
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +19,7 @@
 RESTART_S = (0.1, 2.0)
 FULL_DISK_BYTES = 4_096  # smaller than any log of a run, so that each write is refused
 ANSWER_LOSS = 0.2
+REFUSED_SHARE = 0.5
 CATCH_UP_S = 4.0  # the platform's time until a lost disk counts as back
 DELAY_MS = 150.0
 SLOW_FACTOR = 8.0
@@ -208,8 +208,8 @@
     stand_in.restart(upstream)
 
 
-async def _trouble(system: System, upstream: Upstream, **troubles: object) -> None:
-    upstream.troubles = replace(upstream.troubles, **troubles)
+async def _trouble(system: System, upstream: Upstream, troubles: Troubles) -> None:
+    upstream.troubles = troubles
     await _pause(system)
     upstream.troubles = Troubles()
 
@@ -218,22 +218,22 @@
     """Let a primary read everything and answer nothing."""
     found = _leader(system)
     if found is not None:
-        await _trouble(system, found[1], is_dark=True)
+        await _trouble(system, found[1], Troubles(is_dark=True))
 
 
 async def lose_answers(system: System) -> None:
     """Let an upstream lose a part of its answers."""
-    await _trouble(system, _any_upstream(system)[1], lose_answers=ANSWER_LOSS)
+    await _trouble(system, _any_upstream(system)[1], Troubles(lose_answers=ANSWER_LOSS))
 
 
 async def slow_upstream(system: System) -> None:
     """Let an upstream work slowly."""
-    await _trouble(system, _any_upstream(system)[1], slow_factor=SLOW_FACTOR)
+    await _trouble(system, _any_upstream(system)[1], Troubles(slow_factor=SLOW_FACTOR))
 
 
 async def refuse_work(system: System) -> None:
     """Let an upstream refuse half of its statements as busy."""
-    await _trouble(system, _any_upstream(system)[1], refuse=0.5)
+    await _trouble(system, _any_upstream(system)[1], Troubles(refuse=REFUSED_SHARE))
 
 
 async def lag_replica(system: System) -> None:
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -246,7 +246,7 @@
         read = self.wire.read_caller()
         try:
             async for data in stream:
-                for message in read(data):
+                for message in read(bytes(data)):
                     connection.is_silent = connection.is_silent or upstream.troubles.is_dark
                     if connection.is_silent:
                         continue
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -68,6 +68,12 @@
     connection.heard_ms = now_ms
     connection.in_transaction = reply.state is not TransactionState.IDLE
     pending = connection.pending.popleft()
+    if pending.purpose is Purpose.WORK and reply.error is None and not reply.proof:
+        # The answer was lost, and this is the one to a statement of our own that follows it.
+        connection.pending.appendleft(pending)
+        error = Error(Fault.ABORTED, "an answer is missing from the connection")
+        broke = ConnectionBroke(now_ms, connection.number, error)
+        return [CloseConnection(connection.number), *handle_broke(state, broke)]
     if pending.purpose is Purpose.WORK:
         return _take_work(state, now_ms, connection, pending, reply)
     if pending.purpose is Purpose.BEGIN:
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -162,3 +162,28 @@
             gateway.lose(gateway.opening.pop(), Fault.ABORTED)
         gateway.tick(100)
     assert_that(gateway.messages[-1].message.writes_failing, Equals(["orders"]))
+
+
+def test_an_answer_without_a_proof_is_no_answer_to_a_write(gateway):
+    """An upstream that loses one answer goes on with those to the statements behind it."""
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.WRITE))
+    gateway.reply(item)
+    commit = gateway.work(gateway.send(1, K.COMMIT))
+    gateway.sent.remove(commit)
+    begin = next(one for one in gateway.sent if one.connection == commit.connection)
+    gateway.reply(begin)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.OUTCOME_UNKNOWN))
+    assert_that(gateway.closed, Equals([commit.connection]))
+
+
+def test_a_read_whose_answer_has_no_proof_is_tried_elsewhere(gateway):
+    gateway.session(1, "strict")
+    request = gateway.send(1, K.READ)
+    item = gateway.work(request)
+    gateway.sent.remove(item)
+    rollback = next(one for one in gateway.sent if one.connection == item.connection)
+    gateway.reply(rollback)
+    assert_that(gateway.answers, Equals([]))
+    assert_that(gateway.closed, Equals([item.connection]))
