--- a/packages/bench/src/endivewick_bench/http_client.py
+++ b/packages/bench/src/endivewick_bench/http_client.py
@@ -78,8 +78,8 @@
         except BaseException:
             self.close()
             raise
-        body: dict[str, Any] = msgspec.json.decode(self.body) if self.body else {}
-        return Reply(self.parser.get_status_code(), body, self.token, self.location)
+        decoded: dict[str, Any] = msgspec.json.decode(self.body) if self.body else {}
+        return Reply(self.parser.get_status_code(), decoded, self.token, self.location)
 
     def close(self) -> None:
         """Close the connection; the next call opens another."""
