--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -63,7 +63,7 @@
     folder: Path
     net: str
     random: Random
-    recorder: Recorder = field(default_factory=Recorder)
+    recorder: Recorder
     gateways: dict[str, Node] = field(default_factory=dict)
     controls: dict[str, Node] = field(default_factory=dict)
     services: dict[str, ServiceStandIn] = field(default_factory=dict)
@@ -109,10 +109,16 @@
 
 
 def plan_system(
-    wire: SoakWire, folder: Path, net: str, random: Random, gateways: int, services: int
+    wire: SoakWire,
+    folder: Path,
+    net: str,
+    random: Random,
+    recorder: Recorder,
+    gateways: int,
+    services: int,
 ) -> System:
     """Write the settings of a system; start nothing."""
-    system = System(wire, folder, net, random)
+    system = System(wire, folder, net, random, recorder)
     centres = list(CENTRES)
     seeds = [f"{net}.{101 + number}:8782" for number in range(CONTROLS)]
     system.operator_addresses = seeds
