--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -2,6 +2,7 @@
 
 import signal
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple
@@ -18,6 +19,7 @@
 from ..relay import Relay
 from . import database as db
 from .checks import Recorder
+from .execution import Execution
 from .history import (
     ConfigurationAcknowledged,
     ConfigurationRead,
@@ -300,9 +302,8 @@
 
 def _plan_service(system: System, service: str, number: int) -> None:
     database = db.Database(service)
-    stand_in = ServiceStandIn(
-        database, {}, system.wire, system.recorder, system.random, system.operator_addresses
-    )
+    execution = Execution(database, system.recorder, count(1))
+    stand_in = ServiceStandIn(execution, {}, system.wire, system.random, system.operator_addresses)
     for place, centre in enumerate(list(CENTRES)[:UPSTREAMS]):
         name = f"{service}-{place + 1}"
         member = db.Member(name, centre, is_leader=place == number % UPSTREAMS, lag_ms=30.0)
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -2,33 +2,31 @@
 
 import time
 from dataclasses import dataclass, field
-from itertools import count
 from random import Random
-from typing import NamedTuple
 
 import trio
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.gateway.effects import AnswerStatement
-from endivewick_core.positions import Position
-from endivewick_core.statements import (
-    Error,
-    Fault,
-    Statement,
-    StatementKind,
-    TransactionState,
-    UpstreamStatement,
-)
+from endivewick_core.statements import Error, Fault, UpstreamStatement
 from endivewick_node.conf import split_address
 from endivewick_node.statement_wire import WireFault
 
 from ..checkers import clock_ms
 from ..http_client import ConnectionLost, HttpClient
 from . import database as db
-from .checks import Recorder
-from .history import Committed, Leaving, Ran
+from .execution import (
+    CallerConnection,
+    Execution,
+    Result,
+    fail,
+    fault_before_work,
+    is_settled,
+    run_own,
+    run_work,
+)
+from .history import Leaving
 from .wire import Greeting, SoakWire
 
-K = StatementKind
 REPORT_S = 0.6
 REPORT_TIMEOUT_S = 1.0
 REPLICATE_S = 0.005
@@ -39,45 +37,12 @@
 SLOTS = 3
 QUEUE_LIMIT = 32
 CONNECTION_LIMIT = 21
-OWN_PROOF = "-"
 
 
 class LostAnswer(Exception):
     """A statement ran and its answer won't be sent."""
 
 
-@dataclass(slots=True)
-class Transaction:
-    """A transaction on a connection; ``term`` is that of its BEGIN."""
-
-    number: int
-    term: int
-    is_read_only: bool
-    has_failed: bool = False
-    writes: list[tuple[str, str]] = field(default_factory=list)
-    request_ids: list[str] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class CallerConnection:
-    """A connection of a gateway or of control; a silent one answers nothing any more."""
-
-    number: int
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: dict[str, tuple[str, bool]] = field(default_factory=dict)
-    transaction: Transaction | None = None
-    greeted: bool = False
-    is_silent: bool = False
-
-
-class Result(NamedTuple):
-    """What a statement came to."""
-
-    rows: tuple[str, ...] = ()
-    proof: str = OWN_PROOF
-    error: Error | None = None
-
-
 @dataclass(slots=True)
 class Troubles:
     """What a fault has set: lost answers, slowness, silence, and refusals."""
@@ -110,13 +75,16 @@
 class ServiceStandIn:
     """A replicated service whose upstreams run inside this process."""
 
-    database: db.Database
+    execution: Execution
     upstreams: dict[str, Upstream]
     wire: SoakWire
-    recorder: Recorder
     random: Random
     control_addresses: list[str]
-    numbers: "count[int]" = field(default_factory=lambda: count(1))
+
+    @property
+    def database(self) -> db.Database:
+        """Return the model of the service."""
+        return self.execution.database
 
     async def run(self) -> None:
         """Replicate, and run every upstream, until cancelled."""
@@ -236,12 +204,12 @@
         if report.state is UpstreamState.LEAVING and not upstream.left_acknowledged:
             upstream.left_acknowledged = True
             name = upstream.member.name
-            self.recorder.add(Leaving(clock_ms(), self.database.service, name))
+            self.execution.recorder.add(Leaving(clock_ms(), self.database.service, name))
 
     async def _serve(
         self, upstream: Upstream, limiter: trio.CapacityLimiter, stream: trio.SocketStream
     ) -> None:
-        connection = CallerConnection(next(self.numbers))
+        connection = CallerConnection(next(self.execution.numbers))
         upstream.connections += 1
         read = self.wire.read_caller()
         try:
@@ -285,13 +253,11 @@
             result = await self._run(upstream, limiter, connection, message)
         except LostAnswer:
             return self.random.random() < 0.5
-        state = TransactionState.IDLE
-        if connection.transaction is not None:
-            failed = connection.transaction.has_failed
-            state = TransactionState.FAILED if failed else TransactionState.OPEN
         member = upstream.member
         place = member.received if member.is_leader else member.position
-        answer = AnswerStatement(0, result.rows, result.proof, result.error, state, place)
+        answer = AnswerStatement(
+            0, result.rows, result.proof, result.error, connection.state, place
+        )
         await stream.send_all(statements.encode_answer(answer))
         return True
 
@@ -309,142 +275,35 @@
         connection: CallerConnection,
         message: UpstreamStatement,
     ) -> Result:
-        statement = message.statement
-        kind = statement.kind
-        own = self._run_own(upstream, connection, message)
+        own = run_own(self.execution, upstream.member, connection, message)
         if own is not None:
             return own
-        if kind not in (K.READ, K.WRITE, K.EXECUTE, K.COMMIT):
-            return self._fail(connection, Fault.BAD_REQUEST)
-        if kind is K.EXECUTE and statement.name not in connection.prepared:
-            return self._fail(connection, Fault.UNKNOWN_STATEMENT)
+        fault = fault_before_work(connection, message.statement)
+        if fault is not None:
+            return fail(connection, fault)
         troubles = upstream.troubles
         if upstream.waiting >= QUEUE_LIMIT or self.random.random() < troubles.refuse:
-            return self._fail(connection, Fault.BUSY)
+            return fail(connection, Fault.BUSY)
         upstream.waiting += 1
         try:
             async with limiter:
                 work_ms = self.random.expovariate(1 / WORK_MS) * troubles.slow_factor
                 await trio.sleep(work_ms / 1000)
-                result = await self._work(upstream, connection, message)
+                member = upstream.member
+                result = run_work(self.execution, clock_ms(), member, connection, message)
+                await self._settle(member, result)
         finally:
             upstream.waiting -= 1
         if result.error is None and self.random.random() < troubles.lose_answers:
             raise LostAnswer
         return result
 
-    def _run_own(
-        self, upstream: Upstream, connection: CallerConnection, message: UpstreamStatement
-    ) -> Result | None:
-        """Run a statement that takes no slot; return None for any other."""
-        statement, member = message.statement, upstream.member
-        kind = statement.kind
-        if kind is K.RESET:
-            connection.values.clear()
-            connection.prepared.clear()
-        elif kind is K.SET:
-            connection.values[statement.name] = statement.argument
-        elif kind is K.PREPARE:
-            connection.prepared[statement.name] = (statement.argument, statement.is_write)
-        elif kind is K.DEALLOCATE:
-            connection.prepared.pop(statement.name, None)
-        elif kind is K.ROLLBACK:
-            connection.transaction = None
-        elif kind in (K.PAUSE, K.RESUME):
-            member.held_term = int(statement.argument) if kind is K.PAUSE else 0
-            role = "primary" if member.is_leader else "replica"
-            received = f"{member.received.term}.{member.received.offset}"
-            return Result((f"{role} {member.term} {received} {member.held_term} 0 0 0",))
-        elif kind is K.BEGIN:
-            if message.wait_for is not None and not _has(member, message.wait_for):
-                return Result(error=Error(Fault.LAGGING, ""))
-            if not statement.is_read_only and not member.is_leader:
-                return Result(error=Error(Fault.READ_ONLY, ""))
-            number = next(self.numbers)
-            connection.transaction = Transaction(number, member.term, statement.is_read_only)
-        else:
-            return None
-        return Result()
-
-    async def _work(
-        self, upstream: Upstream, connection: CallerConnection, message: UpstreamStatement
-    ) -> Result:
-        statement, member, transaction = message.statement, upstream.member, connection.transaction
-        is_write, key, value, text = _meaning(connection, statement)
-        if transaction is not None and transaction.has_failed:
-            return self._fail(connection, Fault.BAD_REQUEST)
-        if transaction is not None and not transaction.is_read_only:
-            leads = member.is_leader and member.term == transaction.term
-            if not leads and not (statement.kind is K.COMMIT and not transaction.writes):
-                return self._fail(connection, Fault.READ_ONLY)
-        if message.wait_for is not None and not _has(member, message.wait_for):
-            return self._fail(connection, Fault.LAGGING)
-        if is_write and (not member.is_leader or (transaction and transaction.is_read_only)):
-            return self._fail(connection, Fault.READ_ONLY)
-        rows: tuple[str, ...] = ()
-        if statement.kind is not K.COMMIT and not is_write:
-            pending = dict(transaction.writes) if transaction is not None else {}
-            rows = (pending.get(key) or member.data.get(key, "none"),)
-        proof = f"{member.name}.{next(self.numbers)}"
-        self.recorder.add(
-            Ran(
-                clock_ms(),
-                statement.request_id,
-                self.database.service,
-                member.name,
-                "read" if rows else "write",
-                text,
-                connection.number,
-                transaction.number if transaction is not None else 0,
-                tuple(sorted(connection.values.items())),
-                member.applied,
-                rows,
-                proof,
-            )
-        )
-        if statement.kind is K.COMMIT:
-            connection.transaction = None
-            if transaction is not None and transaction.writes:
-                request_ids = (*transaction.request_ids, statement.request_id)
-                await self._commit(member, request_ids, tuple(transaction.writes))
-        elif is_write and transaction is not None:
-            transaction.writes.append((key, value))
-            transaction.request_ids.append(statement.request_id)
-        elif is_write:
-            await self._commit(member, (statement.request_id,), ((key, value),))
-        return Result(rows, proof)
-
-    async def _commit(
-        self, member: db.Member, request_ids: tuple[str, ...], writes: tuple[tuple[str, str], ...]
-    ) -> None:
-        """Commit, and wait until a replica has it; without the lead no answer is given."""
-        number = db.append(member, request_ids, writes)
-        entry, term = member.log[number - 1], member.term
-        service = self.database.service
-        self.recorder.add(Committed(clock_ms(), service, member.name, number, request_ids))
-        while not db.is_replicated(self.database, member, number):
-            await trio.sleep(REPLICATE_S)
-            if not member.is_leader or member.term != term or member.log[number - 1] is not entry:
+    async def _settle(self, member: db.Member, result: Result) -> None:
+        """Wait until a replica has what was committed; without the lead no answer is given."""
+        while result.commit is not None:
+            settled = is_settled(self.execution, member, result.commit)
+            if settled is None:
                 raise LostAnswer
-
-    def _fail(self, connection: CallerConnection, fault: Fault) -> Result:
-        if connection.transaction is not None:
-            connection.transaction.has_failed = True
-        return Result(error=Error(fault, ""))
-
-
-def _has(member: db.Member, position: Position) -> bool:
-    """Tell whether reads at a member see the log up to a position."""
-    return member.term >= position.term and member.applied >= position.offset
-
-
-def _meaning(connection: CallerConnection, statement: Statement) -> tuple[bool, str, str, str]:
-    """Return whether a statement writes, its key and value, and its text as clients record it."""
-    if statement.kind is K.COMMIT:
-        return False, "", "", statement.text
-    if statement.kind is K.EXECUTE:
-        shape, is_write = connection.prepared[statement.name]
-        key, _, value = statement.argument.partition(" ")
-        return is_write, key, value, f"{shape} {statement.argument}"
-    _, key, *rest = statement.text.split(" ", 2)
-    return statement.kind is K.WRITE, key, rest[0] if rest else "", statement.text
+            if settled:
+                return
+            await trio.sleep(REPLICATE_S)
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -9,7 +9,7 @@
 from ..messages import DirectoryAnswer, DirectoryQuestion
 from ..positions import Position
 from ..watermarks import WatermarkHistory, note_watermark
-from . import holders, limits, placement, pool, sessions, upkeep
+from . import forwarding, holders, limits, placement, pool, sessions, upkeep
 from .effects import ApplyDocument, Decision, Effect, Send
 from .events import ConfigurationReceived
 from .state import GatewayState, distance
@@ -71,6 +71,7 @@
     if tuple(answer.neighbours) != link.neighbours:
         link.neighbours = tuple(answer.neighbours)
         link.ranked.clear()
+        effects += forwarding.connect_ahead(state)
     effects += _follow_contended(state, now_ms, answer.contended)
     for report, age_ms in answer.reports:
         merge_report(state.directory, asked_ms, report, age_ms)
--- a/packages/core/src/endivewick_core/gateway/effects.py
+++ b/packages/core/src/endivewick_core/gateway/effects.py
@@ -44,6 +44,12 @@
     message: Any
 
 
+class Connect(NamedTuple):
+    """Connect to the process at ``address`` ahead of the first message."""
+
+    address: str
+
+
 class ApplyDocument(NamedTuple):
     """Decode a configuration document and hand it back as ``ConfigurationReceived``."""
 
@@ -80,6 +86,7 @@
     | SendStatements
     | CloseConnection
     | Send
+    | Connect
     | ApplyDocument
     | Decision
     | Served
--- a/packages/core/src/endivewick_core/gateway/events.py
+++ b/packages/core/src/endivewick_core/gateway/events.py
@@ -43,6 +43,14 @@
     message: Any
 
 
+class MessageUndelivered(NamedTuple):
+    """A message for another process was not sent, since that isn't connected now."""
+
+    now_ms: int
+    address: str
+    message: Any
+
+
 class ConfigurationReceived(NamedTuple):
     """A whole configuration arrived from control, checked and decoded."""
 
@@ -66,6 +74,7 @@
     | ConnectionReplied
     | ConnectionBroke
     | MessageReceived
+    | MessageUndelivered
     | ConfigurationReceived
     | DrainRequested
 )
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -8,11 +8,12 @@
 from ..messages import ForwardedEnd, ForwardedReply, ForwardedStatement
 from ..positions import Position
 from ..statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
-from . import answers, holders, placement
-from .effects import AnswerStatement, CloseSession, Decision, Effect, Send
+from . import answers, holders, placement, pool
+from .effects import AnswerStatement, CloseSession, Connect, Decision, Effect, Send
 from .requests import advance, is_single_read, open_request
 from .state import GatewayState, Request, Session
 
+UNDELIVERED_MS = 200  # how long a holder may be out of reach before the next one is asked
 LATE_READ_MS = 500  # after so long without an answer a single read is sent to another holder
 
 
@@ -60,6 +61,9 @@
     for request in list(state.requests.values()):
         if not request.forwarded_to or now_ms - request.sent_ms < LATE_READ_MS:
             continue
+        # A holder that answers others is well; it repeats the reads of a slow upstream itself.
+        if state.control.holders_heard_ms.get(request.forwarded_to, 0) >= request.sent_ms:
+            continue
         state.control.avoid_until_ms[request.forwarded_to] = now_ms + holders.AVOID_MS
         single_read = is_single_read(state.sessions[request.session], request)
         if not single_read or request.attempts >= placement.READ_ATTEMPTS:
@@ -78,11 +82,46 @@
     return effects
 
 
+def connect_ahead(state: GatewayState) -> list[Effect]:
+    """Connect to the gateways that hold connections for this one, before statements need it."""
+    addresses = {
+        address
+        for service in state.configuration.services
+        for address in holders.choices(state, service)
+    }
+    addresses.discard(state.settings.address)
+    return [Connect(address) for address in sorted(addresses)]
+
+
+def handle_undelivered(
+    state: GatewayState, now_ms: int, address: str, message: ForwardedStatement
+) -> list[Effect]:
+    """Let a statement wait that could not be sent, as its holder isn't connected now."""
+    request = state.requests.get(message.number)
+    if request is None or request.forwarded_to != address or not request.sent_ms:
+        return []
+    since_ms = state.control.undelivered_ms.setdefault(address, now_ms)
+    if now_ms - since_ms >= UNDELIVERED_MS:
+        state.control.avoid_until_ms[address] = now_ms + holders.AVOID_MS
+    request.forwarded_to = request.upstream = ""
+    request.sent_ms = 0
+    request.attempts -= 1
+    request.last_refusal = f"{address}: not connected"
+    session = state.sessions[request.session]
+    if session.state is TransactionState.OPEN and not session.statements_run:
+        session.holder = ""
+    return placement.wait(state, now_ms, request)
+
+
 def handle_reply(state: GatewayState, now_ms: int, reply: ForwardedReply) -> list[Effect]:
     """Pass a holder's answer on to the client."""
+    state.control.holders_heard_ms[reply.holder] = now_ms
+    state.control.undelivered_ms.pop(reply.holder, None)
     request = state.requests.get(reply.number)
     if request is None or request.forwarded_to != reply.holder:
         return []
+    if reply.boot != state.settings.boot:
+        return []
     session = state.sessions[request.session]
     if reply.fault:
         session.holder = ""
@@ -102,13 +141,20 @@
     key = (message.origin, message.boot, message.session)
     number = state.remote.get(key)
     known = state.sessions.get(number) if number is not None else None
+    effects: list[Effect] = []
     if known is not None and known.current is not None:
-        return []
+        # The client was told that its last statement had timed out, and went on.
+        forget(state, known)
+        effects += placement.abandon(state, now_ms, known)
+        known = None
     if message.is_started and (known is None or known.connection is None):
         error = Error(Fault.ABORTED, "the transaction was rolled back")
-        reply = _reply(state, message.number, (), "", error, message.position)
-        return [Send(message.origin, reply)]
+        reply = _reply(state, message.boot, message.number, (), "", error, message.position)
+        return [*effects, Send(message.origin, reply)]
     session = known or _open(state, key)
+    # The message that ended the session's last transaction may have been lost.
+    if not message.is_started:
+        effects += pool.release_session(state, now_ms, session)
     state.begun_floor = max(state.begun_floor, message.configuration_version)
     session.workspace = message.route.workspace
     session.route = message.route
@@ -123,7 +169,7 @@
     request = open_request(
         state, now_ms, session, message.statement, message.route, message.left_ms
     )
-    return placement.place(state, now_ms, request)
+    return effects + placement.place(state, now_ms, request)
 
 
 def handle_end(state: GatewayState, now_ms: int, message: ForwardedEnd) -> list[Effect]:
@@ -161,16 +207,24 @@
     session = state.sessions.get(answer.session)
     if session is None or session.origin is None:
         return []
+    origin, boot, _ = session.origin
     reply = _reply(
-        state, session.origin_number, answer.rows, answer.proof, answer.error, answer.position
+        state,
+        boot,
+        session.origin_number,
+        answer.rows,
+        answer.proof,
+        answer.error,
+        answer.position,
     )
     if answer.error is not None or session.state is not TransactionState.OPEN:
         forget(state, session)
-    return [Send(session.origin[0], reply)]
+    return [Send(origin, reply)]
 
 
 def _reply(
     state: GatewayState,
+    boot: str,
     number: int,
     rows: tuple[str, ...],
     proof: str,
@@ -179,6 +233,7 @@
 ) -> ForwardedReply:
     return ForwardedReply(
         state.settings.address,
+        boot,
         number,
         list(rows),
         proof,
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -46,11 +46,18 @@
     """Return the gateway that holds connections for this one, or an empty text for itself."""
     if not state.control.neighbours or holds(state, service):
         return ""
-    choices = ranked(state, service)[: _holder_count(state, service) + 1]
-    for address in choices:
+    candidates = choices(state, service)
+    for address in candidates:
         if now_ms >= state.control.avoid_until_ms.get(address, 0):
             return address
-    return choices[0]
+    return candidates[0]
+
+
+def choices(state: GatewayState, service: str) -> list[str]:
+    """Return the holders of a service for this gateway and the next one after them, or nothing."""
+    if not state.control.neighbours or holds(state, service):
+        return []
+    return ranked(state, service)[: _holder_count(state, service) + 1]
 
 
 def ranked(state: GatewayState, service: str) -> list[str]:
--- a/packages/core/src/endivewick_core/gateway/placement.py
+++ b/packages/core/src/endivewick_core/gateway/placement.py
@@ -41,19 +41,23 @@
     if session.connection is not None:
         connection = state.connections[session.connection]
         return pool.send_pinned(state, now_ms, connection, session, request)
-    if session.origin is None and _is_forwarded(state, now_ms, session, request):
-        return forwarding.forward(state, now_ms, session, request)
     placed = _try(state, now_ms, session, request)
     if placed.is_placed:
         return placed.effects
+    return placed.effects + wait(state, now_ms, request)
+
+
+def wait(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
+    """Let a request wait for a connection, or refuse it where too many wait."""
+    session = state.sessions[request.session]
     if state.queued >= state.settings.queue_limit:
         error = Error(Fault.BUSY, "too many statements wait here", RETRY_AFTER_MS)
-        return placed.effects + answers.fail(state, now_ms, request, error)
+        return answers.fail(state, now_ms, request, error)
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
     item = Queued(request.route.priority, request.serial, request)
     heapq.heappush(queue.primary if needs_primary(session, request) else queue.reads, item)
     state.queued += 1
-    return placed.effects
+    return []
 
 
 def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
@@ -163,6 +167,8 @@
 
 
 def _try(state: GatewayState, now_ms: int, session: Session, request: Request) -> Placed:
+    if session.origin is None and _is_forwarded(state, now_ms, session, request):
+        return Placed(True, forwarding.forward(state, now_ms, session, request))
     if not needs_primary(session, request):
         position = wait_position(state, now_ms, session, request)
         if position is not None:
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -13,6 +13,7 @@
     DrainRequested,
     Event,
     MessageReceived,
+    MessageUndelivered,
     SessionClosed,
     SessionOpened,
     StatementReceived,
@@ -20,6 +21,8 @@
 )
 from .state import GatewayState
 
+QUEUED_TICK_MS = 20  # an upstream that was busy is asked again about so soon
+IDLE_TICK_MS = 100  # what else is due without an event may be late by a tenth of a second
 SLOW_SWEEP_MS = 1_000  # connections and latencies change slowly
 BALANCER_GRACE_MS = 2_500  # two missed questions of the balancer, a second apart, and its delay
 
@@ -62,6 +65,12 @@
     return [Decision("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
 
 
+def _take_back(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
+    if not isinstance(event.message, ForwardedStatement):
+        return []
+    return forwarding.handle_undelivered(state, event.now_ms, event.address, event.message)
+
+
 def _drain(state: GatewayState, event: DrainRequested) -> list[Effect]:
     if state.draining_since_ms is not None:
         return []
@@ -71,6 +80,17 @@
     return [Decision("info", "draining", "", "", inputs, "started")]
 
 
+def next_tick_ms(state: GatewayState, now_ms: int) -> int:
+    """Return how long the reducer can do without a tick while nothing else happens."""
+    if state.queued:
+        return QUEUED_TICK_MS
+    due_ms = min(
+        (request.deadline_ms for request in state.requests.values()), default=state.control.due_ms
+    )
+    wait_ms = min(due_ms, state.control.due_ms) - now_ms
+    return max(QUEUED_TICK_MS, min(wait_ms, IDLE_TICK_MS))
+
+
 def _check_drain(state: GatewayState, now_ms: int) -> list[Effect]:
     """Close sessions between operations; transactions get the first half of the grace time."""
     since_ms = state.draining_since_ms
@@ -97,6 +117,7 @@
     ConnectionReplied: results.handle_replied,
     ConnectionBroke: results.handle_broke,
     MessageReceived: _receive,
+    MessageUndelivered: _take_back,
     ConfigurationReceived: control_link.handle_configuration,
     DrainRequested: _drain,
 }
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -166,9 +166,13 @@
 ) -> list[Effect]:
     fault = _forward_fault(session, statement)
     if fault is not None:
+        effects: list[Effect] = []
         if statement.kind is StatementKind.COMMIT:
             session.state = TransactionState.IDLE
-        return answers.refuse_own(session, statement.kind, statement.request_id, fault)
+        if session.state is not TransactionState.OPEN:
+            effects = placement.end_transaction(state, now_ms, session)
+        refusal = answers.refuse_own(session, statement.kind, statement.request_id, fault)
+        return refusal + effects
     route = _route(state, session)
     if route is None:
         fault = _unknown_workspace(session.workspace)
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -176,6 +176,9 @@
 class ControlLink:
     """The polling of control: whom this gateway asks, and what it has heard.
 
+    ``holders_heard_ms`` is when each holder answered last, and ``undelivered_ms`` since when it
+    can't be sent to.
+
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
     gateways want together.
     """
@@ -195,6 +198,8 @@
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked: dict[str, list[str]] = field(default_factory=dict)
+    holders_heard_ms: dict[str, int] = field(default_factory=dict)
+    undelivered_ms: dict[str, int] = field(default_factory=dict)
 
 
 class Queued(NamedTuple):
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -361,9 +361,13 @@
 
 
 class ForwardedReply(NamedTuple):
-    """The answer to a ForwardedStatement; ``fault`` is empty where it succeeded."""
+    """The answer to a ForwardedStatement; ``fault`` is empty where it succeeded.
+
+    ``boot`` is the asker's, whose numbers start again with each start of its process.
+    """
 
     holder: str
+    boot: str
     number: int
     rows: list[str]
     proof: str
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -14,9 +14,10 @@
     DrainRequested,
     Event,
     MessageReceived,
+    MessageUndelivered,
     Tick,
 )
-from endivewick_core.gateway.reducer import is_drained, reduce
+from endivewick_core.gateway.reducer import is_drained, next_tick_ms, reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import CODEC
 from endivewick_core.routes import Configuration
@@ -35,7 +36,6 @@
 from .transport import Transport
 from .upstream_connections import UpstreamConnections
 
-TICK_MS = 20  # deadlines and polls are a few hundred milliseconds long
 STATE_INTERVAL_MS = 1_000  # gauges change slowly
 
 
@@ -79,6 +79,7 @@
         )
         serve_metrics(self._metrics, plan.metrics_address, self._poller)
         self._stopped = trio.Event()
+        self._hurried = trio.Event()
 
     async def run(self) -> None:
         """Serve until a planned stop has ended every session."""
@@ -105,6 +106,8 @@
     def _reduce(self, event: Event) -> None:
         for effect in reduce(self._state, event):
             _CARRY_OUT[type(effect)](self, effect)
+        if self._state.queued:
+            self._hurried.set()
 
     def _receive(self, sender: str, frame: bytes) -> None:
         message = decode(CODEC, frame)
@@ -120,7 +123,13 @@
             if is_drained(self._state, now_ms()):
                 log("info", "stopped", "a planned stop has ended every session")
                 self._stopped.set()
-            await trio.sleep(TICK_MS / 1000)
+            wait_ms = next_tick_ms(self._state, now_ms())
+            if self._state.queued:
+                await trio.sleep(wait_ms / 1000)
+                continue
+            self._hurried = trio.Event()
+            with trio.move_on_after(wait_ms / 1000):
+                await self._hurried.wait()
 
     async def _report(self) -> None:
         while True:
@@ -149,7 +158,12 @@
         self._reduce(ConfigurationReceived(now_ms(), decoded.unwrap()))
 
     def _send(self, effect: fx.Send) -> None:
-        self._transport.send(effect.address, encode(effect.message))
+        if self._transport.send(effect.address, encode(effect.message)):
+            return
+        self._reduce(MessageUndelivered(now_ms(), effect.address, effect.message))
+
+    def _connect(self, effect: fx.Connect) -> None:
+        self._transport.connect(effect.address)
 
     def _decide(self, effect: fx.Decision) -> None:
         self._metrics.event(effect.event)
@@ -178,6 +192,7 @@
     SendStatements: lambda node, effect: node._upstreams.send(effect),
     CloseConnection: lambda node, effect: node._upstreams.close(effect),
     fx.Send: GatewayNode._send,
+    fx.Connect: GatewayNode._connect,
     fx.ApplyDocument: GatewayNode._apply_document,
     fx.Decision: GatewayNode._decide,
     fx.Served: GatewayNode._serve,
--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -13,6 +13,7 @@
 
 from .conf import ClusterSection
 from .exceptions import AddressInUse
+from .logs import log
 
 SEND_LIMIT = 2_000
 RECONNECT_MS = 100
@@ -43,15 +44,26 @@
             message = f"cluster.address: can't bind {self._address}: {error}; free it or change it"
             raise AddressInUse(message) from error
 
-    def send(self, address: str, frame: bytes) -> bool:
-        """Queue a frame for the process at ``address``; tell whether it was taken."""
+    def connect(self, address: str) -> "zmq.Socket[bytes] | None":
+        """Begin to connect to ``address`` unless that was done; return None where it can't be."""
         dealer = self._dealers.get(address)
+        if dealer is not None:
+            return dealer
+        try:
+            return self._connect(address)
+        except zmq.ZMQError as error:
+            log("warning", "peer_unconnected", f"{address}: {error}")
+            return None
+
+    def send(self, address: str, frame: bytes) -> bool:
+        """Queue a frame for the process at ``address``; tell whether it was taken.
+
+        A frame is taken only while that process is connected.
+        """
+        dealer = self.connect(address)
         if dealer is None:
-            try:
-                dealer = self._connect(address)
-            except zmq.ZMQError:
-                self._dropped()
-                return False
+            self._dropped()
+            return False
         try:
             dealer.send_multipart((self._sender, frame), zmq.NOBLOCK)
         except zmq.Again:
--- /dev/null
+++ b/tests/gateway_simulation.py
@@ -0,0 +1,670 @@
+"""A simulation of gateways before one service: clients, upstreams, control and faults, no I/O.
+
+Time is simulated, and every choice is drawn from one seed, so a run repeats exactly. The upstreams
+are the soak's model, and its checks watch the history.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import Any
+
+from endivewick_bench.soak import database as db
+from endivewick_bench.soak.checks import CHECKS, TIMED_CHECKS, Recorder, Violation
+from endivewick_bench.soak.clients import PROMISES
+from endivewick_bench.soak.execution import (
+    WORK_KINDS,
+    CallerConnection,
+    Execution,
+    Result,
+    fail,
+    fault_before_work,
+    is_settled,
+    run_own,
+    run_work,
+)
+from endivewick_bench.soak.history import Answered, Invoked, Promoted
+from endivewick_core.codec import decode, encode
+from endivewick_core.directory import UpstreamReport, UpstreamState
+from endivewick_core.gateway import effects as fx
+from endivewick_core.gateway import events as ev
+from endivewick_core.gateway.reducer import reduce
+from endivewick_core.gateway.state import GatewaySettings, GatewayState
+from endivewick_core.messages import (
+    CODEC,
+    ControlPeer,
+    DirectoryAnswer,
+    DirectoryQuestion,
+    HeardReport,
+    WatermarkNote,
+)
+from endivewick_core.statements import (
+    Error,
+    Fault,
+    Statement,
+    StatementKind,
+    TransactionState,
+    UpstreamReply,
+    UpstreamStatement,
+)
+from endivewick_core.upstream_links import (
+    CloseConnection,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    OpenConnection,
+    SendStatements,
+)
+from gateway_driver import CONTROL, REGIONS, SERVICE, START_MS, configuration
+
+K = StatementKind
+CENTRES = list(REGIONS)
+TICK_MS = 20
+REPLICATE_MS = 5
+ASK_MS = 400  # how often control asks the primary for its position
+START_AGAIN_MS = 500
+RETURN_MS = 300
+WORK_MS = 4.0
+ITEMS = 8  # few, so that sessions meet
+LIMIT = 21
+MANY = 74  # gateways that control counts, where holders are to hold the connections
+UNANSWERED_MS = 2_500  # a statement timeout, the longest freeze of a run and half a second
+
+Script = Generator[Statement, UpstreamReply | fx.AnswerStatement, None]
+
+
+@dataclass(slots=True, eq=False)
+class Link:
+    """A gateway's connection to an upstream, with what it sent that isn't answered."""
+
+    gateway: str
+    number: int
+    member: str
+    connection: CallerConnection
+    queue: deque[UpstreamStatement] = field(default_factory=deque)
+    is_busy: bool = False
+    is_closed: bool = False
+    loses_next: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """A client and the statement that it waits for."""
+
+    name: str
+    workspace: str
+    gateway: str = ""
+    number: int = 0
+    session: str = ""
+    script: Script | None = None
+    current: Statement | None = None
+    sent_ms: float = 0.0
+    transaction: str = ""
+    began_ms: float = 0.0
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, str] = field(default_factory=dict)
+    served: int = 0
+
+
+@dataclass(slots=True)
+class Node:
+    """One gateway; while it is frozen its events wait."""
+
+    state: GatewayState
+    frozen_until_ms: float = 0.0
+    starts_ms: float = 0.0
+    held: list[Any] = field(default_factory=list)
+
+
+class Simulation:
+    """One run."""
+
+    def __init__(self, seed: int, gateways: int = 3, clients: int = 6, holders: bool = False):
+        self.random = Random(seed)
+        self.now_ms = float(START_MS)
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = count()
+        self.serial = count(1)
+        members = {
+            f"u{number}": db.Member(
+                f"u{number}", CENTRES[number], is_leader=not number, lag_ms=20.0
+            )
+            for number in range(3)
+        }
+        self.database = db.Database(SERVICE, members)
+        self.recorder = Recorder(frozenset(CHECKS) - TIMED_CHECKS)
+        self.execution = Execution(self.database, self.recorder, count(1))
+        self.configuration = configuration(limit=LIMIT)
+        self.holders = holders
+        self.addresses = [f"10.0.0.{20 + number}:7000" for number in range(gateways)]
+        self.links: dict[tuple[str, int], Link] = {}
+        self.marks: list[tuple[str, float, Any]] = []
+        self.control_is_stale = False
+        self.loses_messages = 0.0
+        self.arrives_ms: dict[tuple[str, str], float] = {}
+        self.nodes = {address: Node(self._fresh(address)) for address in self.addresses}
+        routes = sorted(self.configuration.routes)
+        self.clients = [Client(f"c{n}", routes[n % len(routes)]) for n in range(clients)]
+        self.by_number: dict[int, Client] = {}
+        self.numbers = count(1)
+        self._every(TICK_MS, self._tick)
+        self._every(REPLICATE_MS, lambda: db.replicate(self.database, self.now_ms))
+        self._every(ASK_MS, self._ask)
+        for address in self.addresses:
+            self._configure(address)
+        for client in self.clients:
+            self.after(1_000 + self.random.uniform(0, 50), lambda c=client: self._open(c))
+
+    # Time.
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self.heap, (self.now_ms + delay_ms, next(self.order), action))
+
+    def run(self, span_ms: float) -> None:
+        end_ms = self.now_ms + span_ms
+        while self.heap and self.heap[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self.heap)
+            action()
+        self.now_ms = end_ms
+
+    def _every(self, interval_ms: float, action: Callable[[], None]) -> None:
+        def again() -> None:
+            action()
+            self.after(interval_ms, again)
+
+        self.after(interval_ms, again)
+
+    # Gateways.
+
+    def _fresh(self, address: str) -> GatewayState:
+        settings = GatewaySettings(
+            address, f"b{next(self.serial)}", "dc-a", REGIONS, [CONTROL], open_timeout_ms=400
+        )
+        return GatewayState(settings)
+
+    def _configure(self, address: str, delay_ms: float = 50.0) -> None:
+        self.after(
+            delay_ms,
+            lambda: self.deliver(
+                address, ev.ConfigurationReceived(int(self.now_ms), self.configuration)
+            ),
+        )
+
+    def deliver(self, address: str, event: Any) -> None:
+        node = self.nodes[address]
+        if self.now_ms < node.starts_ms:
+            return
+        if self.now_ms < node.frozen_until_ms:
+            node.held.append(event)
+            return
+        state = node.state
+        for effect in reduce(state, event):
+            self._carry_out(address, effect)
+
+    def _tick(self) -> None:
+        for address, node in self.nodes.items():
+            if self.now_ms < node.starts_ms or self.now_ms < node.frozen_until_ms:
+                continue
+            held, node.held = node.held, []
+            for event in held:
+                self.deliver(address, event._replace(now_ms=int(self.now_ms)))
+            self.deliver(address, ev.Tick(int(self.now_ms)))
+        for client in self.clients:
+            waits = client.current is not None and client.gateway in self.nodes
+            if waits and self.now_ms - client.sent_ms > UNANSWERED_MS:
+                text = f"{client.current} of {client.session} at {client.gateway} has no answer"
+                self.recorder.violations.append(
+                    Violation("answered", text, self.recorder.events[-1])
+                )
+                self._cut(client)
+
+    def _carry_out(self, address: str, effect: Any) -> None:
+        if isinstance(effect, OpenConnection):
+            self._open_link(address, effect)
+        elif isinstance(effect, SendStatements):
+            link = self.links.get((address, effect.connection))
+            if link is not None and not link.is_closed:
+                link.queue.extend(effect.statements)
+                self._work(link)
+        elif isinstance(effect, CloseConnection):
+            link = self.links.get((address, effect.connection))
+            if link is not None:
+                # What is on its way may still run.
+                self.after(self.random.uniform(0, 10), lambda: self._close_link(link))
+        elif isinstance(effect, fx.Send):
+            self._send(address, effect)
+        elif isinstance(effect, fx.AcceptSession):
+            self._next(self.by_number.get(effect.session), None)
+        elif isinstance(effect, fx.AnswerStatement):
+            self._take(self.by_number.get(effect.session), effect)
+        elif isinstance(effect, fx.CloseSession | fx.RefuseSession):
+            client = self.by_number.get(effect.session)
+            if client is not None:
+                self._cut(client)
+
+    def _send(self, address: str, effect: fx.Send) -> None:
+        if self.random.random() < self.loses_messages:
+            return
+        message = decode(CODEC, encode(effect.message))
+        delay_ms = self.random.uniform(0.2, 5.0)
+        if isinstance(message, DirectoryQuestion):
+            self.after(delay_ms, lambda: self._answer_poll(address, message))
+            return
+        if effect.address in self.nodes:
+            target = effect.address
+            # Messages from one process to another may be lost, but keep their order.
+            way = (address, target)
+            self.arrives_ms[way] = max(self.now_ms + delay_ms, self.arrives_ms.get(way, 0.0))
+            self.after(
+                self.arrives_ms[way] - self.now_ms,
+                lambda: self.deliver(target, ev.MessageReceived(int(self.now_ms), message)),
+            )
+
+    # Control: it always knows who leads, but a frozen process of it may tell what is old.
+
+    def _ask(self) -> None:
+        leader = self.database.leader()
+        if leader is not None and leader.is_up:
+            self.marks.append((leader.name, self.now_ms, leader.received))
+
+    def _answer_poll(self, address: str, question: DirectoryQuestion) -> None:
+        if not self.marks:
+            return
+        known = self.marks[: max(1, len(self.marks) - 5)] if self.control_is_stale else self.marks
+        upstream, asked_ms, place = known[-1]
+        reports = [
+            HeardReport(
+                UpstreamReport(
+                    member.name,
+                    SERVICE,
+                    f"10.0.1.{number}:5000",
+                    member.data_centre,
+                    3,
+                    UpstreamState.READY,
+                    member.is_leader,
+                    0,
+                    1_000,
+                    int(self.now_ms),
+                ),
+                0,
+            )
+            for number, member in enumerate(self.database.members.values())
+        ]
+        alive = [item for item in self.addresses if self.now_ms >= self.nodes[item].starts_ms]
+        answer = DirectoryAnswer(
+            question.sequence,
+            "boot",
+            1,
+            reports,
+            [ControlPeer(CONTROL, "10.0.0.1:80", "dc-a")],
+            0,
+            b"",
+            [WatermarkNote(SERVICE, upstream, *place, int(self.now_ms - asked_ms) + 1)],
+            0,
+            MANY if self.holders else len(self.addresses),
+            {},
+            alive if self.holders else [],
+        )
+        event = ev.MessageReceived(int(self.now_ms), answer)
+        self.after(self.random.uniform(0.2, 5.0), lambda: self._deliver_now(address, event))
+
+    def _deliver_now(self, address: str, event: Any) -> None:
+        self.deliver(address, event._replace(now_ms=int(self.now_ms)))
+
+    # Upstreams.
+
+    def _open_link(self, address: str, effect: OpenConnection) -> None:
+        member = self.database.members[effect.upstream]
+        connection = CallerConnection(next(self.execution.numbers))
+        link = Link(address, effect.connection, effect.upstream, connection)
+        held = sum(
+            item.member == member.name and not item.is_closed for item in self.links.values()
+        )
+        self.links[(address, effect.connection)] = link
+
+        def opened() -> None:
+            if link.is_closed:
+                return
+            if held >= LIMIT:
+                self._break(link, Fault.TOO_MANY_CONNECTIONS)
+            elif not member.is_up:
+                self._break(link, Fault.ABORTED)
+            else:
+                event = ConnectionOpened(int(self.now_ms), link.number)
+                self.deliver(address, event)
+
+        self.after(self.random.uniform(1, 25), opened)
+
+    def _close_link(self, link: Link) -> None:
+        link.is_closed = True
+        link.connection.transaction = None
+        link.queue.clear()
+        self.links.pop((link.gateway, link.number), None)
+
+    def _break(self, link: Link, fault: Fault = Fault.ABORTED) -> None:
+        if link.is_closed:
+            return
+        self._close_link(link)
+        error = Error(fault, "the connection was reset")
+        self.deliver(link.gateway, ConnectionBroke(int(self.now_ms), link.number, error))
+
+    def _work(self, link: Link) -> None:
+        if link.is_busy or link.is_closed or not link.queue:
+            return
+        link.is_busy = True
+        message = link.queue.popleft()
+        is_work = message.statement.kind in WORK_KINDS
+        took_ms = self.random.expovariate(1 / WORK_MS) if is_work else 0.05
+        self.after(took_ms, lambda: self._run(link, message))
+
+    def _run(self, link: Link, message: UpstreamStatement) -> None:
+        if link.is_closed:
+            return
+        member = self.database.members[link.member]
+        connection = link.connection
+        result = run_own(self.execution, member, connection, message)
+        if result is None:
+            fault = fault_before_work(connection, message.statement)
+            if fault is None:
+                result = run_work(self.execution, self.now_ms, member, connection, message)
+            else:
+                result = fail(connection, fault)
+        self._settle(link, member, result)
+
+    def _settle(self, link: Link, member: db.Member, result: Result) -> None:
+        """Answer once a replica has what was committed; without the lead never."""
+        if link.is_closed:
+            return
+        if result.commit is not None:
+            settled = is_settled(self.execution, member, result.commit)
+            if settled is None:
+                link.connection.is_silent = True
+            elif not settled:
+                self.after(REPLICATE_MS, lambda: self._settle(link, member, result))
+                return
+        link.is_busy = False
+        place = member.received if member.is_leader else member.position
+        state = link.connection.state
+        reply = UpstreamReply(result.rows, result.proof, result.error, state, place)
+        is_lost, link.loses_next = link.loses_next and bool(result.proof), False
+        if not link.connection.is_silent and not is_lost:
+            event = ConnectionReplied(int(self.now_ms), link.number, reply)
+            self.after(0.1, lambda: self._reply(link, event))
+        self._work(link)
+
+    def _reply(self, link: Link, event: ConnectionReplied) -> None:
+        if not link.is_closed:
+            self.deliver(link.gateway, event._replace(now_ms=int(self.now_ms)))
+
+    # Clients.
+
+    def _open(self, client: Client) -> None:
+        client.gateway = self.random.choice(self.addresses)
+        if self.now_ms < self.nodes[client.gateway].starts_ms:
+            self.after(RETURN_MS, lambda: self._open(client))
+            return
+        client.number = next(self.numbers)
+        client.session = f"{client.name}.{client.number}"
+        client.values, client.prepared = {}, {}
+        client.script = self._script(client)
+        self.by_number[client.number] = client
+        event = ev.SessionOpened(int(self.now_ms), client.number, client.workspace)
+        self.deliver(client.gateway, event)
+
+    def _script(self, client: Client) -> Script:
+        random = self.random
+        while True:
+            choice = random.random()
+            client.transaction = ""
+            if choice < 0.05:
+                name, value = f"v{random.randint(1, 2)}", str(next(self.serial))
+                yield Statement(K.SET, "", f"SET {name} {value}", name, value)
+                client.values[name] = value
+            elif choice < 0.10:
+                name, shape = f"p{random.randint(1, 2)}", f"q{random.randint(1, 3)}"
+                yield Statement(K.PREPARE, "", "", name, shape)
+                client.prepared[name] = shape
+            elif choice < 0.35:
+                yield from self._transaction(client)
+            elif choice < 0.60:
+                yield self._write(client)
+            else:
+                yield self._read(client)
+
+    def _transaction(self, client: Client) -> Script:
+        random = self.random
+        client.transaction = f"{client.session}.t{next(self.serial)}"
+        client.began_ms = self.now_ms
+        only_reads = random.random() < 0.3
+        reply = yield Statement(K.BEGIN, "", "BEGIN", is_read_only=only_reads)
+        for _ in range(random.randint(0, 4)):
+            if reply.state is not TransactionState.OPEN:
+                break
+            is_write = not only_reads and random.random() < 0.5
+            reply = yield self._write(client) if is_write else self._read(client)
+        ends = random.random() < 0.2 or reply.state is not TransactionState.OPEN
+        yield Statement(K.ROLLBACK, "", "ROLLBACK") if ends else Statement(K.COMMIT, "", "COMMIT")
+
+    def _write(self, client: Client) -> Statement:
+        item = self.random.randint(1, ITEMS)
+        return Statement(K.WRITE, "", f"PUT i{item} {client.session}-{next(self.serial)}")
+
+    def _read(self, client: Client) -> Statement:
+        item = f"i{self.random.randint(1, ITEMS)}"
+        if client.prepared and self.random.random() < 0.3:
+            name = self.random.choice(sorted(client.prepared))
+            return Statement(K.EXECUTE, "", "", name, item)
+        return Statement(K.READ, "", f"FETCH {item}")
+
+    def _next(self, client: Client | None, reply: Any) -> None:
+        if client is None or client.script is None:
+            return
+        statement = client.script.send(reply)
+        number = client.number
+        self.after(self.random.uniform(1, 40), lambda: self._ask_gateway(client, number, statement))
+
+    def _ask_gateway(self, client: Client, number: int, statement: Statement) -> None:
+        if client.number != number:
+            return
+        statement = statement._replace(request_id=f"{client.session}-{next(self.serial)}")
+        client.current, client.sent_ms = statement, self.now_ms
+        route = self.configuration.routes[client.workspace]
+        text = statement.text
+        if statement.kind is K.EXECUTE:
+            text = f"{client.prepared[statement.name]} {statement.argument}"
+        began_ms = client.began_ms if client.transaction else self.now_ms
+        values = tuple(sorted(client.values.items()))
+        self.recorder.add(
+            Invoked(
+                self.now_ms,
+                statement.request_id,
+                client.session,
+                client.gateway,
+                client.workspace,
+                SERVICE,
+                route.freshness,
+                route.staleness_ms,
+                client.transaction,
+                began_ms,
+                statement.kind.value,
+                text,
+                values,
+            )
+        )
+        event = ev.StatementReceived(int(self.now_ms), client.number, statement)
+        self.deliver(client.gateway, event)
+
+    def _take(self, client: Client | None, answer: fx.AnswerStatement) -> None:
+        if client is None:
+            return
+        statement, client.current = client.current, None
+        if statement is None:
+            text = f"{client.session} got {answer} though it waits for nothing"
+            self.recorder.violations.append(Violation("answered", text, self.recorder.events[-1]))
+            return
+        outcome, promised = "own", False
+        if answer.error is not None:
+            outcome, promised = answer.error.fault.value, answer.error.fault in PROMISES
+        elif statement.kind in WORK_KINDS:
+            outcome = "ok"
+            client.served += 1
+        self.recorder.add(
+            Answered(
+                self.now_ms, statement.request_id, outcome, promised, answer.rows, answer.proof
+            )
+        )
+        if answer.error is not None and statement.kind in (K.SET, K.PREPARE):
+            self._cut(client)
+            return
+        self._next(client, answer)
+
+    def _cut(self, client: Client) -> None:
+        """End a client's connection; it opens another one."""
+        statement, client.current = client.current, None
+        if statement is not None:
+            self.recorder.add(Answered(self.now_ms, statement.request_id, "cut", False, (), ""))
+        self.by_number.pop(client.number, None)
+        closed = ev.SessionClosed(int(self.now_ms), client.number)
+        client.number, client.script = 0, None
+        self.deliver(client.gateway, closed)
+        self.after(RETURN_MS, lambda: self._open(client))
+
+    # Faults.
+
+    def strike(self) -> str:
+        """Strike with a fault drawn at random; return its name."""
+        faults = (
+            self.break_link,
+            self.silence_link,
+            self.lose_answer,
+            self.crash_member,
+            self.fail_over,
+            self.lag_member,
+            self.cut_member,
+            self.freeze_gateway,
+            self.kill_gateway,
+            self.change_configuration,
+            self.stale_control,
+            self.lose_messages,
+            self.leave_client,
+        )
+        fault = self.random.choice(faults)
+        fault()
+        return fault.__name__
+
+    def _any_link(self) -> Link | None:
+        links = [item for item in self.links.values() if not item.is_closed]
+        return self.random.choice(links) if links else None
+
+    def _any_member(self) -> db.Member:
+        return self.random.choice(list(self.database.members.values()))
+
+    def break_link(self) -> None:
+        link = self._any_link()
+        if link is not None:
+            self._break(link)
+
+    def silence_link(self) -> None:
+        link = self._any_link()
+        if link is not None:
+            link.connection.is_silent = True
+
+    def lose_answer(self) -> None:
+        for link in self.links.values():
+            link.loses_next = link.loses_next or self.random.random() < 0.3
+
+    def crash_member(self) -> None:
+        member = self._any_member()
+        member.is_up = False
+        for link in list(self.links.values()):
+            if link.member == member.name:
+                self._break(link)
+
+        def come_back() -> None:
+            member.is_up = True
+
+        self.after(self.random.uniform(200, 2_000), come_back)
+
+    def fail_over(self) -> None:
+        """Promote the replica that received most, once none can receive any more."""
+        leader = self.database.leader()
+        replicas = [item for item in self.database.members.values() if item is not leader]
+        if not all(item.is_up for item in replicas):
+            return
+        for item in replicas:
+            item.held_term = item.term + 1
+        target = max(replicas, key=lambda item: item.received)
+        self.after(self.random.uniform(1, 300), lambda: self._promote(target.name))
+
+    def _promote(self, name: str) -> None:
+        member = db.promote(self.database, name)
+        log = frozenset(item for entry in member.log for item in entry.request_ids)
+        self.recorder.add(Promoted(self.now_ms, SERVICE, name, member.term, log))
+        for item in self.database.members.values():
+            item.held_term = 0
+
+    def lag_member(self) -> None:
+        member = self._any_member()
+        member.lag_ms = self.random.choice((500.0, 3_000.0))
+
+        def catch_up() -> None:
+            member.lag_ms = 20.0
+
+        self.after(self.random.uniform(200, 3_000), catch_up)
+
+    def cut_member(self) -> None:
+        member = self._any_member()
+        member.is_linked = False
+
+        def heal() -> None:
+            member.is_linked = True
+
+        self.after(self.random.uniform(200, 1_500), heal)
+
+    def freeze_gateway(self) -> None:
+        node = self.nodes[self.random.choice(self.addresses)]
+        node.frozen_until_ms = self.now_ms + self.random.uniform(100, 900)
+
+    def kill_gateway(self) -> None:
+        address = self.random.choice(self.addresses)
+        node = self.nodes[address]
+        if self.now_ms < node.starts_ms:
+            return
+        self.nodes[address] = Node(self._fresh(address), starts_ms=self.now_ms + START_AGAIN_MS)
+        for link in list(self.links.values()):
+            if link.gateway == address:
+                self.after(self.random.uniform(0, 5), lambda one=link: self._close_link(one))
+        for client in self.clients:
+            if client.gateway == address and client.number:
+                self._cut(client)
+        self._configure(address, START_AGAIN_MS + 60.0)
+
+    def change_configuration(self) -> None:
+        version = self.configuration.version + 1
+        self.configuration = self.configuration._replace(version=version)
+        for address in self.addresses:
+            self._configure(address, self.random.uniform(1, 800))
+
+    def stale_control(self) -> None:
+        self.control_is_stale = True
+
+        def thaw() -> None:
+            self.control_is_stale = False
+
+        self.after(self.random.uniform(300, 2_000), thaw)
+
+    def lose_messages(self) -> None:
+        self.loses_messages = 0.5
+
+        def heal() -> None:
+            self.loses_messages = 0.0
+
+        self.after(self.random.uniform(200, 1_000), heal)
+
+    def leave_client(self) -> None:
+        client = self.random.choice(self.clients)
+        if client.number:
+            self._cut(client)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -221,3 +221,24 @@
     centre.deliver()
     centre.holder.settle()
     assert_that(centre.holder.work(request), Not(Is(None)))
+
+
+@pytest.mark.parametrize("begins", [False, True], ids=["single", "in a new transaction"])
+def test_a_statement_runs_in_no_transaction_whose_end_was_lost(centre, begins):
+    """The connection between two gateways may break and lose the message that ends it."""
+    item = begin_with_a_write(centre)
+    centre.deaf = {centre.holder_address}
+    centre.entry.send(1, K.ROLLBACK)
+    centre.deliver()
+    centre.deaf = set()
+    if begins:
+        centre.entry.send(1, K.BEGIN)
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    centre.holder.settle()
+    assert_that(centre.holder.writes, Contains([K.ROLLBACK, K.BEGIN]))
+    kinds = [kind for kinds in centre.holder.writes for kind in kinds]
+    last_read = len(kinds) - 1 - kinds[::-1].index(K.READ)
+    write = kinds.index(K.WRITE)
+    assert_that(K.ROLLBACK in kinds[write:last_read], Equals(True))
+    assert_that(centre.holder.work(request).connection, Equals(item.connection))
