--- a/packages/bench/src/endivewick_bench/soak/run.py
+++ b/packages/bench/src/endivewick_bench/soak/run.py
@@ -164,7 +164,11 @@
 async def _strike_once(system: System, fault: Fault) -> None:
     if not fault.is_planned:
         system.disturb(fault.name)
+    if fault.on_control:
+        system.note_control()
     await fault.strike(system)
+    if fault.on_control:
+        system.note_control()
     if not fault.is_planned:
         system.disturb(f"{fault.name} ended")
 
--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -81,12 +81,17 @@
     operator_addresses: list[str] = field(default_factory=list)
     serial: int = 0
     is_wiping: bool = False
+    control_away_ms: float = 0.0
     background: trio.Nursery | None = None
 
     def nodes(self) -> dict[str, Node]:
         """Return every process by name."""
         return {**self.controls, **self.gateways}
 
+    def note_control(self) -> None:
+        """Record that a control process is away, or has just come back."""
+        self.control_away_ms = clock_ms()
+
     def disturb(self, what: str) -> None:
         """Record a fault."""
         self.recorder.add(Disturbed(clock_ms(), what))
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -100,6 +100,7 @@
     decisions: list[fx.Decision] = field(default_factory=list)
     documents: list[fx.ApplyDocument] = field(default_factory=list)
     messages: list[fx.Send] = field(default_factory=list)
+    connects: list[str] = field(default_factory=list)
     next_id: int = 1
 
     def handle(self, event):
@@ -135,6 +136,8 @@
             self.documents.append(effect)
         elif isinstance(effect, fx.Send):
             self.messages.append(effect)
+        elif isinstance(effect, fx.Connect):
+            self.connects.append(effect.address)
 
     def tick(self, passed_ms=20):
         """Let time pass, in one step."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -242,3 +242,86 @@
     write = kinds.index(K.WRITE)
     assert_that(K.ROLLBACK in kinds[write:last_read], Equals(True))
     assert_that(centre.holder.work(request).connection, Equals(item.connection))
+
+
+def test_a_statement_that_could_not_be_sent_waits_and_is_sent_again(centre):
+    """The first message to a process finds no connection yet; nothing of it was sent."""
+    centre.entry.session(1, "session")
+    centre.entry.send(1, K.WRITE)
+    (first,) = [item for item in centre.entry.messages if item.address != CONTROL]
+    centre.entry.messages.clear()
+    event = ev.MessageUndelivered(centre.entry.now_ms, first.address, first.message)
+    centre.entry.handle(event)
+    assert_that(centre.entry.state.queued, Equals(1))
+    centre.entry.tick(20)
+    (second,) = [item for item in centre.entry.messages if item.address != CONTROL]
+    assert_that(second.message.number, Equals(first.message.number))
+
+
+def test_a_write_that_no_holder_could_be_sent_has_not_run(centre):
+    centre.entry.session(1, "session")
+    centre.entry.send(1, K.WRITE)
+    for _ in range(60):
+        messages, centre.entry.messages = centre.entry.messages, []
+        for item in messages:
+            if item.address != CONTROL:
+                event = ev.MessageUndelivered(centre.entry.now_ms, item.address, item.message)
+                centre.entry.handle(event)
+        centre.entry.tick(20)
+    assert_that([item.error.fault for item in centre.entry.answers], Equals([Fault.BUSY]))
+
+
+def test_a_holder_that_answers_others_is_not_left_for_a_slow_read(centre):
+    """Pattern: a slow upstream; reads that move on open connections at gateways without a share."""
+    centre.entry.session(1, "bounded")
+    centre.entry.session(2, "session")
+    slow = centre.entry.send(1, K.READ)
+    centre.deliver()
+    centre.entry.tick(300)
+    request = centre.entry.send(2, K.READ)
+    centre.deliver()
+    centre.holder.open_all()
+    centre.holder.reply(centre.holder.work(request))
+    centre.deliver()
+    centre.entry.tick(300)
+    centre.entry.tick(300)
+    sent = [item.address for item in centre.entry.messages if item.address != CONTROL]
+    assert_that(sent, Equals([]))
+    assert_that(centre.holder.work(slow), Not(Is(None)))
+
+
+def test_the_answer_to_a_process_before_its_restart_is_dropped(centre):
+    """Numbers start again with the process, so a late answer could pass for another one's."""
+    centre.entry.session(1, "bounded")
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    item = centre.holder.work(request)
+    fresh = ready_gateway(address=centre.entry.state.settings.address, limit=21)
+    fresh.state.settings = fresh.state.settings._replace(boot="later")
+    fresh.tick(300)
+    fresh.poll_answer([], [fresh.mark(10)], gateways=74, neighbours=ADDRESSES)
+    fresh.session(1, "bounded")
+    fresh.send(1, K.READ)
+    centre.gateways[fresh.state.settings.address] = fresh
+    fresh.messages.clear()
+    centre.holder.reply(item, rows=("old",))
+    centre.deliver()
+    assert_that(fresh.answers, Equals([]))
+
+
+def test_a_statement_runs_although_the_last_one_of_its_session_still_does(centre):
+    """Pattern: a client was told of a timeout and goes on at once."""
+    centre.entry.session(1, "bounded")
+    old = centre.entry.send(1, K.READ)
+    centre.deliver()
+    centre.entry.tick(1_000)
+    assert_that(centre.entry.answers[-1].error.fault, Equals(Fault.TIMEOUT))
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    centre.holder.open_all()
+    assert_that(centre.holder.work(old).connection, Not(Equals(None)))
+    assert_that(centre.holder.work(request), Not(Is(None)))
+
+
+def test_gateways_connect_to_their_holders_ahead(centre):
+    assert_that(centre.entry.connects, Contains(centre.holder_address))
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -1,6 +1,7 @@
 """Sessions of a gateway: values, prepared statements and transactions on pooled connections."""
 
 from endivewick_core.gateway import events as ev
+from endivewick_core.gateway.reducer import next_tick_ms
 from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
 from gateway_driver import PRIMARY, REPLICA, configuration, ready_gateway
 from testtools.assertions import assert_that
@@ -189,3 +190,26 @@
     assert_that(gateway.closed_sessions, Equals([1]))
     gateway.tick(450)
     assert_that(gateway.closed_sessions, Equals([1, 2]))
+
+
+def test_a_commit_of_a_transaction_that_failed_here_ends_it_upstream(gateway):
+    """The next statement of the session must not run inside it."""
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.work(gateway.send(1, K.WRITE))
+    gateway.reply(item)
+    gateway.send(1, K.EXECUTE, name="unknown", argument="a")
+    gateway.send(1, K.COMMIT)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.ABORTED))
+    gateway.settle()
+    request = gateway.send(1, K.READ)
+    assert_that(gateway.work(request), Not(Is(None)))
+    kinds = [kind for kinds in gateway.writes for kind in kinds]
+    write = kinds.index(K.WRITE)
+    assert_that(K.ROLLBACK in kinds[write : kinds.index(K.READ, write)], Equals(True))
+
+
+def test_a_gateway_without_waiting_statements_ticks_seldom(gateway):
+    assert_that(next_tick_ms(gateway.state, gateway.now_ms) > 20, Equals(True))
+    gateway.state.queued = 1
+    assert_that(next_tick_ms(gateway.state, gateway.now_ms), Equals(20))
