Start a gateway without the modules of other roles; keep unsent answers; holders keep their share

Only silence counts now, repeats have a budget, and neither a second choice nor a holder grows beyond its share.

--- a/packages/bench/src/endivewick_bench/relay.py
+++ b/packages/bench/src/endivewick_bench/relay.py
@@ -11,7 +11,7 @@
 from random import Random
 
 import trio
-from endivewick_node.conf import split_address
+from endivewick_node.addresses import split_address
 
 from .standins.database import admin_address
 
--- a/packages/bench/src/endivewick_bench/soak/clients.py
+++ b/packages/bench/src/endivewick_bench/soak/clients.py
@@ -13,7 +13,7 @@
     UpstreamReply,
     UpstreamStatement,
 )
-from endivewick_node.conf import split_address
+from endivewick_node.addresses import split_address
 from endivewick_node.statement_wire import Accepted, Refused, UpstreamReader
 
 from ..checkers import clock_ms
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -8,7 +8,7 @@
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.gateway.effects import AnswerStatement
 from endivewick_core.statements import Error, Fault, UpstreamStatement
-from endivewick_node.conf import split_address
+from endivewick_node.addresses import split_address
 from endivewick_node.statement_wire import WireFault
 
 from ..checkers import clock_ms
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -5,6 +5,8 @@
 the client; where the holder's answer doesn't come, it only knows that the statement was sent.
 """
 
+from typing import Any
+
 from ..messages import ForwardedEnd, ForwardedReply, ForwardedStatement
 from ..positions import Position
 from ..statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
@@ -13,7 +15,9 @@
 from .requests import advance, is_single_read, open_request
 from .state import GatewayState, Request, Session
 
+UNDELIVERED_LIMIT_MS = 1_000  # answers to a gateway out of reach for longer are dropped
 UNDELIVERED_MS = 200  # how long a holder may be out of reach before the next one is asked
+SILENT_HOLDER_MS = 900  # without any answer for so long a holder is left; control drops it at 1,000
 LATE_READ_MS = 500  # after so long without an answer a single read is sent to another holder
 
 
@@ -64,10 +68,15 @@
         # A holder that answers others is well; it repeats the reads of a slow upstream itself.
         if state.control.holders_heard_ms.get(request.forwarded_to, 0) >= request.sent_ms:
             continue
-        state.control.avoid_until_ms[request.forwarded_to] = now_ms + holders.AVOID_MS
+        if now_ms - request.sent_ms >= SILENT_HOLDER_MS:
+            state.control.avoid_until_ms[request.forwarded_to] = now_ms + holders.AVOID_MS
         single_read = is_single_read(state.sessions[request.session], request)
         if not single_read or request.attempts >= placement.READ_ATTEMPTS:
             continue
+        if state.retry_budget < 1:
+            continue
+        state.retry_budget -= 1
+        state.control.avoid_until_ms[request.forwarded_to] = now_ms + LATE_READ_MS
         inputs: dict[str, object] = {"holder": request.forwarded_to}
         decision = Decision(
             "warning",
@@ -83,20 +92,38 @@
 
 
 def connect_ahead(state: GatewayState) -> list[Effect]:
-    """Connect to the gateways that hold connections for this one, before statements need it."""
-    addresses = {
-        address
-        for service in state.configuration.services
-        for address in holders.choices(state, service)
-    }
+    """Connect to the holders of this gateway, or to those it holds for, before it is needed."""
+    services = state.configuration.services
+    addresses = {address for name in services for address in holders.choices(state, name)[:1]}
+    if any(holders.are_needed(state, name) and holders.holds(state, name) for name in services):
+        addresses.update(state.control.neighbours)
     addresses.discard(state.settings.address)
     return [Connect(address) for address in sorted(addresses)]
 
 
 def handle_undelivered(
+    state: GatewayState, now_ms: int, address: str, message: Any
+) -> list[Effect]:
+    """Keep what could not be sent to another gateway, as that isn't connected now."""
+    if isinstance(message, ForwardedStatement):
+        return _take_back(state, now_ms, address, message)
+    if isinstance(message, ForwardedReply | ForwardedEnd):
+        since_ms = state.control.undelivered_ms.setdefault(address, now_ms)
+        if now_ms - since_ms < UNDELIVERED_LIMIT_MS:
+            state.unsent.append(Send(address, message))
+    return []
+
+
+def send_again(state: GatewayState) -> list[Effect]:
+    """Send what could not be sent before."""
+    unsent, state.unsent = state.unsent, []
+    return list(unsent)
+
+
+def _take_back(
     state: GatewayState, now_ms: int, address: str, message: ForwardedStatement
 ) -> list[Effect]:
-    """Let a statement wait that could not be sent, as its holder isn't connected now."""
+    """Let a statement wait whose holder isn't connected."""
     request = state.requests.get(message.number)
     if request is None or request.forwarded_to != address or not request.sent_ms:
         return []
@@ -140,6 +167,7 @@
     """Run a statement for another gateway."""
     key = (message.origin, message.boot, message.session)
     number = state.remote.get(key)
+    state.control.undelivered_ms.pop(message.origin, None)
     known = state.sessions.get(number) if number is not None else None
     effects: list[Effect] = []
     if known is not None and known.current is not None:
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -35,6 +35,12 @@
     return max(1, _centre_room(state, service) // _holder_count(state, service))
 
 
+def are_needed(state: GatewayState, service: str) -> bool:
+    """Tell whether there are too few connections for every gateway to have its own."""
+    per_gateway = room(state, service) // state.control.gateways
+    return per_gateway < SHARE_MIN and bool(state.control.neighbours)
+
+
 def holds(state: GatewayState, service: str) -> bool:
     """Tell whether this gateway has connections of its own for a service."""
     if room(state, service) // state.control.gateways >= SHARE_MIN:
--- a/packages/core/src/endivewick_core/gateway/limits.py
+++ b/packages/core/src/endivewick_core/gateway/limits.py
@@ -48,10 +48,11 @@
 
     It is the gateway's share, and one more each ``allowance_step_ms`` while connections are wanted
     and no gateway was refused one. Growing in steps leaves room for gateways that start together.
+    Where holders share all there are, one that grew would only take what another needs.
     """
     # One that was asked to run another gateway's statements needs a connection, whatever its share.
     own = max(1, share(state, pool))
-    if pool.upstream in state.control.contended:
+    if pool.upstream in state.control.contended or holders.are_needed(state, pool.service):
         pool.allowance = own
         return own
     first = min(own, FIRST_CONNECTIONS)
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -40,6 +40,7 @@
     effects += results.repeat_late_reads(state, now_ms)
     effects += results.check_silent(state, now_ms)
     effects += forwarding.check_late(state, now_ms)
+    effects += forwarding.send_again(state)
     effects += sessions.check_idle(state, now_ms)
     effects += sessions.check_unconfigured(state, now_ms)
     effects += control_link.open_ahead(state, now_ms)
@@ -66,8 +67,6 @@
 
 
 def _take_back(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
-    if not isinstance(event.message, ForwardedStatement):
-        return []
     return forwarding.handle_undelivered(state, event.now_ms, event.address, event.message)
 
 
@@ -82,7 +81,7 @@
 
 def next_tick_ms(state: GatewayState, now_ms: int) -> int:
     """Return how long the reducer can do without a tick while nothing else happens."""
-    if state.queued:
+    if state.queued or state.unsent:
         return QUEUED_TICK_MS
     due_ms = min(
         (request.deadline_ms for request in state.requests.values()), default=state.control.due_ms
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -11,6 +11,7 @@
 from ..routes import EMPTY, Configuration, Route
 from ..statements import PreparedStatement, Statement, StatementKind, TransactionState
 from ..watermarks import WatermarkHistory
+from .effects import Send
 
 
 class GatewaySettings(NamedTuple):
@@ -224,6 +225,7 @@
 
     ``retry_budget`` is how many late reads may be sent once more now.
 
+    ``unsent`` is what could not be sent to other gateways yet.
     ``remote`` are the sessions of other gateways that this one runs statements for, and
     ``begun_floor`` the newest configuration that is known to be in force at any of them.
     By service, ``led_ms`` is when the primary is last known to have led, ``write_waiting_ms`` when
@@ -247,6 +249,7 @@
     queues: dict[str, ServiceQueue] = field(default_factory=dict)
     remote: dict[tuple[str, str, int], int] = field(default_factory=dict)
     next_remote: int = 0
+    unsent: list[Send] = field(default_factory=list)
     begun_floor: int = 0
     requested_version: int = 0
     next_connection: int = 1
--- a/packages/node/src/endivewick_node/checks.py
+++ b/packages/node/src/endivewick_node/checks.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from .conf import Settings, is_address
+from .addresses import is_address
+from .conf import Settings
 from .exceptions import SettingsInvalid
 
 DEFAULT_LEASE_MS = 2_000
--- a/packages/node/src/endivewick_node/conf.py
+++ b/packages/node/src/endivewick_node/conf.py
@@ -1,6 +1,5 @@
 """Settings: a JSON file with comments, checked as a whole before anything starts."""
 
-import re
 from pathlib import Path
 from typing import Annotated, Any, Literal, NotRequired
 
@@ -144,18 +143,3 @@
         return _adapter.validate_python(raw)
     except ValidationError as error:
         raise SettingsInvalid([f"E003 {line}" for line in fault_list(error)]) from error
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the host and port of ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def is_address(address: str) -> bool:
-    """Tell whether an address has octets and a port in range."""
-    match = re.fullmatch(r"(\d+)\.(\d+)\.(\d+)\.(\d+):(\d+)", address)
-    if match is None:
-        return False
-    *octets, port = (int(part) for part in match.groups())
-    return all(octet <= 255 for octet in octets) and 0 < port <= 65_535
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -1,7 +1,7 @@
 """The shell of a gateway: it turns I/O into events and carries out effects in order."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 from endivewick_core.codec import CodecFault, decode, encode
@@ -26,7 +26,6 @@
 from returns.result import Result
 
 from .clock import now_ms
-from .conf import ClusterSection
 from .exposition import Exposition, serve_metrics
 from .http_server import Answer, Connection, HttpServer, Request
 from .logs import log, log_bounded
@@ -36,6 +35,10 @@
 from .transport import Transport
 from .upstream_connections import UpstreamConnections
 
+if TYPE_CHECKING:
+    # Loading pydantic takes a fifth of a gateway's start, and gateways don't need it.
+    from .conf import ClusterSection
+
 STATE_INTERVAL_MS = 1_000  # gauges change slowly
 
 
@@ -106,7 +109,7 @@
     def _reduce(self, event: Event) -> None:
         for effect in reduce(self._state, event):
             _CARRY_OUT[type(effect)](self, effect)
-        if self._state.queued:
+        if self._state.queued or self._state.unsent:
             self._hurried.set()
 
     def _receive(self, sender: str, frame: bytes) -> None:
@@ -124,7 +127,7 @@
                 log("info", "stopped", "a planned stop has ended every session")
                 self._stopped.set()
             wait_ms = next_tick_ms(self._state, now_ms())
-            if self._state.queued:
+            if self._state.queued or self._state.unsent:
                 await trio.sleep(wait_ms / 1000)
                 continue
             self._hurried = trio.Event()
--- a/packages/node/src/endivewick_node/http_client.py
+++ b/packages/node/src/endivewick_node/http_client.py
@@ -7,7 +7,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from .conf import split_address
+from .addresses import split_address
 
 READ_BYTES = 65_536
 
--- a/packages/node/src/endivewick_node/http_server.py
+++ b/packages/node/src/endivewick_node/http_server.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import unquote
 
 import httptools
@@ -27,7 +27,10 @@
 )
 
 from . import sockets
-from .conf import HttpSection
+
+if TYPE_CHECKING:
+    # Loading pydantic takes a fifth of a gateway's start, and gateways don't need it.
+    from .conf import HttpSection
 
 HEADER_LIMIT_BYTES = 16_384
 BODY_LIMIT_BYTES = 1_048_576
@@ -191,7 +194,7 @@
 
     def __init__(
         self,
-        section: HttpSection,
+        section: "HttpSection",
         handle: Handler,
         poller: sockets.Poller,
         tls: ssl.SSLContext | None = None,
--- a/packages/node/src/endivewick_node/logs.py
+++ b/packages/node/src/endivewick_node/logs.py
@@ -10,19 +10,21 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from loguru import logger
 
-from .conf import Settings
+if TYPE_CHECKING:
+    # Loading pydantic takes a fifth of a gateway's start, and gateways don't need it.
+    from .conf import Settings
 
 LINE_FIELDS = ("customer", "request_id", "workspace", "inputs", "outcome", "left_out")
 LINES_PER_SECOND = 20  # of one event; a line costs some 30 us, so an event takes 0.1% of a core
 WARNINGS_PER_SECOND = 60  # failures go before successes
 
 
-def set_up_logs(settings: Settings) -> None:
+def set_up_logs(settings: "Settings") -> None:
     """Send log lines to standard error, or to the file of the settings."""
     section = settings.get("log", {})
     identity = {
--- a/packages/node/src/endivewick_node/metrics.py
+++ b/packages/node/src/endivewick_node/metrics.py
@@ -10,7 +10,8 @@
 from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
-from .conf import StatsdSection, split_address
+from .addresses import split_address
+from .conf import StatsdSection
 
 LOWEST_MS = 1
 HIGHEST_MS = 3_600_000
--- a/packages/node/src/endivewick_node/proxy_api.py
+++ b/packages/node/src/endivewick_node/proxy_api.py
@@ -19,7 +19,7 @@
 from endivewick_core.proxy.events import Ask
 from typing_extensions import TypedDict
 
-from .conf import is_address
+from .addresses import is_address
 from .http_server import Answer, Request, session_token
 
 DEFAULT_DEADLINE_MS = 5_000
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from .conf import split_address
+from .addresses import split_address
 from .exceptions import AddressInUse
 
 READ_BYTES = 65_536
--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -7,14 +7,18 @@
 """
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import trio
 import zmq
 
-from .conf import ClusterSection
 from .exceptions import AddressInUse
 from .logs import log
 
+if TYPE_CHECKING:
+    # Loading pydantic takes a fifth of a gateway's start, and gateways don't need it.
+    from .conf import ClusterSection
+
 SEND_LIMIT = 2_000
 RECONNECT_MS = 100
 RECONNECT_LIMIT_MS = 1_000
@@ -26,7 +30,7 @@
 class Transport:
     """The zmq sockets of one process; use them from the loop's thread only."""
 
-    def __init__(self, section: ClusterSection, dropped: Callable[[], None]) -> None:
+    def __init__(self, section: "ClusterSection", dropped: Callable[[], None]) -> None:
         """Bind the ROUTER; raise AddressInUse where the address can't be bound."""
         self._context = zmq.Context()
         self._address = section["address"]
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -145,6 +145,7 @@
         self.links: dict[tuple[str, int], Link] = {}
         self.marks: list[tuple[str, float, Any]] = []
         self.control_is_stale = False
+        self.fails_over = False
         self.loses_messages = 0.0
         self.arrives_ms: dict[tuple[str, str], float] = {}
         self.nodes = {address: Node(self._fresh(address)) for address in self.addresses}
@@ -603,8 +604,9 @@
         """Promote the replica that received most, once none can receive any more."""
         leader = self.database.leader()
         replicas = [item for item in self.database.members.values() if item is not leader]
-        if not all(item.is_up for item in replicas):
+        if self.fails_over or not all(item.is_up for item in replicas):
             return
+        self.fails_over = True
         for item in replicas:
             item.held_term = item.term + 1
         target = max(replicas, key=lambda item: item.received)
@@ -616,6 +618,7 @@
         self.recorder.add(Promoted(self.now_ms, SERVICE, name, member.term, log))
         for item in self.database.members.values():
             item.held_term = 0
+        self.fails_over = False
 
     def lag_member(self) -> None:
         member = self._any_member()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,8 +4,14 @@
 from endivewick_core.codec import decode, encode
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway import holders
-from endivewick_core.messages import CODEC
-from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
+from endivewick_core.messages import CODEC, ForwardedStatement
+from endivewick_core.statements import (
+    Error,
+    Fault,
+    Statement,
+    StatementKind,
+    TransactionState,
+)
 from gateway_driver import CONTROL, PRIMARY, REPLICA, SERVICE, ready_gateway
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Is, Not
@@ -325,3 +331,60 @@
 
 def test_gateways_connect_to_their_holders_ahead(centre):
     assert_that(centre.entry.connects, Contains(centre.holder_address))
+
+
+def test_an_answer_that_could_not_be_sent_is_sent_again(centre):
+    """A holder's first answer to a gateway finds no connection yet."""
+    centre.entry.session(1, "bounded")
+    request = centre.entry.send(1, K.READ)
+    centre.deliver()
+    centre.holder.reply(centre.holder.work(request), rows=("x",))
+    (reply,) = [item for item in centre.holder.messages if item.address != CONTROL]
+    centre.holder.messages.clear()
+    event = ev.MessageUndelivered(centre.holder.now_ms, reply.address, reply.message)
+    centre.holder.handle(event)
+    centre.holder.tick(20)
+    centre.deliver()
+    assert_that([item.rows for item in centre.entry.answers], Equals([("x",)]))
+
+
+def test_a_holder_connects_ahead_to_those_it_holds_for(centre):
+    others = {item for item in ADDRESSES if item != centre.holder_address}
+    assert_that(set(centre.holder.connects), Equals(others))
+
+
+def test_a_gateway_that_is_not_to_hold_connections_opens_one_at_most(centre):
+    """Pattern: statements sent to a second choice must not take the holders' connections."""
+    for number in range(20):
+        centre.entry.session(number, "strict")
+        message = next_statement(centre, number)
+        centre.entry.handle(ev.MessageReceived(centre.entry.now_ms, message))
+    for _ in range(20):
+        centre.entry.tick(100)
+        centre.entry.open_all()
+    held = [item for item in centre.entry.state.connections.values() if item.upstream == PRIMARY]
+    assert_that(len(held), Equals(1))
+
+
+def next_statement(centre, number):
+    """Return a statement that another gateway forwards."""
+    other = centre.gateways[centre.holder_address]
+    statement = Statement(K.READ, f"q{number}", "read a")
+    route = other.state.configuration.routes["strict"]
+    origin = other.state.settings.address
+    return ForwardedStatement(
+        origin,
+        "b",
+        number,
+        number,
+        statement,
+        route,
+        "idle",
+        False,
+        False,
+        {},
+        None,
+        None,
+        1,
+        5_000,
+    )
