--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,9 +8,12 @@
 from endivewick_core.commands import COMMANDS
 from endivewick_core.control.state import ControlSettings
 from endivewick_core.exceptions import FAILURES_BY_NAME
+from endivewick_core.gateway.effects import Served
 from endivewick_core.messages import CODEC
 from endivewick_core.proxy.state import ProxySettings
 from endivewick_node import conf
+from endivewick_node.exposition import Exposition
+from prometheus_client.parser import text_string_to_metric_families
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
@@ -90,3 +93,30 @@
     for path in [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]:
         for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", path.read_text()):
             assert_that((path.parent / target).exists(), Equals(True), f"{path}: {target}")
+
+
+def test_every_series_of_the_metrics_address_is_documented():
+    exposition = Exposition()
+    exposition.served(Served("shop", "read", "ok", 12))
+    exposition.event("started")
+    exposition.state("sessions", 1)
+    parsed = text_string_to_metric_families(exposition.text().decode())
+    families = [family for family in parsed if not family.name.endswith("_created")]
+    rows = [line for line in page("metrics.md").splitlines() if line.startswith("| `endivewick_")]
+    assert_that(len(rows), Equals(len(families)))
+    for family in families:
+        name = f"{family.name}_total" if family.type == "counter" else family.name
+        row = next(line for line in rows if line.startswith(f"| `{name}` | {family.type} |"))
+        for label in family.samples[0].labels:
+            if label != "le":
+                assert_that(row, Contains(f"`{label}`"))
+
+
+def test_every_gauge_and_decision_is_documented():
+    text = page("metrics.md")
+    for path in (ROOT / "packages").rglob("src/**/*.py"):
+        source = path.read_text()
+        for name in re.findall(r'(?:exposition|metrics)\.state\("([a-z_]+)"', source):
+            assert_that(text, Contains(f"`{name}`"), str(path))
+        for name in re.findall(r'Decision\(\s*"[a-z]+",\s*"([a-z_]+)"', source):
+            assert_that(text, Contains(f"`{name}`"), str(path))
