--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -44,6 +44,7 @@
 PROBE_TIMEOUT_S = 0.5
 MISSES = 2
 WATCH_S = 0.05
+HELD_UP_MS = 100.0  # half of the shortest limit that the checks measure
 STALENESS_MS = 1_500
 TIMEOUT_MS = 1_000
 OBJECTIVE_MS = 600
@@ -196,6 +197,7 @@
     for name in system.nodes():
         system.start(name)
     nursery.start_soon(_watch_processes, system)
+    nursery.start_soon(_watch_itself, system)
     nursery.start_soon(_balance, system)
 
 
@@ -365,6 +367,16 @@
         await trio.sleep(WATCH_S)
 
 
+async def _watch_itself(system: System) -> None:
+    """Record where the soak itself was held up, since it then sees answers and ends too late."""
+    while True:
+        before_ms = clock_ms()
+        await trio.sleep(WATCH_S)
+        late_ms = clock_ms() - before_ms - WATCH_S * 1000
+        if late_ms > HELD_UP_MS:
+            system.disturb(f"the soak was held up for {late_ms:.0f} ms")
+
+
 async def _balance(system: System) -> None:
     """Keep the set of gateways that new sessions go to, as the platform's balancer does."""
     async with trio.open_nursery() as nursery:
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections import Counter, deque
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -15,7 +15,7 @@
 
 from endivewick_bench.soak import database as db
 from endivewick_bench.soak.checks import CHECKS, TIMED_CHECKS, Recorder, Violation
-from endivewick_bench.soak.clients import PROMISES
+from endivewick_bench.soak.clients import answer_event
 from endivewick_bench.soak.execution import (
     WORK_KINDS,
     CallerConnection,
@@ -28,6 +28,7 @@
     run_work,
 )
 from endivewick_bench.soak.history import Answered, Invoked, Promoted
+from endivewick_bench.soak.script import Outcome, Script, Steps, run_script, text_of
 from endivewick_core.codec import decode, encode
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.gateway import effects as fx
@@ -48,7 +49,6 @@
     Fault,
     Statement,
     StatementKind,
-    TransactionState,
     UpstreamReply,
     UpstreamStatement,
 )
@@ -76,8 +76,6 @@
 MANY = 74  # gateways that control counts, where holders are to hold the connections
 UNANSWERED_MS = 2_500  # a statement timeout, the longest freeze of a run and half a second
 
-Script = Generator[Statement, UpstreamReply | fx.AnswerStatement, None]
-
 
 @dataclass(slots=True, eq=False)
 class Link:
@@ -101,16 +99,11 @@
     workspace: str
     gateway: str = ""
     number: int = 0
-    session: str = ""
     script: Script | None = None
+    steps: Steps | None = None
     current: Statement | None = None
     sent_ms: float = 0.0
-    transaction: str = ""
-    began_ms: float = 0.0
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: dict[str, str] = field(default_factory=dict)
     served: int = 0
-    rests: bool = False
 
 
 @dataclass(slots=True)
@@ -248,7 +241,7 @@
         for client in self.clients:
             waits = client.current is not None and client.gateway in self.nodes
             if waits and self.now_ms - client.sent_ms > UNANSWERED_MS:
-                text = f"{client.current} of {client.session} at {client.gateway} has no answer"
+                text = f"{client.current} of {client.name} at {client.gateway} has no answer"
                 self.recorder.violations.append(
                     Violation("answered", text, self.recorder.events[-1])
                 )
@@ -460,100 +453,48 @@
             self.after(RETURN_MS, lambda: self._open(client))
             return
         client.number = next(self.numbers)
-        client.session = f"{client.name}.{client.number}"
-        client.values, client.prepared = {}, {}
-        client.script = self._script(client)
+        session = f"{client.name}.{client.number}"
+        client.script = Script(session, self.random, self.serial, ITEMS)
+        client.steps = run_script(client.script)
         self.by_number[client.number] = client
         event = ev.SessionOpened(int(self.now_ms), client.number, client.workspace)
         self.deliver(client.gateway, event)
 
-    def _script(self, client: Client) -> Script:
-        random = self.random
-        while True:
-            choice = random.random()
-            client.transaction = ""
-            if choice < 0.05:
-                name, value = f"v{random.randint(1, 2)}", str(next(self.serial))
-                yield Statement(K.SET, "", f"SET {name} {value}", name, value)
-                client.values[name] = value
-            elif choice < 0.10:
-                name, shape = f"p{random.randint(1, 2)}", f"q{random.randint(1, 3)}"
-                yield Statement(K.PREPARE, "", "", name, shape)
-                client.prepared[name] = shape
-            elif choice < 0.35:
-                yield from self._transaction(client)
-            elif choice < 0.60:
-                yield self._write(client)
-            else:
-                yield self._read(client)
-
-    def _transaction(self, client: Client) -> Script:
-        random = self.random
-        client.transaction = f"{client.session}.t{next(self.serial)}"
-        client.began_ms = self.now_ms
-        only_reads = random.random() < 0.3
-        reply = yield Statement(K.BEGIN, "", "BEGIN", is_read_only=only_reads)
-        for _ in range(random.randint(0, 4)):
-            if reply.state is not TransactionState.OPEN:
-                break
-            client.rests = random.random() < 0.02
-            is_write = random.random() < (0.05 if only_reads else 0.5)
-            if random.random() < 0.05:
-                reply = yield Statement(K.EXECUTE, "", "", "never-prepared", "i1")
-                continue
-            reply = yield self._write(client) if is_write else self._read(client)
-        ends = random.random() < (0.2 if reply.state is TransactionState.OPEN else 0.5)
-        yield Statement(K.ROLLBACK, "", "ROLLBACK") if ends else Statement(K.COMMIT, "", "COMMIT")
-
-    def _write(self, client: Client) -> Statement:
-        item = self.random.randint(1, ITEMS)
-        return Statement(K.WRITE, "", f"PUT i{item} {client.session}-{next(self.serial)}")
-
-    def _read(self, client: Client) -> Statement:
-        item = f"i{self.random.randint(1, ITEMS)}"
-        if client.prepared and self.random.random() < 0.3:
-            name = self.random.choice(sorted(client.prepared))
-            return Statement(K.EXECUTE, "", "", name, item)
-        return Statement(K.READ, "", f"FETCH {item}")
-
-    def _next(self, client: Client | None, reply: Any) -> None:
-        if client is None or client.script is None:
+    def _next(self, client: Client | None, outcome: Outcome | None) -> None:
+        if client is None or client.script is None or client.steps is None:
             return
-        statement = client.script.send(reply)
-        number = client.number
-        pause_ms, client.rests = REST_MS if client.rests else 0.0, False
+        statement = client.steps.send(outcome) if outcome is not None else next(client.steps)
+        number, script = client.number, client.script
+        pause_ms, script.rests = REST_MS if script.rests else 0.0, False
         self.after(
             pause_ms + self.random.uniform(1, self.load.pause_ms),
             lambda: self._ask_gateway(client, number, statement),
         )
 
     def _ask_gateway(self, client: Client, number: int, statement: Statement) -> None:
-        if client.number != number:
+        script = client.script
+        if client.number != number or script is None:
             return
-        statement = statement._replace(request_id=f"{client.session}-{next(self.serial)}")
+        statement = statement._replace(request_id=f"{script.session}-{next(self.serial)}")
         client.current, client.sent_ms = statement, self.now_ms
         route = self.configuration.routes[client.workspace]
-        text = statement.text
-        if statement.kind is K.EXECUTE:
-            shape = client.prepared.get(statement.name, "unknown")
-            text = f"{shape} {statement.argument}"
-        began_ms = client.began_ms if client.transaction else self.now_ms
-        values = tuple(sorted(client.values.items()))
+        if statement.kind is K.BEGIN:
+            script.began_ms = self.now_ms
         self.recorder.add(
             Invoked(
                 self.now_ms,
                 statement.request_id,
-                client.session,
+                script.session,
                 client.gateway,
                 client.workspace,
                 SERVICE,
                 route.freshness,
                 route.staleness_ms,
-                client.transaction,
-                began_ms,
+                script.transaction,
+                script.began_ms if script.transaction else self.now_ms,
                 statement.kind.value,
-                text,
-                values,
+                text_of(script, statement),
+                tuple(sorted(script.values.items())),
             )
         )
         event = ev.StatementReceived(int(self.now_ms), client.number, statement)
@@ -564,24 +505,16 @@
             return
         statement, client.current = client.current, None
         if statement is None:
-            text = f"{client.session} got {answer} though it waits for nothing"
+            text = f"{client.name} got {answer} though it waits for nothing"
             self.recorder.violations.append(Violation("answered", text, self.recorder.events[-1]))
             return
-        outcome, promised = "own", False
-        if answer.error is not None:
-            outcome, promised = answer.error.fault.value, answer.error.fault in PROMISES
-        elif statement.kind in WORK_KINDS:
-            outcome = "ok"
-            client.served += 1
-        self.recorder.add(
-            Answered(
-                self.now_ms, statement.request_id, outcome, promised, answer.rows, answer.proof
-            )
-        )
+        event = answer_event(self.now_ms, statement, statement.request_id, answer)
+        self.recorder.add(event)
+        client.served += event.outcome == "ok"
         if answer.error is not None and statement.kind in (K.SET, K.PREPARE):
             self._cut(client)
             return
-        self._next(client, answer)
+        self._next(client, Outcome(answer.error is None, answer.state))
 
     def _cut(self, client: Client) -> None:
         """End a client's connection; it opens another one."""
@@ -590,7 +523,7 @@
             self.recorder.add(Answered(self.now_ms, statement.request_id, "cut", False, (), ""))
         self.by_number.pop(client.number, None)
         closed = ev.SessionClosed(int(self.now_ms), client.number)
-        client.number, client.script = 0, None
+        client.number, client.script, client.steps = 0, None, None
         self.deliver(client.gateway, closed)
         self.after(RETURN_MS, lambda: self._open(client))
 
