--- a/packages/bench/src/endivewick_bench/soak/checks.py
+++ b/packages/bench/src/endivewick_bench/soak/checks.py
@@ -46,6 +46,25 @@
 Check = Callable[[Event], list[Violation]]
 
 
+@dataclass(slots=True)
+class Surroundings:
+    """What the checks with limits of real time know: requests by id, and the last disturbance."""
+
+    invoked: dict[str, Invoked] = field(default_factory=dict)
+    disturbed_ms: float = float("-inf")
+
+    def note(self, event: Event) -> None:
+        """Take an event."""
+        if isinstance(event, Disturbed):
+            self.disturbed_ms = event.at_ms
+        if isinstance(event, Invoked):
+            self.invoked[event.request_id] = event
+
+    def is_calm(self, at_ms: float, limit_ms: float = 0.0) -> bool:
+        """Tell whether nothing excuses what broke a limit at a time."""
+        return at_ms - self.disturbed_ms >= CALM_MS + limit_ms
+
+
 def check_text() -> Check:
     """Upstreams run only what clients sent, unchanged."""
     sent: dict[str, str] = {}
@@ -240,21 +259,16 @@
 def check_leaving() -> Check:
     """An upstream that leaves gets no request that a client sent long after the acknowledgement."""
     left_ms: dict[str, float] = {}
-    invoked: dict[str, Invoked] = {}
-    disturbed_ms = float("-inf")
+    around = Surroundings()
 
     def check(event: Event) -> list[Violation]:
-        nonlocal disturbed_ms
-        if isinstance(event, Disturbed):
-            disturbed_ms = event.at_ms
+        around.note(event)
         if isinstance(event, Leaving):
             left_ms.setdefault(event.upstream, event.at_ms)
-        if isinstance(event, Invoked):
-            invoked[event.request_id] = event
         if not isinstance(event, Ran) or event.upstream not in left_ms:
             return []
-        request = invoked.get(event.request_id)
-        if request is None or event.at_ms - disturbed_ms < CALM_MS + LEAVING_LIMIT_MS:
+        request = around.invoked.get(event.request_id)
+        if request is None or not around.is_calm(event.at_ms, LEAVING_LIMIT_MS):
             return []
         late_ms = request.began_ms - left_ms[event.upstream]
         if late_ms <= LEAVING_LIMIT_MS:
@@ -301,23 +315,18 @@
     The soak never uses the name of a removed workspace again.
     """
     acknowledged: list[ConfigurationAcknowledged] = []
-    invoked: dict[str, Invoked] = {}
-    disturbed_ms = float("-inf")
+    around = Surroundings()
 
     def check(event: Event) -> list[Violation]:
-        nonlocal disturbed_ms
-        if isinstance(event, Disturbed):
-            disturbed_ms = event.at_ms
+        around.note(event)
         if isinstance(event, ConfigurationAcknowledged):
             acknowledged.append(event)
-        if isinstance(event, Invoked):
-            invoked[event.request_id] = event
         is_served = isinstance(event, Ran)
         is_refused = isinstance(event, Answered) and event.outcome == Fault.UNKNOWN_WORKSPACE
         if not isinstance(event, Ran | Answered) or not (is_served or is_refused):
             return []
-        request = invoked.get(event.request_id)
-        if request is None or event.at_ms - disturbed_ms < CALM_MS + IN_FORCE_LIMIT_MS:
+        request = around.invoked.get(event.request_id)
+        if request is None or not around.is_calm(event.at_ms, IN_FORCE_LIMIT_MS):
             return []
         newest = _newest(acknowledged, request.began_ms - IN_FORCE_LIMIT_MS)
         if newest is None or (request.workspace in newest.workspaces) == is_served:
@@ -341,23 +350,18 @@
     """
     ran: set[str] = set()
     stopped: list[StopPlanned] = []
-    invoked: dict[str, Invoked] = {}
-    disturbed_ms = float("-inf")
+    around = Surroundings()
 
     def check(event: Event) -> list[Violation]:
-        nonlocal disturbed_ms
-        if isinstance(event, Disturbed):
-            disturbed_ms = event.at_ms
+        around.note(event)
         if isinstance(event, StopPlanned):
             stopped.append(event)
         if isinstance(event, Ran):
             ran.add(event.request_id)
-        if isinstance(event, Invoked):
-            invoked[event.request_id] = event
         if not isinstance(event, Answered) or event.outcome != "cut":
             return []
-        request = invoked[event.request_id]
-        if event.at_ms - disturbed_ms < CALM_MS:
+        request = around.invoked[event.request_id]
+        if not around.is_calm(event.at_ms):
             return []
         if event.request_id not in ran and event.at_ms - request.at_ms <= LOSS_SLACK_MS:
             return []
--- a/packages/bench/src/endivewick_bench/soak/clients.py
+++ b/packages/bench/src/endivewick_bench/soak/clients.py
@@ -120,26 +120,7 @@
         request_id = f"{script.session}-{next(self.serial)}"
         statement = statement._replace(request_id=request_id)
         route = system.configuration.routes.get(self.workspace) or self._last_route()
-        at_ms = clock_ms()
-        if statement.kind is K.BEGIN:
-            script.began_ms = at_ms
-        system.recorder.add(
-            Invoked(
-                at_ms,
-                request_id,
-                script.session,
-                self.gateway,
-                self.workspace,
-                route.service,
-                route.freshness,
-                route.staleness_ms,
-                script.transaction,
-                script.began_ms if script.transaction else at_ms,
-                statement.kind.value,
-                text_of(script, statement),
-                tuple(sorted(script.values.items())),
-            )
-        )
+        system.recorder.add(invoked_event(clock_ms(), script, statement, self.gateway, route))
         data = system.wire.statements.encode_statement(UpstreamStatement(statement))
         try:
             with trio.fail_after(ANSWER_LIMIT_S):
@@ -162,6 +143,29 @@
         return Outcome(reply.error is None, reply.state)
 
 
+def invoked_event(
+    at_ms: float, script: Script, statement: Statement, gateway: str, route: Route
+) -> Invoked:
+    """Return the record of a statement that is about to be sent."""
+    if statement.kind is K.BEGIN:
+        script.began_ms = at_ms
+    return Invoked(
+        at_ms,
+        statement.request_id,
+        script.session,
+        gateway,
+        route.workspace,
+        route.service,
+        route.freshness,
+        route.staleness_ms,
+        script.transaction,
+        script.began_ms if script.transaction else at_ms,
+        statement.kind.value,
+        text_of(script, statement),
+        tuple(sorted(script.values.items())),
+    )
+
+
 def answer_event(
     at_ms: float, statement: Statement, request_id: str, reply: UpstreamReply | AnswerStatement
 ) -> Answered:
--- a/packages/bench/src/endivewick_bench/soak/run.py
+++ b/packages/bench/src/endivewick_bench/soak/run.py
@@ -118,10 +118,10 @@
         nursery.start_soon(_read_configurations, system, stop)
         with trio.move_on_after(FIRST_S if _TIMED.value else HANG_S):
             await put_configuration(system, system.configuration)
+        workspaces = sorted(system.configuration.routes)
         clients = [
-            Client(f"c{number}", workspace, system)
+            Client(f"c{number}", workspaces[number % len(workspaces)], system)
             for number in range(_CLIENTS.value)
-            for workspace in [sorted(system.configuration.routes)[_place(system, number)]]
         ]
         for client in clients:
             nursery.start_soon(client.run, stop)
@@ -138,10 +138,6 @@
         nursery.cancel_scope.cancel()
 
 
-def _place(system: System, number: int) -> int:
-    return number % len(system.configuration.routes)
-
-
 def _is_chosen(fault: Fault) -> bool:
     return not _NAMES.value or any(word in fault.name for word in _NAMES.value)
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -15,7 +15,7 @@
 
 from endivewick_bench.soak import database as db
 from endivewick_bench.soak.checks import CHECKS, TIMED_CHECKS, Recorder, Violation
-from endivewick_bench.soak.clients import answer_event
+from endivewick_bench.soak.clients import answer_event, invoked_event
 from endivewick_bench.soak.execution import (
     WORK_KINDS,
     CallerConnection,
@@ -27,8 +27,8 @@
     run_own,
     run_work,
 )
-from endivewick_bench.soak.history import Answered, Invoked, Promoted
-from endivewick_bench.soak.script import Outcome, Script, Steps, run_script, text_of
+from endivewick_bench.soak.history import Answered, Promoted
+from endivewick_bench.soak.script import Outcome, Script, Steps, run_script
 from endivewick_core.codec import decode, encode
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.gateway import effects as fx
@@ -478,27 +478,10 @@
         statement = statement._replace(request_id=f"{script.session}-{next(self.serial)}")
         client.current, client.sent_ms = statement, self.now_ms
         route = self.configuration.routes[client.workspace]
-        if statement.kind is K.BEGIN:
-            script.began_ms = self.now_ms
-        self.recorder.add(
-            Invoked(
-                self.now_ms,
-                statement.request_id,
-                script.session,
-                client.gateway,
-                client.workspace,
-                SERVICE,
-                route.freshness,
-                route.staleness_ms,
-                script.transaction,
-                script.began_ms if script.transaction else self.now_ms,
-                statement.kind.value,
-                text_of(script, statement),
-                tuple(sorted(script.values.items())),
-            )
-        )
-        event = ev.StatementReceived(int(self.now_ms), client.number, statement)
-        self.deliver(client.gateway, event)
+        event = invoked_event(self.now_ms, script, statement, client.gateway, route)
+        self.recorder.add(event)
+        received = ev.StatementReceived(int(self.now_ms), client.number, statement)
+        self.deliver(client.gateway, received)
 
     def _take(self, client: Client | None, answer: fx.AnswerStatement) -> None:
         if client is None:
