--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -573,8 +573,10 @@
         if self.fails_over or not all(item.is_up for item in replicas):
             return
         self.fails_over = True
+        newest = max(item.term for item in self.database.members.values())
         for item in replicas:
-            item.held_term = item.term + 1
+            # A pause holds only above the newest term; one that was cut off may have an older one.
+            item.held_term = newest + 1
         target = max(replicas, key=lambda item: item.received)
         self.after(self.random.uniform(1, 300), lambda: self._promote(target.name))
 
