Say once what control asks, what is gone, and when holders are needed

Found by reading the whole change again; behaviour stays as it is: - whether gateways need holders was worked out in five places, and holds() twice for each statement; - control grouped its upstreams by service twice a service in each tick, by a scan of the directory each time; - ask and ask_position repeated each other; a gone upstream was written three times; - a command that is appended and sent at once is replication.propose_now, which election and membership use too; - what makes a gateway tick often stood in three places, and two functions had one name. No test changed.

--- a/packages/core/src/endivewick_core/control/election.py
+++ b/packages/core/src/endivewick_core/control/election.py
@@ -4,7 +4,6 @@
 from a network partition disturbs nobody. The term and the vote are durable before they are sent.
 """
 
-from ..codec import encode
 from ..commands import StartTerm
 from ..messages import VoteReply, VoteRequest
 from . import operators, replication
@@ -144,6 +143,5 @@
     for member in peers(state):
         state.leading.progress[member.member_id] = Progress(next_index, 0, 0, now_ms, 0)
     note = Note("info", "leadership_started", f"leads term {state.term}")
-    effects: list[Effect] = [note]
-    effects += replication.propose(state, encode(StartTerm(state.me.member_id)))
-    return effects + replication.start_round(state, now_ms)
+    command = StartTerm(state.me.member_id)
+    return [note, *replication.propose_now(state, now_ms, command)]
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -8,7 +8,6 @@
 token, so that a late order of the former leader is refused.
 """
 
-from ..codec import encode
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
 from ..positions import Position
@@ -251,19 +250,17 @@
 
 
 def _propose(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
-    command = encode(BeginFailover(running.service, state.me.member_id))
-    effects: list[Effect] = [_note("warning", "failover_needed", running, now_ms)]
-    effects += replication.propose(state, command)
-    return effects + replication.start_round(state, now_ms)
+    note = _note("warning", "failover_needed", running, now_ms)
+    command = BeginFailover(running.service, state.me.member_id)
+    return [note, *replication.propose_now(state, now_ms, command)]
 
 
 def _end(state: ControlState, now_ms: int, running: Failover) -> list[Effect]:
     running.stage = Stage.ENDING
     state.failover.ended_ms[running.service] = now_ms
-    command = encode(EndFailover(running.service, running.token, running.target))
-    effects: list[Effect] = [_note("info", "failover_done", running, now_ms)]
-    effects += replication.propose(state, command)
-    return effects + replication.start_round(state, now_ms)
+    note = _note("info", "failover_done", running, now_ms)
+    command = EndFailover(running.service, running.token, running.target)
+    return [note, *replication.propose_now(state, now_ms, command)]
 
 
 def _resume(state: ControlState, now_ms: int) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/membership.py
+++ b/packages/core/src/endivewick_core/control/membership.py
@@ -5,12 +5,11 @@
 step is one committed change, so two majorities always overlap.
 """
 
-from ..codec import encode
 from ..commands import ChangeMembership
 from ..messages import JoinReply, JoinRequest, Member
 from . import replication
 from .effects import Effect, Note, Send
-from .state import ControlState, Membership, Progress, Role, is_voter
+from .state import ControlState, Progress, Role, is_voter
 
 LOST_IDENTITY_MS = 5_000  # a voter that was not heard for so long may be replaced
 NO_LEADER_MS = 3_000  # a member that hears no leader for so long asks to be let in again
@@ -140,6 +139,4 @@
 def _change(
     state: ControlState, now_ms: int, voters: list[Member], learners: list[Member]
 ) -> list[Effect]:
-    membership = Membership(voters, learners)
-    effects = replication.propose(state, encode(ChangeMembership(*membership)))
-    return effects + replication.start_round(state, now_ms)
+    return replication.propose_now(state, now_ms, ChangeMembership(voters, learners))
--- a/packages/core/src/endivewick_core/control/questions.py
+++ b/packages/core/src/endivewick_core/control/questions.py
@@ -19,13 +19,18 @@
     return [name for name in state.machine.configuration.services if name in reported]
 
 
+def upstreams_by_service(state: ControlState) -> dict[str, list[DirectoryEntry]]:
+    """Return the upstreams that have not said goodbye, by service."""
+    grouped: dict[str, list[DirectoryEntry]] = {}
+    for entry in state.spread.directory.entries.values():
+        if entry.report.state is not UpstreamState.GONE:
+            grouped.setdefault(entry.report.service, []).append(entry)
+    return grouped
+
+
 def upstreams_of(state: ControlState, service: str) -> list[DirectoryEntry]:
     """Return the upstreams of a service that have not said goodbye."""
-    return [
-        entry
-        for entry in state.spread.directory.entries.values()
-        if entry.report.service == service and entry.report.state is not UpstreamState.GONE
-    ]
+    return upstreams_by_service(state).get(service, [])
 
 
 def primary_health(state: ControlState, now_ms: int) -> list[PrimaryHealth]:
@@ -62,30 +67,42 @@
     state: ControlState, now_ms: int, entry: DirectoryEntry, statement: Statement, kind: Question
 ) -> list[Effect]:
     """Ask an upstream once its connection is open and its last such question was answered."""
-    number = state.watch.by_upstream.get(entry.report.upstream)
-    if number is None:
-        return open_connection(state, now_ms, entry)
-    connection = state.watch.connections[number]
-    if not connection.is_open or any(item.question is kind for item in connection.asked):
-        return []
-    connection.asked.append(Asked(kind, now_ms))
-    return [SendStatements(number, [UpstreamStatement(statement)])]
+    return _ask(state, now_ms, entry, [(kind, statement)])
 
 
 def ask_position(state: ControlState, now_ms: int, entry: DirectoryEntry) -> list[Effect]:
     """Ask an upstream whether it leads, and for its position, where that is due."""
+    connection = _connection(state, entry)
+    if connection is not None and now_ms - connection.asked_ms < ASK_MS:
+        return []
+    questions = [(Question.POSITION, BEGIN), (Question.ROLLBACK, ROLLBACK)]
+    effects = _ask(state, now_ms, entry, questions)
+    if effects and connection is not None:
+        connection.asked_ms = now_ms
+    return effects
+
+
+def _connection(state: ControlState, entry: DirectoryEntry) -> WatchedConnection | None:
     number = state.watch.by_upstream.get(entry.report.upstream)
-    if number is None:
+    return state.watch.connections[number] if number is not None else None
+
+
+def _ask(
+    state: ControlState,
+    now_ms: int,
+    entry: DirectoryEntry,
+    questions: list[tuple[Question, Statement]],
+) -> list[Effect]:
+    """Send questions in one write, unless the first one still waits for its last answer."""
+    connection = _connection(state, entry)
+    if connection is None:
         return open_connection(state, now_ms, entry)
-    connection = state.watch.connections[number]
-    if not connection.is_open or now_ms - connection.asked_ms < ASK_MS:
-        return []
-    if any(item.question is Question.POSITION for item in connection.asked):
+    first, _ = questions[0]
+    if not connection.is_open or any(item.question is first for item in connection.asked):
         return []
-    connection.asked_ms = now_ms
-    connection.asked.append(Asked(Question.POSITION, now_ms))
-    connection.asked.append(Asked(Question.ROLLBACK, now_ms))
-    return [SendStatements(number, [UpstreamStatement(BEGIN), UpstreamStatement(ROLLBACK)])]
+    connection.asked.extend(Asked(question, now_ms) for question, _ in questions)
+    statements = [UpstreamStatement(statement) for _, statement in questions]
+    return [SendStatements(connection.number, statements)]
 
 
 def open_connection(state: ControlState, now_ms: int, entry: DirectoryEntry) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -8,7 +8,7 @@
 
 from typing import Any
 
-from ..codec import CodecFault, decode
+from ..codec import CodecFault, decode, encode
 from ..commands import COMMANDS, AssignHomes, BeginFailover, ChangeMembership, EndFailover
 from ..machine import ChangeResult, Machine, apply_command, decode_machine, encode_machine
 from ..messages import AppendReply, AppendRequest, LogEntry, Member, SnapshotRequest
@@ -37,6 +37,12 @@
     return [AppendEntries([entry])]
 
 
+def propose_now(state: ControlState, now_ms: int, command: Any) -> list[Effect]:
+    """Append a command to the leader's log and send it on at once."""
+    effects = propose(state, encode(command))
+    return effects + start_round(state, now_ms)
+
+
 def start_round(state: ControlState, now_ms: int) -> list[Effect]:
     """Send a new round with what each member lacks, and advance the commit index."""
     leading = state.leading
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -26,10 +26,12 @@
 def check_watch(state: ControlState, now_ms: int) -> list[Effect]:
     """Ask each service's primary where a question is due."""
     effects = _close_silent(state, now_ms)
-    for service in questions.services(state):
-        effects += _open_all(state, now_ms, service)
-        for upstream in _candidates(state, service):
-            effects += questions.ask_position(state, now_ms, upstream)
+    upstreams = questions.upstreams_by_service(state)
+    for service in state.machine.configuration.services:
+        entries = upstreams.get(service, [])
+        effects += _open_all(state, now_ms, entries)
+        for entry in _candidates(state, service, entries):
+            effects += questions.ask_position(state, now_ms, entry)
     return effects
 
 
@@ -73,21 +75,23 @@
     return [Note("warning", "upstream_unreachable", text)]
 
 
-def _open_all(state: ControlState, now_ms: int, service: str) -> list[Effect]:
+def _open_all(state: ControlState, now_ms: int, entries: list[DirectoryEntry]) -> list[Effect]:
     """Hold a connection to every upstream: at a failover there may be no room for a new one."""
     effects: list[Effect] = []
-    for entry in questions.upstreams_of(state, service):
+    for entry in entries:
         if entry.report.upstream not in state.watch.by_upstream:
             effects += questions.open_connection(state, now_ms, entry)
     return effects
 
 
-def _candidates(state: ControlState, service: str) -> list[DirectoryEntry]:
+def _candidates(
+    state: ControlState, service: str, entries: list[DirectoryEntry]
+) -> list[DirectoryEntry]:
     """Return the upstreams that may lead: those that say so, and the one that led last."""
     mark = state.watch.marks.get(service)
     return [
         entry
-        for entry in questions.upstreams_of(state, service)
+        for entry in entries
         if entry.report.is_primary or (mark is not None and mark.upstream == entry.report.upstream)
     ]
 
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -91,10 +91,10 @@
         if other.state is UpstreamState.GONE or other.born_ms == report.born_ms:
             continue
         if other.born_ms > report.born_ms:
-            return report._replace(state=UpstreamState.GONE, is_primary=False)
+            return _gone(report)
         directory.revision += 1
         entry.revision = directory.revision
-        entry.report = other._replace(state=UpstreamState.GONE, is_primary=False)
+        entry.report = _gone(other)
     return report
 
 
@@ -103,7 +103,7 @@
     known = directory.entries.get(upstream)
     if known is None:
         return None
-    report = known.report._replace(state=UpstreamState.GONE, is_primary=False)
+    report = _gone(known.report)
     merge_report(directory, now_ms, report, 0)
     return report
 
@@ -115,6 +115,10 @@
             del directory.entries[name]
 
 
+def _gone(report: UpstreamReport) -> UpstreamReport:
+    return report._replace(state=UpstreamState.GONE, is_primary=False)
+
+
 def _order(report: UpstreamReport) -> tuple[int, int, bool]:
     return (report.born_ms, report.sequence, report.state is UpstreamState.GONE)
 
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -27,9 +27,8 @@
 
 def share(state: GatewayState, service: str) -> int:
     """Return how many connections of an upstream of a service are this gateway's."""
-    per_gateway = room(state, service) // state.control.gateways
-    if per_gateway >= SHARE_MIN or not state.control.neighbours:
-        return max(1, per_gateway)
+    if not are_needed(state, service):
+        return max(1, _equal_share(state, service))
     if not holds(state, service):
         return 0
     return max(1, _centre_room(state, service) // _holder_count(state, service))
@@ -37,26 +36,23 @@
 
 def are_needed(state: GatewayState, service: str) -> bool:
     """Tell whether there are too few connections for every gateway to have its own."""
-    per_gateway = room(state, service) // state.control.gateways
-    return per_gateway < SHARE_MIN and bool(state.control.neighbours)
+    return _equal_share(state, service) < SHARE_MIN and bool(state.control.neighbours)
 
 
 def holds(state: GatewayState, service: str) -> bool:
     """Tell whether this gateway has connections of its own for a service."""
-    if room(state, service) // state.control.gateways >= SHARE_MIN:
+    if _equal_share(state, service) >= SHARE_MIN:
         return True
     return state.settings.address in ranked(state, service)[: _holder_count(state, service)]
 
 
 def holder(state: GatewayState, now_ms: int, service: str) -> str:
     """Return the gateway that holds connections for this one, or an empty text for itself."""
-    if not state.control.neighbours or holds(state, service):
-        return ""
     candidates = choices(state, service)
     for address in candidates:
         if now_ms >= state.control.avoid_until_ms.get(address, 0):
             return address
-    return candidates[0]
+    return candidates[0] if candidates else ""
 
 
 def choices(state: GatewayState, service: str) -> list[str]:
@@ -78,6 +74,11 @@
     return known
 
 
+def _equal_share(state: GatewayState, service: str) -> int:
+    """Return how many connections each gateway would have if all had as many."""
+    return room(state, service) // state.control.gateways
+
+
 def _centre_room(state: GatewayState, service: str) -> int:
     return room(state, service) // max(1, len(state.settings.regions))
 
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -66,7 +66,7 @@
     return [Decision("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
 
 
-def _take_back(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
+def _keep_undelivered(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
     return forwarding.handle_undelivered(state, event.now_ms, event.address, event.message)
 
 
@@ -79,9 +79,14 @@
     return [Decision("info", "draining", "", "", inputs, "started")]
 
 
+def has_waiting(state: GatewayState) -> bool:
+    """Tell whether statements or messages wait to be tried again soon."""
+    return bool(state.queued or state.unsent)
+
+
 def next_tick_ms(state: GatewayState, now_ms: int) -> int:
     """Return how long the reducer can do without a tick while nothing else happens."""
-    if state.queued or state.unsent:
+    if has_waiting(state):
         return QUEUED_TICK_MS
     due_ms = min(
         (request.deadline_ms for request in state.requests.values()), default=state.control.due_ms
@@ -116,7 +121,7 @@
     ConnectionReplied: results.handle_replied,
     ConnectionBroke: results.handle_broke,
     MessageReceived: _receive,
-    MessageUndelivered: _take_back,
+    MessageUndelivered: _keep_undelivered,
     ConfigurationReceived: control_link.handle_configuration,
     DrainRequested: _drain,
 }
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -17,7 +17,7 @@
     MessageUndelivered,
     Tick,
 )
-from endivewick_core.gateway.reducer import is_drained, next_tick_ms, reduce
+from endivewick_core.gateway.reducer import has_waiting, is_drained, next_tick_ms, reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import CODEC
 from endivewick_core.routes import Configuration
@@ -109,7 +109,7 @@
     def _reduce(self, event: Event) -> None:
         for effect in reduce(self._state, event):
             _CARRY_OUT[type(effect)](self, effect)
-        if self._state.queued or self._state.unsent:
+        if has_waiting(self._state):
             self._hurried.set()
 
     def _receive(self, sender: str, frame: bytes) -> None:
@@ -127,7 +127,7 @@
                 log("info", "stopped", "a planned stop has ended every session")
                 self._stopped.set()
             wait_ms = next_tick_ms(self._state, now_ms())
-            if self._state.queued or self._state.unsent:
+            if has_waiting(self._state):
                 await trio.sleep(wait_ms / 1000)
                 continue
             self._hurried = trio.Event()
