Reuse the launcher's call in the soak; end a replica's lag whatever overlaps it

The soak had four copies of cluster.call, two of a planned stop, and replayed a log beside the model's own code. A fault of the soak: of two lags of one replica that overlapped, the one that ended last restored the other's lag, for good. The usual lag is a named figure now, also for a replica that takes another one's place (0 before).

--- a/packages/bench/src/endivewick_bench/cluster.py
+++ b/packages/bench/src/endivewick_bench/cluster.py
@@ -242,12 +242,17 @@
 
 
 async def call(
-    address: str, method: str, path: str, body: object = None, token: str | None = None
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    token: str | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> Reply | None:
     """Send one request on a connection of its own; return None where none answers."""
     client = HttpClient(address)
     try:
-        with trio.fail_after(CALL_TIMEOUT_S):
+        with trio.fail_after(timeout_s):
             return await client.call(method, path, body, token)
     except (ConnectionLost, trio.TooSlowError):
         return None
--- a/packages/bench/src/endivewick_bench/soak/database.py
+++ b/packages/bench/src/endivewick_bench/soak/database.py
@@ -10,6 +10,8 @@
 
 from endivewick_core.positions import Position
 
+USUAL_LAG_MS = 30.0  # between receiving and applying, where nothing is wrong
+
 
 class Entry(NamedTuple):
     """One commit: the requests that wrote it, and what they wrote."""
@@ -39,7 +41,7 @@
     is_up: bool = True
     is_linked: bool = True
     held_term: int = 0
-    lag_ms: float = 0.0
+    lag_ms: float = USUAL_LAG_MS
 
     @property
     def position(self) -> Position:
@@ -107,12 +109,19 @@
     target = database.members[name]
     target.term = term
     target.held_term = 0
-    target.received_ms.clear()
-    target.applied = len(target.log)
-    target.data = _replay(target.log)
+    _apply_all(target)
     return target
 
 
+def succeed(database: Database, name: str, successor: str) -> Member:
+    """Replace a member by a replica with its log under another name."""
+    left = database.members.pop(name)
+    member = Member(successor, left.data_centre, left.term, list(left.log))
+    _apply_all(member)
+    database.members[successor] = member
+    return member
+
+
 def _receive(member: Member, leader: Member, now_ms: float) -> None:
     common = min(len(member.log), len(leader.log))
     while common and member.log[common - 1] is not leader.log[common - 1]:
@@ -128,6 +137,12 @@
     member.received_ms.extend([now_ms] * len(fresh))
 
 
+def _apply_all(member: Member) -> None:
+    member.received_ms.clear()
+    member.applied = len(member.log)
+    member.data = _replay(member.log)
+
+
 def _replay(log: list[Entry]) -> dict[str, str]:
     data: dict[str, str] = {}
     for entry in log:
--- a/packages/bench/src/endivewick_bench/soak/faults.py
+++ b/packages/bench/src/endivewick_bench/soak/faults.py
@@ -11,6 +11,7 @@
 from endivewick_core.directory import UpstreamState
 
 from ..checkers import clock_ms
+from .database import USUAL_LAG_MS
 from .history import StopPlanned
 from .system import GRACE_S, System, change_routes, put_configuration, write_settings
 from .upstreams import Troubles, Upstream
@@ -136,12 +137,8 @@
     name = _any_gateway(system)
     if name in system.stopped:
         return
-    system.signal(name, signal.SIGTERM)
     system.recorder.add(StopPlanned(clock_ms(), name))
-    with trio.move_on_after(GRACE_S):
-        await system.gateways[name].process.wait(GRACE_S + 1)
-    system.kill(name)
-    system.start(name)
+    await _stop(system, name)
 
 
 async def stop_control(system: System) -> None:
@@ -149,9 +146,14 @@
     name = _any_control(system)
     if name in system.stopped:
         return
+    await _stop(system, name)
+
+
+async def _stop(system: System, name: str) -> None:
+    """Stop a process as the platform does, and start it again."""
     system.signal(name, signal.SIGTERM)
     with trio.move_on_after(GRACE_S):
-        await system.controls[name].process.wait(GRACE_S + 1)
+        await system.nodes()[name].process.wait(GRACE_S + 1)
     system.kill(name)
     system.start(name)
 
@@ -247,9 +249,9 @@
 async def lag_replica(system: System) -> None:
     """Let an upstream apply what it received late."""
     member = _any_upstream(system)[1].member
-    before, member.lag_ms = member.lag_ms, LAG_MS
+    member.lag_ms = LAG_MS
     await _pause(system)
-    member.lag_ms = before
+    member.lag_ms = USUAL_LAG_MS
 
 
 async def cut_replication(system: System) -> None:
--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -7,15 +7,14 @@
 from random import Random
 from typing import Any, NamedTuple
 
-import msgspec
 import trio
 from endivewick_core.routes import Configuration, Freshness, Route, Service
 from endivewick_node.http_server import Answer, Connection, HttpServer, Request
 from endivewick_node.sockets import Poller
 
 from ..checkers import clock_ms
-from ..cluster import Process
-from ..http_client import ConnectionLost, HttpClient, Reply
+from ..cluster import Process, call
+from ..http_client import Reply
 from ..relay import Relay
 from . import database as db
 from .checks import Recorder
@@ -234,15 +233,8 @@
     address = system.random.choice(system.operator_addresses)
     path = system.wire.configuration_path
     for _ in range(3):
-        client = HttpClient(address)
-        try:
-            with trio.fail_after(OPERATOR_TIMEOUT_S):
-                reply = await client.call(method, path, body)
-        except (ConnectionLost, trio.TooSlowError, msgspec.DecodeError):
-            return None
-        finally:
-            client.close()
-        if reply.status != 307:
+        reply = await call(address, method, path, body, timeout_s=OPERATOR_TIMEOUT_S)
+        if reply is None or reply.status != 307:
             return reply
         address = reply.location.removeprefix("http://").partition("/")[0]
     return None
@@ -313,7 +305,7 @@
     stand_in = ServiceStandIn(execution, {}, system.wire, system.random, system.operator_addresses)
     for place, centre in enumerate(list(CENTRES)[:UPSTREAMS]):
         name = f"{service}-{place + 1}"
-        member = db.Member(name, centre, is_leader=place == number % UPSTREAMS, lag_ms=30.0)
+        member = db.Member(name, centre, is_leader=place == number % UPSTREAMS)
         database.members[name] = member
         address = f"{system.net}.{150 + 10 * number + place}:9000"
         relay = Relay(f"{system.net}.{150 + 10 * number + place}:9001", address)
@@ -387,15 +379,8 @@
 async def _probe(system: System, name: str, address: str) -> None:
     misses = MISSES
     while True:
-        status = 0
-        client = HttpClient(address)
-        with trio.move_on_after(PROBE_TIMEOUT_S):
-            try:
-                status = (await client.call("GET", system.wire.readiness_path)).status
-            except ConnectionLost:
-                status = 0
-        client.close()
-        misses = 0 if status == 200 else misses + 1
+        reply = await call(address, "GET", system.wire.readiness_path, timeout_s=PROBE_TIMEOUT_S)
+        misses = 0 if reply is not None and reply.status == 200 else misses + 1
         if not misses:
             system.ready.add(name)
         if misses >= MISSES:
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -12,7 +12,7 @@
 from endivewick_node.statement_wire import WireFault
 
 from ..checkers import clock_ms
-from ..http_client import ConnectionLost, HttpClient
+from ..cluster import call
 from . import database as db
 from .execution import (
     CallerConnection,
@@ -138,31 +138,19 @@
         await self._say_goodbye(upstream)
         upstream.state = UpstreamState.GONE
         self.crash(upstream)
-        member = upstream.member
-        fresh = f"{member.name}x"
-        self.database.members.pop(member.name)
-        successor = db.Member(fresh, member.data_centre, member.term, list(member.log))
-        successor.applied = len(successor.log)
-        for entry in successor.log:
-            successor.data.update(entry.writes)
-        self.database.members[fresh] = successor
-        del self.upstreams[member.name]
+        left = upstream.member.name
+        del self.upstreams[left]
+        successor = db.succeed(self.database, left, f"{left}x")
         taken = Upstream(successor, upstream.address, upstream.announced, int(time.time() * 1000))
-        self.upstreams[fresh] = taken
+        self.upstreams[successor.name] = taken
         await self.run_upstream(taken)
 
     async def _say_goodbye(self, upstream: Upstream) -> None:
         path = self.wire.report_path(upstream.member.name)
         for address in self.control_addresses:
-            client = HttpClient(address)
-            try:
-                with trio.fail_after(REPORT_TIMEOUT_S):
-                    if (await client.call("DELETE", path)).status == 200:
-                        return
-            except (ConnectionLost, trio.TooSlowError):
-                continue
-            finally:
-                client.close()
+            reply = await call(address, "DELETE", path, timeout_s=REPORT_TIMEOUT_S)
+            if reply is not None and reply.status == 200:
+                return
 
     async def _report(self, upstream: Upstream) -> None:
         while True:
@@ -189,16 +177,8 @@
         )
         path, body = self.wire.encode_report(report)
         address = upstream.report_to or self.random.choice(self.control_addresses)
-        client = HttpClient(address)
-        try:
-            with trio.fail_after(REPORT_TIMEOUT_S):
-                reply = await client.call("PUT", path, body)
-        except (ConnectionLost, trio.TooSlowError):
-            upstream.report_to = ""
-            return
-        finally:
-            client.close()
-        if reply.status != 200:
+        reply = await call(address, "PUT", path, body, timeout_s=REPORT_TIMEOUT_S)
+        if reply is None or reply.status != 200:
             upstream.report_to = ""
             return
         if report.state is UpstreamState.LEAVING and not upstream.left_acknowledged:
