--- a/packages/bench/src/endivewick_bench/soak/database.py
+++ b/packages/bench/src/endivewick_bench/soak/database.py
@@ -11,6 +11,8 @@
 from endivewick_core.positions import Position
 
 DEFAULT_LAG_MS = 30.0  # between receiving and applying an entry, without faults
+# A former leader that isn't fenced stops this long after it can reach the new one.
+UNFENCED_LEADER_MS = 1_000.0
 
 
 class Entry(NamedTuple):
@@ -27,7 +29,8 @@
 
     ``received_ms`` holds when each entry that is not applied yet was received. While
     ``paused_term`` is above the leader's term, a member receives nothing. ``is_linked`` is unset
-    while it is partitioned from the other members.
+    while it is partitioned from the other members. ``newer_leader_ms`` is since when a former
+    leader that isn't fenced can reach the leader of a newer term.
     """
 
     name: str
@@ -41,6 +44,7 @@
     is_up: bool = True
     is_linked: bool = True
     paused_term: int = 0
+    newer_leader_ms: float | None = None
     lag_ms: float = DEFAULT_LAG_MS
 
     @property
@@ -56,14 +60,19 @@
 
 @dataclass(slots=True)
 class Database:
-    """A service's members, by name."""
+    """A service's members, by name.
+
+    With ``is_fenced``, a promotion ends the former leader's leadership at once.
+    """
 
     service: str
     members: dict[str, Member] = field(default_factory=dict)
+    is_fenced: bool = True
 
     def leader(self) -> Member | None:
-        """Return the member that is the leader, even while it is down."""
-        return next((item for item in self.members.values() if item.is_leader), None)
+        """Return the leader of the newest term, even while it is down."""
+        leaders = [item for item in self.members.values() if item.is_leader]
+        return max(leaders, key=lambda item: item.term, default=None)
 
 
 def append(
@@ -93,6 +102,9 @@
         if member is leader or not member.is_up:
             continue
         linked = leader is not None and leader.is_up and leader.is_linked and member.is_linked
+        if member.is_leader:
+            _notice_newer_leader(member, linked, now_ms)
+            continue
         if leader is not None and linked and member.paused_term <= leader.term:
             _receive_log(member, leader, now_ms)
         while member.received_ms and now_ms - member.received_ms[0] >= member.lag_ms:
@@ -104,15 +116,21 @@
 def promote(database: Database, name: str) -> Member:
     """Make a member the leader of the next term, with only the entries it has received."""
     term = max(item.term for item in database.members.values()) + 1
-    for member in database.members.values():
-        member.is_leader = member.name == name
     target = database.members[name]
+    for member in database.members.values():
+        member.is_leader = member is target or (member.is_leader and not database.is_fenced)
     target.term = term
     target.paused_term = 0
     _apply_all(target)
     return target
 
 
+def step_down(member: Member, term: int) -> None:
+    """Make the leader of a term below ``term`` a replica."""
+    if member.term < term:
+        member.is_leader = False
+
+
 def replace_member(database: Database, name: str, successor: str) -> Member:
     """Replace a member by a replica of another name with the same log."""
     old = database.members.pop(name)
@@ -122,6 +140,18 @@
     return member
 
 
+def _notice_newer_leader(member: Member, is_linked: bool, now_ms: float) -> None:
+    """Make a former leader a replica, some time after it can reach the new leader."""
+    if not is_linked:
+        member.newer_leader_ms = None
+        return
+    if member.newer_leader_ms is None:
+        member.newer_leader_ms = now_ms
+    if now_ms - member.newer_leader_ms >= UNFENCED_LEADER_MS:
+        member.is_leader = False
+        member.newer_leader_ms = None
+
+
 def _receive_log(member: Member, leader: Member, now_ms: float) -> None:
     common_length = min(len(member.log), len(leader.log))
     while common_length and member.log[common_length - 1] is not leader.log[common_length - 1]:
--- a/packages/bench/src/endivewick_bench/soak/execution.py
+++ b/packages/bench/src/endivewick_bench/soak/execution.py
@@ -102,8 +102,11 @@
         connection.prepared.pop(statement.name, None)
     elif kind is K.ROLLBACK:
         connection.transaction = None
-    elif kind in (K.PAUSE, K.RESUME):
-        member.paused_term = int(statement.argument) if kind is K.PAUSE else 0
+    elif kind in (K.PAUSE, K.RESUME, K.STEP_DOWN):
+        if kind is K.STEP_DOWN:
+            db.step_down(member, int(statement.argument))
+        else:
+            member.paused_term = int(statement.argument) if kind is K.PAUSE else 0
         role = "primary" if member.is_leader else "replica"
         received = f"{member.received.term}.{member.received.offset}"
         return Result((f"{role} {member.term} {received} {member.paused_term} 0 0 0",))
--- a/packages/bench/src/endivewick_bench/soak/run.py
+++ b/packages/bench/src/endivewick_bench/soak/run.py
@@ -43,6 +43,9 @@
 _FAULT_NAMES = flags.DEFINE_list(
     "faults", [], "Only the faults whose names hold one of these words."
 )
+_FENCED = flags.DEFINE_bool(
+    "fenced", True, "A promotion ends the former primary's leadership at once."
+)
 _TIMED = flags.DEFINE_bool(
     "timed", True, "Check limits of real time; without, they only end a run that hangs."
 )
@@ -90,6 +93,7 @@
         Recorder(names),
         _GATEWAYS.value,
         _SERVICES.value,
+        _FENCED.value,
     )
     injected: list[tuple[float, str]] = []
     try:
--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -61,6 +61,8 @@
 class System:
     """The processes, stand-ins and state of one run.
 
+    ``fences_primaries`` is whether a promotion ends the former primary's leadership at once.
+
     ``unanswered_order_share`` is the share of failover orders that are carried out late and get no
     answer. ``control_disrupted_ms`` is when a fault on control last began or ended.
     """
@@ -70,6 +72,7 @@
     net: str
     random: Random
     recorder: Recorder
+    fences_primaries: bool = True
     gateways: dict[str, Node] = field(default_factory=dict)
     controls: dict[str, Node] = field(default_factory=dict)
     services: dict[str, ServiceStandIn] = field(default_factory=dict)
@@ -127,9 +130,10 @@
     recorder: Recorder,
     gateways: int,
     services: int,
+    fences_primaries: bool,
 ) -> System:
     """Write the settings of a system without starting anything."""
-    system = System(wire, folder, net, random, recorder)
+    system = System(wire, folder, net, random, recorder, fences_primaries)
     centres = list(DATA_CENTRES)
     seeds = [f"{net}.{101 + number}:8782" for number in range(CONTROL_COUNT)]
     system.operator_addresses = seeds
@@ -150,6 +154,7 @@
             f"{net}.250:8783",
             LOST_DISKS,
             GRACE_S,
+            system.fences_primaries,
             {},
         )
         system.controls[plan.name] = _make_node(system, plan, "control", None)
@@ -169,6 +174,7 @@
             f"{net}.250:8783",
             LOST_DISKS,
             GRACE_S,
+            system.fences_primaries,
             {},
         )
         relay = Relay(f"{ip}:9784", plan.session_address)
@@ -307,7 +313,7 @@
 
 
 def _plan_service(system: System, service: str, number: int) -> None:
-    database = db.Database(service)
+    database = db.Database(service, is_fenced=system.fences_primaries)
     execution = Execution(database, system.recorder, count(1))
     stand_in = ServiceStandIn(execution, {}, system.wire, system.random, system.operator_addresses)
     for index, centre in enumerate(list(DATA_CENTRES)[:UPSTREAMS_PER_SERVICE]):
@@ -325,8 +331,8 @@
 async def _handle_failover_order(system: System, request: Request, connection: Connection) -> None:
     """Carry out an order to change a primary, as the platform does.
 
-    Refuses an order whose token is older than the newest one, or whose upstream is unknown or
-    down.
+    Refuses an order whose upstream is unknown or down, and where primaries are fenced one whose
+    token is older than the newest one.
     """
     order = system.wire.read_order(request)
     if order is None:
@@ -335,7 +341,7 @@
     is_answered = system.random.random() >= system.unanswered_order_share
     if not is_answered:
         await trio.sleep(system.random.uniform(0.5, 4.0))
-    if order.token < system.newest_tokens.get(order.service, 0):
+    if system.fences_primaries and order.token < system.newest_tokens.get(order.service, 0):
         connection.respond(Response(409, {}))
         return
     system.newest_tokens[order.service] = order.token
--- a/packages/bench/src/endivewick_bench/soak/wire.py
+++ b/packages/bench/src/endivewick_bench/soak/wire.py
@@ -49,6 +49,7 @@
     platform_address: str
     lost_disks: int
     grace_s: int
+    fences_primaries: bool
     routes: dict[str, str]
 
 
--- a/packages/core/src/endivewick_core/commands.py
+++ b/packages/core/src/endivewick_core/commands.py
@@ -123,11 +123,15 @@
 
 
 class EndFailover(NamedTuple):
-    """Record that the change of primary with this fencing token has ended."""
+    """Record that the change of primary with this fencing token has ended.
+
+    ``address`` is the primary's address.
+    """
 
     service: str
     token: int
     primary: str
+    address: str = ""
 
 
 COMMANDS = build_codec(
--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -23,9 +23,10 @@
     DirectoryShare,
     DirectoryShareReceived,
     HeardReport,
+    PrimaryLeaseAnswer,
     WatermarkNote,
 )
-from . import probes
+from . import primary_leases, probes
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -130,7 +131,12 @@
         _contended(state, now_ms),
         _neighbours(state, request.data_centre),
     )
-    return [Send(request.gateway, answer)]
+    effects: list[Effect] = []
+    if primary_leases.are_needed(state):
+        # Before the answer, so that its watermarks are covered by a lease.
+        leases = PrimaryLeaseAnswer(request.sequence, primary_leases.notes(state, now_ms))
+        effects.append(Send(request.gateway, leases))
+    return [*effects, Send(request.gateway, answer)]
 
 
 def check_sharing(state: ControlState, now_ms: int) -> list[Effect]:
@@ -286,6 +292,7 @@
             service, watermark.upstream, *watermark.position, now_ms - watermark.probed_ms
         )
         for service, watermark in state.watch.watermarks.items()
+        if primary_leases.covers_watermark(state, service, watermark)
     ]
 
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -12,12 +12,12 @@
 
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
-from ..positions import Position
+from ..positions import ZERO, Position
 from ..statements import RESUME, StatementKind, UpstreamReply, internal_statement
-from . import directory, probes, replication
+from . import directory, primary_leases, probes, replication
 from .effects import Effect, LogEvent, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
-from .service_state import Failover, ProbeKind, Stage
+from .service_state import Failover, PausedReplica, ProbeKind, Stage
 from .state import ControlState, Role
 
 # The primary has failed when a majority of control finds its responses overdue for this long.
@@ -28,6 +28,8 @@
 # Write failures are ignored for this long after a failover, so that the writes that waited for it
 # can complete first.
 WRITE_FAILURE_GRACE_MS = 8_000
+# While a failover is in one of these stages, every replica is kept paused.
+PAUSED_STAGES = (Stage.PAUSING, Stage.ORDERED, Stage.PROMOTING)
 
 
 def check_failovers(state: ControlState, now_ms: int) -> list[Effect]:
@@ -50,16 +52,39 @@
 def handle_paused(
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
-    """Record the received position of a paused replica."""
+    """Record the received position of a paused replica.
+
+    A pause has no effect unless its term is above the replica's; it is then repeated.
+    """
     if reply.error is not None or reply.status is None:
         return []
+    if reply.status.paused_term <= reply.status.term:
+        return []
     entry = state.directory_state.directory.entries.get(upstream)
-    attempt = state.failover.running.get(entry.report.service) if entry is not None else None
-    if attempt is not None and attempt.stage is Stage.PAUSING:
-        attempt.received[upstream] = reply.status.received
+    if entry is None:
+        return []
+    attempt = state.failover.running.get(entry.report.service)
+    if attempt is not None and attempt.stage in PAUSED_STAGES:
+        attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received)
     return []
 
 
+def handle_stepped_down(
+    state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
+) -> list[Effect]:
+    """Record that the previous primary of a running failover has become a replica."""
+    if reply.error is not None or reply.status is None or reply.status.is_primary:
+        return []
+    entry = state.directory_state.directory.entries.get(upstream)
+    if entry is None:
+        return []
+    attempt = state.failover.running.get(entry.report.service)
+    if attempt is None or attempt.previous != upstream:
+        return []
+    attempt.stepped_down_born_ms = entry.report.born_ms
+    return [_log_event("info", "primary_stepped_down", attempt, now_ms)]
+
+
 def handle_resumed(
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
@@ -77,11 +102,7 @@
     if attempt is None or state.leader_state is None:
         return []
     if attempt.stage in (Stage.ORDERED, Stage.PROMOTING) and upstream == attempt.target:
-        attempt.stage = Stage.RESUMING
-        attempt.ordered_ms = now_ms
-        for entry in _replicas(state, service, upstream):
-            state.failover.to_resume[entry.report.upstream] = service
-        return [_log_event("info", "failover_promoted", attempt, now_ms)]
+        return _start_to_resume(state, now_ms, attempt, upstream)
     return []
 
 
@@ -129,6 +150,8 @@
     if not reason:
         return []
     attempt = Failover(service, previous, reason, may_keep_primary, now_ms)
+    record = state.replicated_state.failovers.get(service)
+    attempt.is_takeover = record is not None and record.is_open
     state.failover.running[service] = attempt
     return _propose(state, now_ms, attempt)
 
@@ -139,7 +162,9 @@
     """Return the reason for a failover, or an empty text, and whether the primary may be kept."""
     record = state.replicated_state.failovers.get(service)
     if record is not None and record.is_open:
-        return "an earlier leader left a failover open", True
+        # Without fencing, a late order of the earlier leader may still replace the primary.
+        may_keep_primary = not primary_leases.are_needed(state)
+        return "an earlier leader left a failover open", may_keep_primary
     entry = state.directory_state.directory.entries.get(previous)
     if entry is None:
         return "", False
@@ -147,7 +172,7 @@
         others = [item for item in _replicas(state, service, previous) if _is_ready(item)]
         return ("the primary is shutting down", False) if others else ("", False)
     failing_ms = probes.failing_ms(state, now_ms, service)
-    if failing_ms >= FAILURE_DETECTION_MS and _majority_finds_failing(
+    if failing_ms >= FAILURE_DETECTION_MS and probes.majority_finds_failing(
         state, now_ms, service, previous
     ):
         return f"the primary has not answered for {failing_ms} ms", True
@@ -169,20 +194,11 @@
     return failing >= 2 and failing * 2 > directory.count_gateways(state, now_ms)
 
 
-def _majority_finds_failing(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
-    """Return whether most live control processes find the primary's responses overdue."""
-    answered, failing = 1, 1
-    for peer in probes.live_peers(state, now_ms):
-        answered += 1
-        for health in peer.primaries:
-            if health.service == service and health.upstream == primary and health.failing_ms:
-                failing += 1
-    return failing * 2 > answered
-
-
 def _advance(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     if attempt.stage in (Stage.PROPOSED, Stage.ENDING):
         return []
+    if attempt.stage in PAUSED_STAGES and not primary_leases.is_confirmed_leader(state, now_ms):
+        return []
     if attempt.stage is Stage.PAUSING:
         return _pause_replicas(state, now_ms, attempt)
     if attempt.stage is Stage.RESUMING:
@@ -192,13 +208,16 @@
         return _finish(state, now_ms, attempt)
     if now_ms - attempt.ordered_ms >= PROMOTION_TIMEOUT_MS:
         return _restart(state, now_ms, attempt, "the promotion took too long")
-    if attempt.stage is Stage.ORDERED and not attempt.order_in_flight:
-        if now_ms - attempt.ordered_ms >= ORDER_RETRY_MS:
-            return _send_order(state, now_ms, attempt)
     target = state.directory_state.directory.entries.get(attempt.target)
     if target is None:
         return _restart(state, now_ms, attempt, "the target has left the directory")
-    return probes.probe_position(state, now_ms, target)
+    effects: list[Effect] = []
+    if not attempt.keeps_primary:
+        effects += _pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
+    if attempt.stage is Stage.ORDERED and not attempt.order_in_flight:
+        if now_ms - attempt.ordered_ms >= ORDER_RETRY_MS:
+            return effects + _repeat_order(state, now_ms, attempt)
+    return effects + probes.probe_position(state, now_ms, target)
 
 
 def _pause_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
@@ -208,23 +227,88 @@
     """
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
-        attempt.target = primary
-        return _send_order(state, now_ms, attempt)
+        return _keep_primary(state, now_ms, attempt, primary)
+    effects = _pause(state, now_ms, attempt)
     replicas = _replicas(state, attempt.service, attempt.previous)
+    if not replicas or _unpaused(state, attempt):
+        return effects
+    if not primary_leases.may_replace_primary(state, now_ms, attempt):
+        return effects + _step_down(state, now_ms, attempt)
+    attempt.target = _choose_target(replicas, attempt)
+    return effects + _send_order(state, now_ms, attempt)
+
+
+def _keep_primary(
+    state: ControlState, now_ms: int, attempt: Failover, primary: str
+) -> list[Effect]:
+    """Order the primary itself, so that a late order of an earlier leader is refused.
+
+    Where the platform checks no tokens nothing was ordered, and the attempt ends.
+    """
+    if primary_leases.are_needed(state):
+        return _start_to_resume(state, now_ms, attempt, primary)
+    attempt.target = primary
+    attempt.keeps_primary = True
+    return _send_order(state, now_ms, attempt)
+
+
+def _start_to_resume(
+    state: ControlState, now_ms: int, attempt: Failover, primary: str
+) -> list[Effect]:
+    attempt.stage = Stage.RESUMING
+    attempt.target = primary
+    attempt.ordered_ms = now_ms
+    for entry in _replicas(state, attempt.service, primary):
+        state.failover.to_resume[entry.report.upstream] = attempt.service
+    return [_log_event("info", "failover_promoted", attempt, now_ms)]
+
+
+def _pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
     term = probes.newest_term(state, attempt.service) + 1
     pause = internal_statement(StatementKind.PAUSE, argument=str(term))
     effects: list[Effect] = []
-    for entry in replicas:
-        upstream = entry.report.upstream
-        if upstream in attempt.received:
-            continue
-        state.failover.to_resume[upstream] = attempt.service
+    for entry in _unpaused(state, attempt):
+        state.failover.to_resume[entry.report.upstream] = attempt.service
         effects += probes.send_probe(state, now_ms, entry, pause, ProbeKind.PAUSE)
-    missing = [item for item in replicas if item.report.upstream not in attempt.received]
-    if missing or not replicas:
-        return effects
-    attempt.target = _choose_target(replicas, attempt.received)
-    return effects + _send_order(state, now_ms, attempt)
+    return effects
+
+
+def _unpaused(state: ControlState, attempt: Failover) -> list[DirectoryEntry]:
+    """Return the replicas that have not confirmed their pause since they last started."""
+    unpaused = []
+    for entry in _replicas(state, attempt.service, attempt.previous):
+        paused = attempt.paused.get(entry.report.upstream)
+        if paused is None or paused.born_ms != entry.report.born_ms:
+            unpaused.append(entry)
+    return unpaused
+
+
+def _step_down(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Tell the previous primary, where it can be reached, to become a replica."""
+    entry = state.directory_state.directory.entries.get(attempt.previous)
+    if entry is None or attempt.stepped_down_born_ms == entry.report.born_ms:
+        return []
+    term = probes.newest_term(state, attempt.service) + 1
+    step_down = internal_statement(StatementKind.STEP_DOWN, argument=str(term))
+    return probes.send_probe(state, now_ms, entry, step_down, ProbeKind.STEP_DOWN)
+
+
+def _repeat_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Repeat an order without a response, unless a replica has more of the log than its target.
+
+    A replica that registered after the order may have received commits that the target lacks.
+    """
+    if attempt.keeps_primary:
+        return _send_order(state, now_ms, attempt)
+    if _unpaused(state, attempt):
+        return []
+    replicas = _replicas(state, attempt.service, attempt.previous)
+    if replicas:
+        best = _choose_target(replicas, attempt)
+        if _received(attempt, best) > _received(attempt, attempt.target):
+            return _restart(state, now_ms, attempt, f"{best} has received more than the target")
+    return _send_order(state, now_ms, attempt)
 
 
 def _confirmed_primary(state: ControlState, now_ms: int, attempt: Failover) -> str:
@@ -235,12 +319,12 @@
     return watermark.upstream
 
 
-def _choose_target(replicas: list[DirectoryEntry], received: dict[str, Position]) -> str:
+def _choose_target(replicas: list[DirectoryEntry], attempt: Failover) -> str:
     """Return the replica with the highest received position; of equals, prefer a ready one."""
     best = max(
         replicas,
         key=lambda item: (
-            received[item.report.upstream],
+            _received(attempt, item.report.upstream),
             _is_ready(item),
             item.report.upstream,
         ),
@@ -248,6 +332,12 @@
     return best.report.upstream
 
 
+def _received(attempt: Failover, upstream: str) -> Position:
+    """Return the position that a replica had received when it was paused."""
+    paused = attempt.paused.get(upstream)
+    return paused.received if paused is not None else ZERO
+
+
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ORDERED
     attempt.ordered_ms = now_ms
@@ -258,7 +348,11 @@
 
 def _restart(state: ControlState, now_ms: int, attempt: Failover, reason: str) -> list[Effect]:
     """Restart the failover with a newer token."""
-    fresh = Failover(attempt.service, attempt.previous, reason, attempt.may_keep_primary, now_ms)
+    # Without fencing, the order of the attempt may still be carried out.
+    may_keep_primary = attempt.may_keep_primary and not primary_leases.are_needed(state)
+    fresh = Failover(attempt.service, attempt.previous, reason, may_keep_primary, now_ms)
+    fresh.stepped_down_born_ms = attempt.stepped_down_born_ms
+    fresh.is_takeover = attempt.is_takeover
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
@@ -273,7 +367,9 @@
     attempt.stage = Stage.ENDING
     state.failover.ended_ms[attempt.service] = now_ms
     log_event = _log_event("info", "failover_done", attempt, now_ms)
-    command = EndFailover(attempt.service, attempt.token, attempt.target)
+    entry = state.directory_state.directory.entries.get(attempt.target)
+    address = entry.report.address if entry is not None else ""
+    command = EndFailover(attempt.service, attempt.token, attempt.target, address)
     return [log_event, *replication.propose_now(state, now_ms, command)]
 
 
@@ -304,7 +400,10 @@
 
 
 def _log_event(level: str, name: str, attempt: Failover, now_ms: int) -> LogEvent:
-    received = {name: f"{item.term}.{item.offset}" for name, item in attempt.received.items()}
+    received = {
+        name: f"{item.received.term}.{item.received.offset}"
+        for name, item in attempt.paused.items()
+    }
     text = (
         f"{attempt.service}: {attempt.reason}; stage {attempt.stage.value}, token {attempt.token}, "
         f"from {attempt.previous or 'unknown'} to {attempt.target or 'undecided'}, received "
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/primary_leases.py
@@ -0,0 +1,179 @@
+"""Leases on primaries at a control process; see ``endivewick_core.primary_leases``.
+
+The leader grants them while a quorum confirms its leadership and the primary answers its probes.
+The other control processes request them from the leader, and pass them on to gateways. An order to
+promote another upstream waits until the leases that this or an earlier leader granted have ended,
+or until the former primary has stepped down.
+"""
+
+from ..directory import DirectoryEntry
+from ..messages import PrimaryLeaseAnswer, PrimaryLeaseNote, PrimaryLeaseQuestion
+from ..primary_leases import PrimaryLease, covers, renew, to_notes
+from . import probes, replication
+from .effects import Effect, Send
+from .service_state import Failover, PrimaryWatermark, Stage
+from .state import ControlState, Role
+
+REQUEST_INTERVAL_MS = 200  # a tenth of a lease
+REQUESTS_KEPT = 32  # more than are sent in the longest round trip
+# A leader whose leadership was last confirmed longer ago orders nothing, since another one may.
+ORDER_VALIDITY_MS = 700
+# If only the leader gets no responses from the primary, it trusts the others' probes after this
+# long. By then a primary that has failed is overdue at the others too.
+TRUST_OTHERS_AFTER_MS = 1_000
+
+
+def are_needed(state: ControlState) -> bool:
+    """Return whether the platform leaves former primaries running, so that leases are needed."""
+    return state.settings.primary_lease_ms > 0
+
+
+def check_leases(state: ControlState, now_ms: int) -> list[Effect]:
+    """Grant leases as leader, or request them from the leader when due."""
+    lease_state = state.primary_leases
+    if not are_needed(state):
+        return []
+    if state.role is Role.LEADER:
+        _grant(state, now_ms)
+        return []
+    if now_ms < lease_state.request_due_ms:
+        return []
+    address = replication.member_address(state, state.leader) if state.leader else ""
+    if not address:
+        return []
+    lease_state.request_due_ms = now_ms + REQUEST_INTERVAL_MS
+    lease_state.sequence += 1
+    lease_state.requested_ms[lease_state.sequence] = now_ms
+    lease_state.requested_ms.pop(lease_state.sequence - REQUESTS_KEPT, None)
+    return [Send(address, PrimaryLeaseQuestion(state.settings.me.address, lease_state.sequence))]
+
+
+def handle_question(
+    state: ControlState, now_ms: int, question: PrimaryLeaseQuestion
+) -> list[Effect]:
+    """Answer another control process with the leases, if this process is the leader."""
+    if state.role is not Role.LEADER or not are_needed(state):
+        return []
+    _grant(state, now_ms)
+    answer = PrimaryLeaseAnswer(question.sequence, notes(state, now_ms))
+    return [Send(question.sender, answer)]
+
+
+def handle_answer(state: ControlState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
+    """Store the leases in the leader's answer."""
+    lease_state = state.primary_leases
+    requested_ms = lease_state.requested_ms.pop(answer.sequence, None)
+    if requested_ms is not None:
+        renew(lease_state.leases, requested_ms, answer.leases)
+    return []
+
+
+def notes(state: ControlState, now_ms: int) -> list[PrimaryLeaseNote]:
+    """Return the leases that have not ended, as they are sent to another process."""
+    return to_notes(state.primary_leases.leases, now_ms)
+
+
+def covers_watermark(state: ControlState, service: str, watermark: PrimaryWatermark) -> bool:
+    """Return whether the upstream of a watermark was surely the primary when it was probed."""
+    if not are_needed(state):
+        return True
+    leases = state.primary_leases.leases
+    return covers(leases, service, watermark.upstream, watermark.probed_ms)
+
+
+def is_possible_primary(state: ControlState, entry: DirectoryEntry) -> bool:
+    """Return whether an upstream that accepts transactions may be its service's primary.
+
+    Where former primaries aren't fenced, several upstreams may accept them. The primary is the
+    target of the last promotion, or its successor at the same address.
+    """
+    if not are_needed(state):
+        return True
+    service = entry.report.service
+    attempt = state.failover.running.get(service)
+    if attempt is not None and attempt.target:
+        return entry.report.upstream == attempt.target
+    record = state.replicated_state.failovers.get(service)
+    return record is None or not record.address or record.address == entry.report.address
+
+
+def is_confirmed_leader(state: ControlState, now_ms: int) -> bool:
+    """Return whether a quorum confirmed this leader so lately that no other one orders yet."""
+    confirmed_ms = replication.confirmed_start_ms(state)
+    return confirmed_ms is not None and now_ms - confirmed_ms <= ORDER_VALIDITY_MS
+
+
+def may_replace_primary(state: ControlState, now_ms: int, attempt: Failover) -> bool:
+    """Return whether another upstream may be promoted: no lease on the former primary is left."""
+    if not are_needed(state):
+        return True
+    assert state.leader_state is not None
+    margin_ms = state.settings.lease_margin_ms
+    led_ms = now_ms - state.leader_state.since_ms
+    if _has_stepped_down(state, attempt):
+        return led_ms > ORDER_VALIDITY_MS + margin_ms
+    # An earlier leader's leases ended at most one lease after the election of this one.
+    if led_ms <= state.settings.primary_lease_ms + margin_ms:
+        return False
+    lease = state.primary_leases.leases.get(attempt.service)
+    return lease is None or now_ms > lease.valid_until_ms + margin_ms
+
+
+def _has_stepped_down(state: ControlState, attempt: Failover) -> bool:
+    """Return whether the former primary has become a replica.
+
+    That ends no lease on an upstream that an earlier leader promoted instead.
+    """
+    entry = state.directory_state.directory.entries.get(attempt.previous)
+    if entry is None or attempt.is_takeover:
+        return False
+    return attempt.stepped_down_born_ms == entry.report.born_ms
+
+
+def _grant(state: ControlState, now_ms: int) -> None:
+    """Renew the lease of every service whose primary is known and isn't being replaced."""
+    leader_state = state.leader_state
+    if leader_state is None or state.commit_index < leader_state.start_index:
+        return
+    confirmed_ms = replication.confirmed_start_ms(state)
+    if confirmed_ms is None:
+        return
+    leases = state.primary_leases.leases
+    for service, watermark in state.watch.watermarks.items():
+        if not _may_grant(state, service, watermark.upstream):
+            continue
+        until_ms = state.settings.primary_lease_ms + min(
+            confirmed_ms, _primary_known_ms(state, now_ms, service, watermark)
+        )
+        known = leases.get(service)
+        # The lease of another upstream must have ended, whoever promoted this one.
+        if known is not None and known.upstream != watermark.upstream:
+            if now_ms <= known.valid_until_ms:
+                continue
+        if known is None or known.valid_until_ms < until_ms:
+            leases[service] = PrimaryLease(watermark.upstream, until_ms)
+
+
+def _may_grant(state: ControlState, service: str, upstream: str) -> bool:
+    entry = state.directory_state.directory.entries.get(upstream)
+    if entry is None or not is_possible_primary(state, entry):
+        return False
+    attempt = state.failover.running.get(service)
+    if attempt is not None:
+        return attempt.stage in (Stage.RESUMING, Stage.ENDING)
+    record = state.replicated_state.failovers.get(service)
+    return record is None or not record.is_open
+
+
+def _primary_known_ms(
+    state: ControlState, now_ms: int, service: str, watermark: PrimaryWatermark
+) -> int:
+    """Return when the primary was last known to serve.
+
+    A lease ends soon after the primary has failed, so that its replacement need not wait.
+    """
+    if probes.failing_ms(state, now_ms, service) < TRUST_OTHERS_AFTER_MS:
+        return watermark.probed_ms
+    if probes.majority_finds_failing(state, now_ms, service, watermark.upstream):
+        return watermark.probed_ms
+    return now_ms
--- a/packages/core/src/endivewick_core/control/probes.py
+++ b/packages/core/src/endivewick_core/control/probes.py
@@ -68,6 +68,17 @@
     return age_ms - PROBE_INTERVAL_MS if age_ms > PROBE_INTERVAL_MS + OVERDUE_AFTER_MS else 0
 
 
+def majority_finds_failing(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
+    """Return whether most live control processes find the primary's responses overdue."""
+    answered, failing = 1, 1
+    for peer in live_peers(state, now_ms):
+        answered += 1
+        for health in peer.primaries:
+            if health.service == service and health.upstream == primary and health.failing_ms:
+                failing += 1
+    return failing * 2 > answered
+
+
 def send_probe(
     state: ControlState, now_ms: int, entry: DirectoryEntry, statement: Statement, kind: ProbeKind
 ) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -10,6 +10,8 @@
     DirectoryShareReceived,
     JoinReply,
     JoinRequest,
+    PrimaryLeaseAnswer,
+    PrimaryLeaseQuestion,
     ProxyHeartbeat,
     SnapshotRequest,
     VoteReply,
@@ -24,6 +26,7 @@
     membership,
     operators,
     placement,
+    primary_leases,
     replication,
     watch,
 )
@@ -51,6 +54,8 @@
     DirectoryQuestion: directory.handle_directory_request,
     DirectoryShare: directory.handle_share,
     DirectoryShareReceived: directory.handle_share_received,
+    PrimaryLeaseQuestion: primary_leases.handle_question,
+    PrimaryLeaseAnswer: primary_leases.handle_answer,
 }
 
 _EVENT_HANDLERS: dict[type, Any] = {
@@ -81,6 +86,7 @@
         return []
     effects = directory.check_sharing(state, now_ms)
     effects += watch.check_primaries(state, now_ms)
+    effects += primary_leases.check_leases(state, now_ms)
     return effects + failover.check_failovers(state, now_ms)
 
 
--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -55,6 +55,7 @@
     assert leader_state is not None
     leader_state.round_number += 1
     leader_state.round_started_ms = now_ms
+    leader_state.round_starts.append((leader_state.round_number, now_ms))
     leader_state.round_requested = False
     effects: list[Effect] = []
     for member in peers(state):
@@ -150,6 +151,21 @@
     return rounds[quorum_size(state) - 1]
 
 
+def confirmed_start_ms(state: ControlState) -> int | None:
+    """Return when the latest round that a quorum has echoed started, None if there is none.
+
+    No other leader had been elected at that time.
+    """
+    assert state.leader_state is not None
+    confirmed = confirmed_round(state)
+    starts = state.leader_state.round_starts
+    while len(starts) > 1 and starts[1][0] <= confirmed:
+        starts.popleft()
+    if not starts or starts[0][0] > confirmed:
+        return None
+    return starts[0][1]
+
+
 def advance_commit(state: ControlState, now_ms: int) -> list[Effect]:
     """Commit and apply the entries that a quorum has synced."""
     leader_state = state.leader_state
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -11,6 +11,7 @@
 from ..directory import Directory
 from ..messages import ControlPeer, PrimaryHealth
 from ..positions import Position
+from ..primary_leases import PrimaryLeases
 
 
 class ProbeKind(StrEnum):
@@ -20,6 +21,7 @@
     ROLLBACK = "rollback"
     PAUSE = "pause"
     RESUME = "resume"
+    STEP_DOWN = "step_down"
 
 
 class PendingProbe(NamedTuple):
@@ -83,12 +85,25 @@
     ENDING = "ending"
 
 
+class PausedReplica(NamedTuple):
+    """A replica that confirmed its pause, and the end of its log.
+
+    A restart ends the pause, so ``born_ms`` identifies the start that confirmed it.
+    """
+
+    born_ms: int
+    received: Position
+
+
 @dataclass(slots=True)
 class Failover:
     """A failover that this leader carries out.
 
     ``may_keep_primary`` is set where the current primary is kept if it responds before the order.
-    ``received`` holds the received positions of the paused replicas.
+    ``keeps_primary`` is set where the target is the current primary. ``paused`` holds the replicas
+    that confirmed their pause. ``stepped_down_born_ms`` identifies the start of the previous
+    primary that confirmed that it has become a replica, None if none did. ``is_takeover`` is set
+    where an earlier leader began to replace the primary.
     """
 
     service: str
@@ -101,7 +116,10 @@
     target: str = ""
     ordered_ms: int = 0
     order_in_flight: bool = False
-    received: dict[str, Position] = field(default_factory=dict)
+    keeps_primary: bool = False
+    stepped_down_born_ms: int | None = None
+    is_takeover: bool = False
+    paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -117,6 +135,19 @@
     ended_ms: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class LeaseState:
+    """The leases on primaries that this process granted as leader, or obtained from its leader.
+
+    ``requested_ms`` gives the time of each unanswered request by its sequence number.
+    """
+
+    leases: PrimaryLeases = field(default_factory=dict)
+    sequence: int = 0
+    requested_ms: dict[int, int] = field(default_factory=dict)
+    request_due_ms: int = 0
+
+
 @dataclass(slots=True)
 class PendingReport:
     """A report whose acknowledgement waits until another control process has received it."""
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -1,5 +1,6 @@
 """The state of a control process: its log, its role, and its data about services."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -9,7 +10,7 @@
 from ..messages import ControlPeer, Member, ProxyHeartbeat
 from ..replicated_state import ReplicatedState
 from .log import Log
-from .service_state import DirectoryState, FailoverState, WatchState
+from .service_state import DirectoryState, FailoverState, LeaseState, WatchState
 
 
 class ControlSettings(NamedTuple):
@@ -18,6 +19,8 @@
     ``members`` maps the names of the control processes to their addresses. Where it is empty, the
     processes are discovered: each is named by its address, ``seeds`` are contacted first, and up to
     ``voter_target`` processes vote. ``me`` holds the addresses of this process.
+    ``primary_lease_ms`` is how long a lease on a primary lasts, 0 where the platform fences former
+    primaries, so that no leases are needed.
     """
 
     members: dict[str, str]
@@ -29,6 +32,7 @@
     election_timeout_ms: int = 600
     lease_ms: int = 2_000
     lease_margin_ms: int = 100
+    primary_lease_ms: int = 0
     join_interval_ms: int = 500
     snapshot_entries: int = 1_000
     entries_kept: int = 200
@@ -103,7 +107,8 @@
 
     ``assignments_in_flight`` maps groups to the index of the uncommitted entry that assigns their
     home. ``groups_to_release`` holds the groups that a proxy is asked to release, because it holds
-    more than its share.
+    more than its share. ``round_starts`` pairs the latest confirmed round, and those after it, with
+    their start times.
     """
 
     since_ms: int
@@ -111,6 +116,7 @@
     round_number: int = 0
     round_started_ms: int = 0
     round_requested: bool = True
+    round_starts: deque[tuple[int, int]] = field(default_factory=deque)
     answered_round: int = 0
     snapshot: tuple[int, bytes] = (0, b"")
     placement_due_ms: int = 0
@@ -153,6 +159,7 @@
     directory_state: DirectoryState = field(default_factory=DirectoryState)
     watch: WatchState = field(default_factory=WatchState)
     failover: FailoverState = field(default_factory=FailoverState)
+    primary_leases: LeaseState = field(default_factory=LeaseState)
 
     @property
     def membership(self) -> Membership:
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -13,7 +13,7 @@
     ConnectionOpened,
     ConnectionReplied,
 )
-from . import failover, probes
+from . import failover, primary_leases, probes
 from .effects import Effect, LogEvent
 from .service_state import PendingProbe, PrimaryWatermark, ProbeKind, WatchedConnection
 from .state import ControlState
@@ -52,15 +52,15 @@
     if not connection.pending_probes:
         return _close_failed(state, event.now_ms, connection, "response without a pending probe")
     pending = connection.pending_probes.popleft()
-    if event.reply.position is not None:
-        term = max(state.watch.terms.get(connection.service, 0), event.reply.position.term)
-        state.watch.terms[connection.service] = term
+    _record_term(state, connection.service, event.reply)
     if pending.kind is ProbeKind.POSITION:
         return _accept_position(state, event.now_ms, connection, pending, event.reply)
     if pending.kind is ProbeKind.PAUSE:
         return failover.handle_paused(state, event.now_ms, connection.upstream, event.reply)
     if pending.kind is ProbeKind.RESUME:
         return failover.handle_resumed(state, event.now_ms, connection.upstream, event.reply)
+    if pending.kind is ProbeKind.STEP_DOWN:
+        return failover.handle_stepped_down(state, event.now_ms, connection.upstream, event.reply)
     return []
 
 
@@ -75,6 +75,14 @@
     return [LogEvent("warning", "upstream_unreachable", text)]
 
 
+def _record_term(state: ControlState, service: str, reply: UpstreamReply) -> None:
+    """Record a service's newest term; a log's end may still have an earlier one."""
+    term = reply.position.term if reply.position is not None else 0
+    if reply.status is not None:
+        term = max(term, reply.status.term)
+    state.watch.terms[service] = max(state.watch.terms.get(service, 0), term)
+
+
 def _open_connections(
     state: ControlState, now_ms: int, entries: list[DirectoryEntry]
 ) -> list[Effect]:
@@ -116,6 +124,9 @@
         # that the upstream is the primary.
         return _close_failed(state, now_ms, connection, "a response is missing")
     service = connection.service
+    entry = state.directory_state.directory.entries.get(connection.upstream)
+    if entry is None or not primary_leases.is_possible_primary(state, entry):
+        return []
     previous = state.watch.watermarks.get(service)
     if previous is not None and previous.upstream != connection.upstream:
         if reply.position.term < previous.position.term:
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -0,0 +1,76 @@
+"""Commits whose success was received without a lease on the primary.
+
+The upstream may have been replaced before the commit, which is then lost. The client is answered
+once a later lease shows which upstream was the primary at the time, or at the statement's timeout.
+"""
+
+from ..messages import PrimaryLeaseAnswer
+from ..primary_leases import renew
+from ..statements import Error, Fault, UpstreamReply
+from . import answers, routing
+from .effects import Effect, LogEvent
+from .primary_leases import covers_primary
+from .requests import apply_success
+from .state import GatewayState, Request, UnconfirmedCommit
+
+
+def handle_leases(state: GatewayState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
+    """Store the leases in control's answer, and continue the work that waited for them."""
+    requested_ms = state.control.poll_sent_ms.get(answer.sequence)
+    if requested_ms is None or not state.settings.needs_primary_leases:
+        return []
+    renew(state.primary_leases, requested_ms, answer.leases)
+    effects = _resolve_commits(state, now_ms)
+    for note in answer.leases:
+        effects += routing.dispatch_queued(state, now_ms, note.service)
+    return effects
+
+
+def await_confirmation(
+    state: GatewayState, now_ms: int, upstream: str, request: Request, reply: UpstreamReply
+) -> list[Effect]:
+    """Keep a commit's success until a lease shows whether its upstream was the primary."""
+    state.unconfirmed_commits.append(UnconfirmedCommit(now_ms, upstream, request, reply))
+    lease = state.primary_leases.get(request.route.service)
+    inputs: dict[str, object] = {
+        "upstream": upstream,
+        "service": request.route.service,
+        "lease_on": lease.upstream if lease is not None else "",
+        "lease_ended_ms_ago": now_ms - lease.valid_until_ms if lease is not None else None,
+    }
+    log_event = LogEvent(
+        "warning",
+        "commit_unconfirmed",
+        request.statement.request_id,
+        request.route.workspace,
+        inputs,
+        "waits for a lease on the primary",
+    )
+    return [log_event]
+
+
+def is_waiting(state: GatewayState, request: Request) -> bool:
+    """Return whether a request's commit waits for its confirmation."""
+    return any(commit.request is request for commit in state.unconfirmed_commits)
+
+
+def _resolve_commits(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Answer the commits whose upstream is now known to have been the primary, or another one."""
+    waiting, state.unconfirmed_commits = state.unconfirmed_commits, []
+    effects: list[Effect] = []
+    for commit in waiting:
+        request = commit.request
+        service = request.route.service
+        if request.serial not in state.requests:
+            continue
+        if covers_primary(state, service, commit.upstream, commit.received_ms):
+            apply_success(state.sessions[request.session], request, commit.reply.position)
+            effects += answers.succeed(state, now_ms, request, commit.reply)
+            continue
+        lease = state.primary_leases.get(service)
+        if lease is None or lease.upstream == commit.upstream:
+            state.unconfirmed_commits.append(commit)
+            continue
+        text = f"{commit.upstream} was replaced as primary at about the time of the commit"
+        effects += answers.fail(state, now_ms, request, Error(Fault.OUTCOME_UNKNOWN, text))
+    return effects
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -67,6 +67,7 @@
     if link.last_received_ms is None:
         effects.append(_log_event("info", "control_found", link.address, "serving"))
     link.last_received_ms = now_ms
+    link.leader_contact_ms = max(link.leader_contact_ms or 0, sent_ms - answer.leader_age_ms)
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
     link.gateways = max(1, answer.gateways)
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, routing
+from . import limits, primary_leases, routing
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -116,6 +116,7 @@
     batch.append((UpstreamStatement(begin, wait_for), PendingStatement(Purpose.BEGIN, now_ms)))
     connection.transaction_version = _required_transaction_version(state)
     connection.next_request = request
+    request.wait_for = wait_for
     return _send(connection, batch)
 
 
@@ -127,6 +128,11 @@
     session = state.sessions.get(request.session)
     if session is None or session.current is not request:
         return release(state, now_ms, connection)
+    service = request.route.service
+    if request.wait_for is None and not primary_leases.covers_primary(
+        state, service, connection.upstream, now_ms
+    ):
+        return routing.enqueue(state, now_ms, request) + release(state, now_ms, connection)
     return _send_in_transaction(state, now_ms, connection, session, request)
 
 
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -2,8 +2,22 @@
 
 from typing import Any
 
-from ..messages import DirectoryAnswer, ForwardedEnd, ForwardedReply, ForwardedStatement
-from . import control_link, forwarding, maintenance, results, routing, sessions
+from ..messages import (
+    DirectoryAnswer,
+    ForwardedEnd,
+    ForwardedReply,
+    ForwardedStatement,
+    PrimaryLeaseAnswer,
+)
+from . import (
+    commit_confirmations,
+    control_link,
+    forwarding,
+    maintenance,
+    results,
+    routing,
+    sessions,
+)
 from .effects import Effect, LogEvent
 from .events import (
     ConfigurationReceived,
@@ -56,6 +70,8 @@
 def _handle_message(state: GatewayState, event: MessageReceived) -> list[Effect]:
     if isinstance(event.message, DirectoryAnswer):
         return control_link.handle_answer(state, event.now_ms, event.message)
+    if isinstance(event.message, PrimaryLeaseAnswer):
+        return commit_confirmations.handle_leases(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedStatement):
         return forwarding.handle_statement(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedReply):
--- a/packages/core/src/endivewick_core/gateway/requests.py
+++ b/packages/core/src/endivewick_core/gateway/requests.py
@@ -38,7 +38,7 @@
 
 def is_single_read(session: Session, request: Request) -> bool:
     """Tell whether a request is a read outside a transaction, so that it may be repeated."""
-    return session.state is TransactionState.IDLE and not request.is_write
+    return session.state is TransactionState.IDLE and not request.changes_data
 
 
 def commits_writes(session: Session, request: Request) -> bool:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -14,7 +14,7 @@
     UpstreamReply,
 )
 from ..watermarks import WatermarkHistory, add_watermark
-from . import answers, forwarding, pool, routing
+from . import answers, commit_confirmations, forwarding, pool, primary_leases, routing
 from .effects import CloseConnection, Effect, LogEvent
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
 from .requests import apply_success, commits_writes, is_single_read
@@ -259,12 +259,19 @@
     in_plain = connection.in_transaction and not session.is_read_only
     if pool.is_primary(state, item) and (in_plain or commits_writes(session, request)):
         _record_watermark(state, item.service, pending.sent_ms, reply)
-    apply_success(session, request, reply.position)
     if request.statement.kind is StatementKind.COMMIT:
         session.connection = None
         connection.session = None
         connection.is_used = False
-    effects = answers.succeed(state, now_ms, request, reply)
+    if commits_writes(session, request) and not primary_leases.covers_primary(
+        state, item.service, item.upstream, now_ms
+    ):
+        effects = commit_confirmations.await_confirmation(
+            state, now_ms, item.upstream, request, reply
+        )
+    else:
+        apply_success(session, request, reply.position)
+        effects = answers.succeed(state, now_ms, request, reply)
     return effects + _advance_connection(state, now_ms, connection)
 
 
@@ -317,8 +324,11 @@
 def _record_watermark(
     state: GatewayState, service: str, sent_ms: int, reply: UpstreamReply
 ) -> None:
+    upstream = state.primaries[service]
     if reply.position is None:
         return
+    if not primary_leases.covers_primary(state, service, upstream, sent_ms):
+        return
     history = state.watermarks.setdefault(service, WatermarkHistory())
     add_watermark(history, sent_ms, reply.position)
 
@@ -370,6 +380,9 @@
         error = Error(Fault.BUSY, text, routing.RETRY_AFTER_MS)
         return answers.fail(state, now_ms, request, error)
     error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
+    if commit_confirmations.is_waiting(state, request):
+        text = f"no lease shows that {request.upstream} was the primary at the commit"
+        error = Error(Fault.OUTCOME_UNKNOWN, text)
     number = session.connection
     session.connection = None
     effects = forwarding.send_end(state, session) + answers.fail(state, now_ms, request, error)
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool
+from . import answers, forwarding, holders, pool, primary_leases
 from .effects import Effect, LogEvent
 from .state import (
     GatewayState,
@@ -37,6 +37,7 @@
 LAGGING_BACKOFF_MS = 150  # after a replica answered that it lacks the required position
 MAX_READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_AFTER_MS = 300  # sent to clients whose statement was refused for lack of capacity
+OUT_OF_REACH_RETRY_AFTER_MS = 1_000  # about the time of an election in control
 
 
 class RoutingResult(NamedTuple):
@@ -55,6 +56,10 @@
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
         return result.effects
+    if primary_leases.is_out_of_reach(state, now_ms):
+        text = "this gateway has no contact with control, which would confirm the primary"
+        error = Error(Fault.BUSY, text, OUT_OF_REACH_RETRY_AFTER_MS)
+        return result.effects + answers.fail(state, now_ms, request, error)
     return result.effects + enqueue(state, now_ms, request)
 
 
@@ -222,7 +227,11 @@
         cost_ms = _cost_ms(state, item, is_primary)
         if best is None or cost_ms < best_cost_ms:
             best, best_cost_ms = item, cost_ms
-    if best is None or pool.is_primary(state, best):
+    if best is None:
+        return _try_primary(state, now_ms, session, request)
+    if pool.is_primary(state, best) and primary_leases.covers_primary(
+        state, service, best.upstream, now_ms
+    ):
         return _try_primary(state, now_ms, session, request)
     return _try_upstream(state, now_ms, session, request, best.upstream, position)
 
@@ -250,8 +259,12 @@
     item = state.pools.get(upstream)
     if item is None or not pool.accepts_work(state, item) or now_ms < item.busy_backoff_until_ms:
         return RoutingResult(False, [])
-    if wait_for is None and now_ms < item.read_only_backoff_until_ms:
-        return RoutingResult(False, [])
+    if wait_for is None:
+        if now_ms < item.read_only_backoff_until_ms:
+            return RoutingResult(False, [])
+        if not primary_leases.covers_primary(state, item.service, upstream, now_ms):
+            request.last_refusal = f"{upstream}: no lease on it as the primary"
+            return RoutingResult(False, [])
     connection = pool.take_idle(item, session)
     if connection is None:
         queue = state.queues.get(item.service)
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -11,8 +11,15 @@
 from ..directory import Directory
 from ..messages import ControlPeer
 from ..positions import Position
+from ..primary_leases import PrimaryLeases
 from ..routes import EMPTY, Configuration, Route
-from ..statements import PreparedStatement, Statement, StatementKind, TransactionState
+from ..statements import (
+    PreparedStatement,
+    Statement,
+    StatementKind,
+    TransactionState,
+    UpstreamReply,
+)
 from ..watermarks import WatermarkHistory
 from .effects import Send
 
@@ -45,6 +52,8 @@
     connection_limit_backoff_ms: int = 150
     # Queued statements of one gateway; keeps the queue's memory below a megabyte.
     queue_limit: int = 500
+    # Whether the platform leaves former primaries running, so that a lease proves which one leads.
+    needs_primary_leases: bool = False
 
 
 def distance(settings: GatewaySettings, data_centre: str) -> int:
@@ -202,6 +211,8 @@
     ``holder_last_received_ms`` is when each connection holder last answered, and
     ``undelivered_since_ms`` since when messages to it can't be sent.
 
+    ``leader_contact_ms`` is when the polled control processes last had contact with their leader.
+
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
     gateways want together.
     """
@@ -213,6 +224,7 @@
     address_chosen_ms: int = 0
     poll_sent_ms: dict[int, int] = field(default_factory=dict)
     last_received_ms: int | None = None
+    leader_contact_ms: int | None = None
     next_poll_ms: int = 0
     backoff_until_ms: dict[str, int] = field(default_factory=dict)
     boot: str = ""
@@ -225,6 +237,15 @@
     undelivered_since_ms: dict[str, int] = field(default_factory=dict)
 
 
+class UnconfirmedCommit(NamedTuple):
+    """An upstream's success that is not known to be of the primary, received at ``received_ms``."""
+
+    received_ms: int
+    upstream: str
+    request: Request
+    reply: UpstreamReply
+
+
 class QueuedRequest(NamedTuple):
     """A queued request; the lowest priority number goes first, then the oldest."""
 
@@ -259,7 +280,8 @@
     By service, ``primary_confirmed_ms`` is when the upstream in ``primaries`` was last known to be
     the primary, ``unanswered_write_since_ms`` is when the first write was sent after the last one
     that the primary answered, and ``unreachable_since_ms`` is since when the primary can't be
-    connected to.
+    connected to. ``primary_leases`` are empty where the platform fences former primaries.
+    ``unconfirmed_commits`` are answered once a lease covers the time of their success.
     """
 
     settings: GatewaySettings
@@ -269,6 +291,8 @@
     watermarks: dict[str, WatermarkHistory] = field(default_factory=dict)
     primaries: dict[str, str] = field(default_factory=dict)
     primary_confirmed_ms: dict[str, int] = field(default_factory=dict)
+    primary_leases: PrimaryLeases = field(default_factory=dict)
+    unconfirmed_commits: list[UnconfirmedCommit] = field(default_factory=list)
     unanswered_write_since_ms: dict[str, int] = field(default_factory=dict)
     unreachable_since_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -374,6 +374,31 @@
     neighbours: list[str]
 
 
+class PrimaryLeaseNote(NamedTuple):
+    """A lease on a service's primary, which ends ``left_ms`` after the message was sent."""
+
+    service: str
+    upstream: str
+    left_ms: int
+
+
+class PrimaryLeaseQuestion(NamedTuple):
+    """A control process's request to its leader for the leases on primaries."""
+
+    sender: str
+    sequence: int
+
+
+class PrimaryLeaseAnswer(NamedTuple):
+    """The leases on primaries, in response to the request with this ``sequence``.
+
+    The request is a PrimaryLeaseQuestion, or the DirectoryQuestion of a gateway.
+    """
+
+    sequence: int
+    leases: list[PrimaryLeaseNote]
+
+
 class DirectoryShare(NamedTuple):
     """What one control process knows about upstreams and gateways, sent to another.
 
@@ -472,6 +497,8 @@
         GrantAnswer,
         DirectoryQuestion,
         DirectoryAnswer,
+        PrimaryLeaseQuestion,
+        PrimaryLeaseAnswer,
         DirectoryShare,
         DirectoryShareReceived,
         ForwardedStatement,
--- a/packages/core/src/endivewick_core/replicated_state.py
+++ b/packages/core/src/endivewick_core/replicated_state.py
@@ -83,12 +83,17 @@
 
 
 class FailoverRecord(NamedTuple):
-    """The newest change of primary of a service; ``is_open`` until its holder ends it."""
+    """The newest change of primary of a service; ``is_open`` until its holder ends it.
+
+    ``address`` is that of the primary, where its log stays if it restarts under another name. It
+    is empty in records that were written before it was stored.
+    """
 
     token: int
     holder: str
     is_open: bool
     primary: str
+    address: str = ""
 
 
 class StoredConfiguration(NamedTuple):
@@ -349,9 +354,12 @@
     replicated_state: ReplicatedState, index: int, command: BeginFailover
 ) -> ChangeResult:
     current = replicated_state.failovers.get(command.service)
-    primary = current.primary if current else ""
     replicated_state.failovers[command.service] = FailoverRecord(
-        index, command.holder, True, primary
+        index,
+        command.holder,
+        True,
+        current.primary if current else "",
+        current.address if current else "",
     )
     return ChangeResult("", 0, index)
 
@@ -363,7 +371,7 @@
     if current is None or current.token != command.token:
         return ChangeResult("change_conflict", 0, index)
     replicated_state.failovers[command.service] = current._replace(
-        is_open=False, primary=command.primary
+        is_open=False, primary=command.primary, address=command.address
     )
     return ChangeResult("", 0, index)
 
--- a/packages/core/src/endivewick_core/statements.py
+++ b/packages/core/src/endivewick_core/statements.py
@@ -21,6 +21,7 @@
     RESET = "reset"
     PAUSE = "pause"
     RESUME = "resume"
+    STEP_DOWN = "stepdown"
     UNREADABLE = "unreadable"
 
 
@@ -98,10 +99,16 @@
 
 
 class UpstreamStatus(NamedTuple):
-    """An upstream's role and the end of the log it has received, which may not be applied yet."""
+    """An upstream's role, its term and the end of the log it has received.
+
+    The end of the log may not be applied yet, and its term is that of its last entry. A replica
+    receives nothing while ``paused_term`` is above its ``term``.
+    """
 
     is_primary: bool
     received: Position
+    term: int
+    paused_term: int
 
 
 class UpstreamReply(NamedTuple):
--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -54,6 +54,7 @@
     leads: bool = False
     received: Position = Position(1, 10)
     reachable: bool = True
+    term: int = 1
     paused_term: int = 0
     state: UpstreamState = UpstreamState.READY
     born_ms: int = 1_000
@@ -140,9 +141,13 @@
             upstream.paused_term = int(statement.argument)
         if statement.kind is StatementKind.RESUME:
             upstream.paused_term = 0
+        if statement.kind is StatementKind.STEP_DOWN:
+            upstream.leads = upstream.leads and int(statement.argument) <= upstream.term
         status = None
-        if statement.kind in (StatementKind.PAUSE, StatementKind.RESUME):
-            status = UpstreamStatus(upstream.leads, upstream.received)
+        if statement.kind in (StatementKind.PAUSE, StatementKind.RESUME, StatementKind.STEP_DOWN):
+            status = UpstreamStatus(
+                upstream.leads, upstream.received, upstream.term, upstream.paused_term
+            )
         error = None
         if statement.kind is StatementKind.BEGIN and not upstream.leads:
             error = Error(Fault.READ_ONLY, "")
@@ -211,19 +216,25 @@
         event = ce.FailoverAnswered(self.now_ms, order.service, order.token, outcome)
         self.handle(event)
 
-    def promote(self, name):
-        """Let an upstream lead the next term, as the platform does after an order."""
-        term = max(item.received.term for item in self.upstreams.values()) + 1
+    def promote(self, name, is_fenced=True):
+        """Let an upstream lead the next term, as the platform does after an order.
+
+        A platform that fences former primaries ends their leadership at the same moment.
+        """
+        term = max(item.term for item in self.upstreams.values()) + 1
         for upstream in self.upstreams.values():
-            upstream.leads = upstream.name == name
+            upstream.leads = upstream.name == name or (upstream.leads and not is_fenced)
+        self.upstreams[name].term = term
         self.upstreams[name].received = Position(term, self.upstreams[name].received.offset)
         self.upstreams[name].paused_term = 0
 
 
-def leading_control():
+def leading_control(primary_lease_ms=0):
     """Return a leader of three founders, with a configuration and three upstreams."""
     me = Member(f"{ADDRESSES[0]}#founder", ADDRESSES[0], ADDRESSES[0])
-    settings = ControlSettings({}, {}, ADDRESSES, 3, peer(ADDRESSES[0]))
+    settings = ControlSettings(
+        {}, {}, ADDRESSES, 3, peer(ADDRESSES[0]), primary_lease_ms=primary_lease_ms
+    )
     state = ControlState(settings, me, Role.FOLLOWER)
     voters = [Member(f"{address}#founder", address, address) for address in ADDRESSES]
     state.snapshot_membership = Membership(voters, [])
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -8,7 +8,14 @@
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway.reducer import reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
-from endivewick_core.messages import ControlPeer, DirectoryAnswer, HeardReport, WatermarkNote
+from endivewick_core.messages import (
+    ControlPeer,
+    DirectoryAnswer,
+    HeardReport,
+    PrimaryLeaseAnswer,
+    PrimaryLeaseNote,
+    WatermarkNote,
+)
 from endivewick_core.positions import Position
 from endivewick_core.routes import Configuration, Freshness, Route, Service
 from endivewick_core.statements import (
@@ -163,6 +170,12 @@
         )
         self.handle(ev.MessageReceived(self.now_ms, answer._replace(**changes)))
 
+    def grant_lease(self, left_ms=2_000, upstream=PRIMARY):
+        """Let control answer the gateway's latest poll with a lease on the primary."""
+        question = [item for item in self.messages if item.address == CONTROL][-1].message
+        notes = [PrimaryLeaseNote(SERVICE, upstream, left_ms)]
+        self.handle(ev.MessageReceived(self.now_ms, PrimaryLeaseAnswer(question.sequence, notes)))
+
     def open_all(self):
         """Accept every connection that is being opened, and answer its setup statements."""
         while self.opening:
@@ -236,9 +249,13 @@
         return WatermarkNote(SERVICE, upstream, term, number, age_ms)
 
 
-def ready_gateway(version=1, connections=1, address="10.0.0.9:7000", **changes):
+def ready_gateway(
+    version=1, connections=1, address="10.0.0.9:7000", needs_primary_leases=False, **changes
+):
     """Return a gateway with a configuration, three upstreams and open connections."""
-    settings = GatewaySettings(address, "b", "dc-a", REGIONS, [CONTROL])
+    settings = GatewaySettings(
+        address, "b", "dc-a", REGIONS, [CONTROL], needs_primary_leases=needs_primary_leases
+    )
     gateway = Gateway(GatewayState(settings))
     gateway.tick()
     gateway.handle(ev.ConfigurationReceived(gateway.now_ms, configuration(version, **changes)))
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -41,6 +41,8 @@
     DirectoryAnswer,
     DirectoryQuestion,
     HeardReport,
+    PrimaryLeaseAnswer,
+    PrimaryLeaseNote,
     WatermarkNote,
 )
 from endivewick_core.routes import Freshness
@@ -67,6 +69,7 @@
 TICK_MS = 20
 REPLICATE_MS = 5
 PROBE_INTERVAL_MS = 400  # between control's probes of the primary for its position
+LEASE_MS = 2_000  # on the primary, from the probe that confirmed it
 RESTART_MS = 500
 RECONNECT_MS = 300
 IDLE_IN_TRANSACTION_MS = 3_500.0  # above the configuration's limit for idle transactions
@@ -140,8 +143,10 @@
         clients: int = 6,
         holders: bool = False,
         load: Load = DEFAULT_LOAD,
+        fenced: bool = True,
     ):
         self.load = load
+        self.fenced = fenced
         self.used_slots: Counter[str] = Counter()
         self.waiting: dict[str, deque[tuple[Link, UpstreamStatement]]] = {}
         self.random = Random(seed)
@@ -155,7 +160,7 @@
             )
             for number in range(3)
         }
-        self.database = db.Database(SERVICE, members)
+        self.database = db.Database(SERVICE, members, fenced)
         self.recorder = Recorder(frozenset(CHECKS) - TIMED_CHECKS)
         self.execution = Execution(self.database, self.recorder, count(1))
         self.configuration = configuration(limit=load.connection_limit)
@@ -207,7 +212,13 @@
 
     def _new_state(self, address: str) -> GatewayState:
         settings = GatewaySettings(
-            address, f"b{next(self.serial)}", "dc-a", REGIONS, [CONTROL], open_timeout_ms=400
+            address,
+            f"b{next(self.serial)}",
+            "dc-a",
+            REGIONS,
+            [CONTROL],
+            open_timeout_ms=400,
+            needs_primary_leases=not self.fenced,
         )
         return GatewayState(settings)
 
@@ -294,6 +305,8 @@
     # Control always knows the primary, but a control process that was frozen may send old data.
 
     def _probe_primary(self) -> None:
+        if self.is_failing_over and not self.fenced:
+            return  # each probe extends the lease
         leader = self.database.leader()
         if leader is not None and leader.is_up:
             self.watermarks.append((leader.name, self.now_ms, leader.received))
@@ -340,8 +353,12 @@
             {},
             alive if self.holders else [],
         )
-        event = ev.MessageReceived(int(self.now_ms), answer)
-        self.schedule(self.random.uniform(0.2, 5.0), lambda: self._deliver_now(address, event))
+        left_ms = int(asked_ms + LEASE_MS - self.now_ms)
+        notes = [PrimaryLeaseNote(SERVICE, upstream, left_ms)] if left_ms > 0 else []
+        delay_ms = self.random.uniform(0.2, 5.0)
+        for message in (PrimaryLeaseAnswer(question.sequence, notes), answer):
+            event = ev.MessageReceived(int(self.now_ms), message)
+            self.schedule(delay_ms, partial(self._deliver_now, address, event))
 
     def _deliver_now(self, address: str, event: Any) -> None:
         self.deliver(address, event._replace(now_ms=int(self.now_ms)))
@@ -586,7 +603,10 @@
             # A pause takes effect only above the newest term, which a partitioned member may lack.
             item.paused_term = newest + 1
         target = max(replicas, key=lambda item: item.received)
-        self.schedule(self.random.uniform(1, 300), lambda: self._promote(target.name))
+        delay_ms = self.random.uniform(1, 300)
+        if not self.fenced and self.watermarks:
+            delay_ms += self.watermarks[-1][1] + LEASE_MS - self.now_ms
+        self.schedule(delay_ms, lambda: self._promote(target.name))
 
     def _promote(self, name: str) -> None:
         member = db.promote(self.database, name)
--- /dev/null
+++ b/tests/test_failover_pauses.py
@@ -0,0 +1,91 @@
+"""The pauses of a failover cover replicas that register, restart or answer while it runs.
+
+Pattern (soak seed 101): a replica is replaced while the order to promote another one has no
+response. The new one receives commits from the former primary, which the target lacks.
+"""
+
+import pytest
+from control_driver import FakeUpstream, leading_control
+from endivewick_core.control.events import FailoverOutcome
+from endivewick_core.directory import UpstreamState
+from endivewick_core.positions import Position
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan
+
+
+@pytest.fixture
+def control():
+    return leading_control()
+
+
+def order_failover(control):
+    """Let the primary fail until a failover is ordered; return the order."""
+    control.upstreams["u-primary"].reachable = False
+    control.break_connections("u-primary")
+    control.run(3_000)
+    return control.orders[-1]
+
+
+def register(control, name, received):
+    """Start a replica whose log reaches up to ``received``."""
+    newcomer = FakeUpstream(name, received=received, born_ms=9_000)
+    control.upstreams[name] = newcomer
+    control.report(newcomer)
+    return newcomer
+
+
+def test_a_replica_that_registers_after_the_order_is_paused(control):
+    order_failover(control)
+    newcomer = register(control, "u-new", Position(1, 10))
+    control.run(100)
+    assert_that(newcomer.paused_term, GreaterThan(1))
+
+
+def test_a_replica_that_restarts_after_its_pause_is_paused_again(control):
+    order_failover(control)
+    restarted = control.upstreams["u-third"]
+    control.break_connections("u-third")
+    restarted.paused_term, restarted.born_ms = 0, 9_000
+    control.report(restarted)
+    control.run(600)
+    assert_that(restarted.paused_term, GreaterThan(1))
+
+
+def test_an_unanswered_order_is_not_repeated_for_a_target_that_lacks_commits(control):
+    first = order_failover(control)
+    register(control, "u-new", Position(1, 34))
+    control.platform(FailoverOutcome.UNANSWERED)
+    control.run(800)
+    again = control.orders[-1]
+    assert_that((again.upstream, again.token > first.token), Equals(("u-new", True)))
+
+
+def test_an_unanswered_order_waits_for_a_replica_that_has_not_been_asked(control):
+    order_failover(control)
+    newcomer = FakeUpstream("u-new", reachable=False)
+    control.upstreams["u-new"] = newcomer
+    control.report(newcomer)
+    control.platform(FailoverOutcome.UNANSWERED)
+    control.run(1_000)
+    assert_that(len(control.orders), Equals(1))
+    newcomer.reachable = True
+    control.run(2_500)
+    assert_that(len(control.orders), Equals(2))
+
+
+def test_a_former_primary_that_answers_again_is_told_to_step_down(control):
+    order_failover(control)
+    former = control.upstreams["u-primary"]
+    former.reachable = True
+    control.run(2_000)
+    assert_that(former.leads, Equals(False))
+    assert_that(control.log_event_names, Contains("primary_stepped_down"))
+
+
+def test_a_leaving_replica_is_paused_like_any_other(control):
+    """A leaving replica receives, and counts for acknowledgements, until it ends."""
+    leaving = control.upstreams["u-third"]
+    leaving.state = UpstreamState.LEAVING
+    control.report(leaving, 9)
+    order_failover(control)
+    assert_that(leaving.paused_term, GreaterThan(1))
--- a/tests/test_gateway_search.py
+++ b/tests/test_gateway_search.py
@@ -10,9 +10,9 @@
 RECOVERY_MS = 12_000  # the platform's time limit for a system to serve again
 
 
-def play(seed, holders):
+def play(seed, holders, fenced):
     """Run overlapping faults; return violations, clients not served afterwards and the faults."""
-    simulation = Simulation(seed, holders=holders)
+    simulation = Simulation(seed, holders=holders, fenced=fenced)
     simulation.run(1_500)
     injected = []
     for _ in range(FAULTS):
@@ -30,8 +30,9 @@
     return broken, unserved, injected
 
 
+@pytest.mark.parametrize("fenced", [True, False], ids=["fenced", "leased"])
 @pytest.mark.parametrize("holders", [False, True], ids=["own", "holders"])
 @pytest.mark.parametrize("seed", range(SEEDS))
-def test_promises_hold_under_random_faults(seed, holders):
-    broken, unserved, injected = play(seed, holders)
+def test_promises_hold_under_random_faults(seed, holders, fenced):
+    broken, unserved, injected = play(seed, holders, fenced)
     assert_that((broken[:5], unserved), Equals(([], [])), f"faults: {injected}")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -188,7 +188,7 @@
     read = codec.read_upstream()
     read(b"READY I -\r\n")
     (reply,) = read(b"ROW replica 3 3.1209 4 12 2 17\r\nDONE -\r\nREADY I 3.1204\r\n")
-    assert_that(reply.status, Equals(UpstreamStatus(False, Position(3, 1209))))
+    assert_that(reply.status, Equals(UpstreamStatus(False, Position(3, 1209), 3, 4)))
 
 
 @pytest.mark.parametrize(
@@ -201,6 +201,10 @@
         (UpstreamStatement(BEGIN_READ_ONLY), b"QUERY - BEGIN FETCH\r\n"),
         (UpstreamStatement(ROLLBACK), b"QUERY - ROLLBACK\r\n"),
         (UpstreamStatement(internal_statement(K.PAUSE, argument="4")), b"QUERY - PAUSE 4\r\n"),
+        (
+            UpstreamStatement(internal_statement(K.STEP_DOWN, argument="4")),
+            b"QUERY - STEPDOWN 4\r\n",
+        ),
         (
             UpstreamStatement(internal_statement(K.SET, "tenant", "a b")),
             b"QUERY - SET tenant a b\r\n",
