--- a/packages/core/src/endivewick_core/control/operators.py
+++ b/packages/core/src/endivewick_core/control/operators.py
@@ -10,7 +10,7 @@
 
 from ..codec import encode
 from ..commands import PutConfiguration, PutContract, SetUpstream
-from ..contracts import check_contract, contract_fields, is_name
+from ..contracts import contract_fields
 from ..exceptions import (
     BOOTSTRAP_REFUSED,
     CHANGE_UNKNOWN,
@@ -219,6 +219,10 @@
         )
     if isinstance(request, SetUpstreamRequest):
         return SetUpstream(*request)
+    # Importing pydantic takes a third of a control process's start-up time, and only operators of
+    # contracts need it.
+    from ..contract_checks import check_contract, is_name
+
     if not is_name(request.customer):
         message = "customer: use up to 63 lower-case letters, digits, dots and hyphens"
         return Failure(CONTRACT_INVALID, message)
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -15,7 +15,9 @@
 from .state import GatewayState, distance
 
 CONTROL_BACKOFF_MS = 2_000  # how long a control process that did not answer is not polled
-UNCONFIGURED_POLL_INTERVAL_MS = 100  # shorter, since sessions wait for the first configuration
+STARTING_POLL_INTERVAL_MS = 100  # shorter, since sessions wait for what a gateway lacks at first
+UNCONNECTED_POLL_INTERVAL_MS = 30  # before the first answer, at a control process not yet connected
+MAX_UNDELIVERED_POLLS = 2  # consecutive ones; then another control process is polled
 UNKNOWN_DISTANCE = 3  # beyond another region
 MAX_LEADER_AGE_MS = 1_500  # a control process without a leader for longer is not polled
 
@@ -35,10 +37,10 @@
         effects.append(_change_control(state, now_ms, f"no answer for {waited_ms} ms"))
         link.address_chosen_ms = now_ms
     link.sequence += 1
-    configured = state.configuration.version > 0
-    link.next_poll_ms = now_ms + (
-        state.settings.poll_interval_ms if configured else UNCONFIGURED_POLL_INTERVAL_MS
-    )
+    interval_ms = STARTING_POLL_INTERVAL_MS
+    if _has_started(state):
+        interval_ms = state.settings.poll_interval_ms
+    link.next_poll_ms = now_ms + interval_ms
     link.poll_sent_ms[link.sequence] = now_ms
     link.poll_sent_ms.pop(link.sequence - 32, None)
     version = max(state.configuration.version, state.last_document_version)
@@ -57,6 +59,27 @@
     return [*effects, Send(link.address, question)]
 
 
+def handle_undelivered_poll(state: GatewayState, now_ms: int, address: str) -> list[Effect]:
+    """Poll another control process if the current one isn't connected."""
+    link = state.control
+    if address != link.address:
+        return []
+    if link.last_received_ms is None:
+        link.address = _next_control(state, now_ms)
+        link.address_chosen_ms = now_ms
+        link.next_poll_ms = now_ms + UNCONNECTED_POLL_INTERVAL_MS
+        return []
+    link.undelivered_polls += 1
+    if link.undelivered_polls < MAX_UNDELIVERED_POLLS:
+        link.next_poll_ms = now_ms + STARTING_POLL_INTERVAL_MS
+        return []
+    link.undelivered_polls = 0
+    event = _change_control(state, now_ms, "it is not connected")
+    link.address_chosen_ms = now_ms
+    link.next_poll_ms = now_ms
+    return [event]
+
+
 def handle_answer(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
     """Apply the changes of the directory, the watermarks and the configuration."""
     link = state.control
@@ -67,6 +90,7 @@
     if link.last_received_ms is None:
         effects.append(_log_event("info", "control_found", link.address, "serving"))
     link.last_received_ms = now_ms
+    link.undelivered_polls = 0
     link.leader_contact_ms = max(link.leader_contact_ms or 0, sent_ms - answer.leader_age_ms)
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
@@ -134,6 +158,15 @@
     return any(item.connections for item in state.pools.values())
 
 
+def _has_started(state: GatewayState) -> bool:
+    """Return whether this gateway has a configuration and the primary of each reported service."""
+    if not state.configuration.version:
+        return False
+    reported = {item.service for item in state.pools.values()}
+    known = state.primary_leases if state.settings.needs_primary_leases else state.primaries
+    return all(service in known for service in state.configuration.services if service in reported)
+
+
 def preopen_connections(state: GatewayState, now_ms: int) -> list[Effect]:
     """Open a connection to each upstream that has none, so that first statements don't wait."""
     effects: list[Effect] = []
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -4,6 +4,7 @@
 
 from ..messages import (
     DirectoryAnswer,
+    DirectoryQuestion,
     ForwardedEnd,
     ForwardedReply,
     ForwardedStatement,
@@ -83,6 +84,8 @@
 
 
 def _handle_undelivered(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
+    if isinstance(event.message, DirectoryQuestion):
+        return control_link.handle_undelivered_poll(state, event.now_ms, event.address)
     return forwarding.handle_undelivered(state, event.now_ms, event.address, event.message)
 
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -211,6 +211,7 @@
     ``holder_last_received_ms`` is when each connection holder last answered, and
     ``undelivered_since_ms`` since when messages to it can't be sent.
 
+    ``undelivered_polls`` counts the consecutive polls that could not be sent.
     ``leader_contact_ms`` is when the polled control processes last had contact with their leader.
 
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
@@ -225,6 +226,7 @@
     poll_sent_ms: dict[int, int] = field(default_factory=dict)
     last_received_ms: int | None = None
     leader_contact_ms: int | None = None
+    undelivered_polls: int = 0
     next_poll_ms: int = 0
     backoff_until_ms: dict[str, int] = field(default_factory=dict)
     boot: str = ""
--- a/packages/node/src/endivewick_node/conf.py
+++ b/packages/node/src/endivewick_node/conf.py
@@ -4,7 +4,7 @@
 from typing import Annotated, Any, Literal, NotRequired
 
 import jsonc
-from endivewick_core.contracts import NAME_PATTERN, error_lines
+from endivewick_core.contract_checks import NAME_PATTERN, error_lines
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
 from typing_extensions import TypedDict
 
--- a/packages/node/src/endivewick_node/http_server.py
+++ b/packages/node/src/endivewick_node/http_server.py
@@ -82,6 +82,11 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+def failure_response(failure: Failure, token: str = "") -> Response:
+    """Return the response that reports a failure."""
+    return Response(failure.type.status, failure_body(failure), token)
+
+
 @dataclass(slots=True, eq=False)
 class Connection:
     """One connection of a caller.
--- a/packages/node/src/endivewick_node/metrics.py
+++ b/packages/node/src/endivewick_node/metrics.py
@@ -5,13 +5,16 @@
 """
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from hdrh.histogram import HdrHistogram
-from statsd import StatsClient
 
 from .addresses import split_address
-from .conf import StatsdSection
+
+if TYPE_CHECKING:
+    from statsd import StatsClient
+
+    from .conf import StatsdSection
 
 LOWEST_MS = 1
 HIGHEST_MS = 3_600_000
@@ -35,7 +38,7 @@
     Counters are summed between flushes, so that a busy proxy sends each name once per flush.
     """
 
-    client: StatsClient | None
+    client: "StatsClient | None"
     counters: dict[str, int] = field(default_factory=dict)
     totals: dict[str, int] = field(default_factory=dict)
     histograms: dict[Series, HdrHistogram] = field(default_factory=dict)
@@ -89,9 +92,11 @@
         return rows
 
 
-def open_metrics(section: StatsdSection | None) -> Metrics:
+def open_metrics(section: "StatsdSection | None") -> Metrics:
     """Return the metrics of this process; without a statsd section they are sent nowhere."""
     if section is None:
         return Metrics(None)
+    from statsd import StatsClient
+
     host, port = split_address(section["address"])
     return Metrics(StatsClient(host, port, prefix=section.get("prefix", "endivewick")))
--- a/packages/node/src/endivewick_node/proxy_api.py
+++ b/packages/node/src/endivewick_node/proxy_api.py
@@ -7,20 +7,19 @@
 from typing import Any, Literal, NamedTuple, NotRequired
 
 import msgspec
-from endivewick_core.contracts import is_name
+from endivewick_core.contract_checks import is_name
 from endivewick_core.exceptions import (
     MALFORMED_REQUEST,
     METHOD_NOT_ALLOWED,
     UNKNOWN_PATH,
     Failure,
-    failure_body,
 )
 from endivewick_core.messages import Announcement
 from endivewick_core.proxy.events import CallerRequest
 from typing_extensions import TypedDict
 
 from .addresses import is_address
-from .http_server import Request, Response, session_token
+from .http_server import Request, session_token
 
 DEFAULT_DEADLINE_MS = 5_000
 DEADLINE_LIMIT_MS = 600_000
@@ -89,11 +88,6 @@
 WORK_CLASSES = ("", "short", "long")
 
 
-def failure_response(failure: Failure, token: str = "") -> Response:
-    """Return the response that reports a failure."""
-    return Response(failure.type.status, failure_body(failure), token)
-
-
 def parse_request(request: Request) -> ParsedRequest | Failure:
     """Return the parsed request, or the failure to report if it is invalid."""
     route = _ROUTES.get(request.path)
--- a/packages/node/src/endivewick_node/proxy_node.py
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -27,11 +27,11 @@
 
 from .clock import now_ms
 from .conf import Settings
-from .http_server import Connection, HttpServer, Request, Response
+from .http_server import Connection, HttpServer, Request, Response, failure_response
 from .logs import log
 from .metrics import Metrics, Series, open_metrics
 from .operator_key import check_key
-from .proxy_api import failure_response, parse_request
+from .proxy_api import parse_request
 from .sockets import Poller
 from .transport import Transport
 from .upstream_client import UpstreamClient
--- a/tests/test_core_units.py
+++ b/tests/test_core_units.py
@@ -3,7 +3,7 @@
 import pytest
 from endivewick_core.codec import CodecFault, decode, encode
 from endivewick_core.commands import AssignHomes, Promote, PutContract, SetUpstream
-from endivewick_core.contracts import check_contract
+from endivewick_core.contract_checks import check_contract
 from endivewick_core.exceptions import FAILURES_BY_NAME
 from endivewick_core.messages import CODEC, VoteReply
 from endivewick_core.positions import Position
--- a/tests/test_http_edge.py
+++ b/tests/test_http_edge.py
@@ -8,8 +8,8 @@
 import trio.testing
 from endivewick_core.exceptions import Failure
 from endivewick_node import http_server
-from endivewick_node.http_server import HttpServer, Response
-from endivewick_node.proxy_api import failure_response, parse_request
+from endivewick_node.http_server import HttpServer, Response, failure_response
+from endivewick_node.proxy_api import parse_request
 from endivewick_node.sockets import Poller
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, MatchesAny, StartsWith
