Refuse what can't be passed on; confine unexpected errors; spread departures to restarted processes

Cause, found by tests over random and odd input: a report under a name with a line break, a blank or a character outside Latin-1 ended the control process that opened a connection to it, or added a line to the wire; a number above 64 bits in a report or configuration ended the process that passed it on; a position or port of 5,000 digits and an address in other digits raised where they were parsed. A control process that restarts could believe a late report of an upstream that had departed over 10 s ago, since departures that old are not repeated.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -12,6 +12,7 @@
 from ..directory import (
     UpstreamReport,
     UpstreamState,
+    departed_since,
     mark_gone,
     merge_report,
     remove_expired,
@@ -66,7 +67,13 @@
 
 
 def handle_share(state: ControlState, now_ms: int, share: DirectoryShare) -> list[Effect]:
-    """Merge the reports of another control process, and record its other data."""
+    """Merge the reports of another control process, and record its other data.
+
+    A process that has just started or was unreachable is sent the recent reports at once, since it
+    may have missed their changes.
+    """
+    previous = state.directory_state.peers.get(share.sender.address)
+    is_new = previous is None or now_ms - previous.last_received_ms > probes.PEER_TIMEOUT_MS
     state.directory_state.peers[share.sender.address] = Peer(
         share.sender,
         now_ms,
@@ -76,12 +83,22 @@
         share.wanted,
     )
     effects: list[Effect] = []
+    departed: list[HeardReport] = []
     for report, age_ms in share.reports:
         if merge_report(state.directory_state.directory, now_ms, report, age_ms):
             effects.append(_report_event(report))
+        entry = departed_since(state.directory_state.directory, report)
+        if entry is not None:
+            departed.append(HeardReport(entry.report, now_ms - entry.last_contact_ms))
     if share.serial:
         received = DirectoryShareReceived(state.settings.me.address, share.serial)
         effects.insert(0, Send(share.sender.address, received))
+    if is_new:
+        departed += _recent_reports(state, now_ms)
+    if is_new or departed:
+        # A process that has restarted may have believed a late report of a departed upstream.
+        own = _build_share(state, now_ms, departed, 0)
+        effects.append(Send(share.sender.address, own))
     return effects
 
 
@@ -166,12 +183,7 @@
     directory_state.contended_shared = contended
     directory_state.share_due_ms = now_ms + SHARE_INTERVAL_MS
     remove_expired(directory_state.directory, now_ms)
-    recent = [
-        HeardReport(entry.report, now_ms - entry.last_contact_ms)
-        for entry in directory_state.directory.entries.values()
-        if now_ms - entry.last_contact_ms < SHARE_MAX_AGE_MS
-    ]
-    return effects + _send_share(state, now_ms, recent, 0)
+    return effects + _send_share(state, now_ms, _recent_reports(state, now_ms), 0)
 
 
 def leader_age_ms(state: ControlState, now_ms: int) -> int:
@@ -260,10 +272,25 @@
     return _send_share(state, now_ms, [HeardReport(report, 0)], serial)
 
 
+def _recent_reports(state: ControlState, now_ms: int) -> list[HeardReport]:
+    return [
+        HeardReport(entry.report, now_ms - entry.last_contact_ms)
+        for entry in state.directory_state.directory.entries.values()
+        if now_ms - entry.last_contact_ms < SHARE_MAX_AGE_MS
+    ]
+
+
 def _send_share(
     state: ControlState, now_ms: int, reports: list[HeardReport], serial: int
 ) -> list[Effect]:
-    share = DirectoryShare(
+    share = _build_share(state, now_ms, reports, serial)
+    return [Send(address, share) for address in _other_addresses(state)]
+
+
+def _build_share(
+    state: ControlState, now_ms: int, reports: list[HeardReport], serial: int
+) -> DirectoryShare:
+    return DirectoryShare(
         state.settings.me,
         serial,
         reports,
@@ -272,7 +299,6 @@
         sorted(_own_contended(state, now_ms)),
         _sum_counts(state.directory_state.wanted.values()),
     )
-    return [Send(address, share) for address in _other_addresses(state)]
 
 
 def _report_to(state: ControlState, now_ms: int, report: UpstreamReport) -> str:
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -106,6 +106,14 @@
     return report
 
 
+def departed_since(directory: Directory, report: UpstreamReport) -> DirectoryEntry | None:
+    """Return the entry of an upstream that departed after it sent a report, None if it did not."""
+    entry = directory.entries.get(report.upstream)
+    if entry is None or entry.report.state is not UpstreamState.GONE:
+        return None
+    return entry if _order(report) < _order(entry.report) else None
+
+
 def mark_gone(directory: Directory, now_ms: int, upstream: str) -> UpstreamReport | None:
     """Mark an upstream as departed; return its last report, None if it is unknown."""
     entry = directory.entries.get(upstream)
--- a/packages/node/src/endivewick_node/addresses.py
+++ b/packages/node/src/endivewick_node/addresses.py
@@ -1,6 +1,9 @@
 """Addresses of the form ``ip:port``."""
 
 import re
+from ipaddress import AddressValueError, IPv4Address
+
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -11,8 +14,9 @@
 
 def is_address(address: str) -> bool:
     """Return whether ``address`` is an IPv4 address and a port, both in range."""
-    match = re.fullmatch(r"(\d+)\.(\d+)\.(\d+)\.(\d+):(\d+)", address)
-    if match is None:
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
         return False
-    *octets, port = (int(part) for part in match.groups())
-    return all(octet <= 255 for octet in octets) and 0 < port <= 65_535
+    return _PORT.fullmatch(port) is not None and 0 < int(port) <= 65_535
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 from endivewick_core.codec import CodecFault, decode, encode
@@ -19,7 +19,9 @@
     FailoverAnswered,
     MessageReceived,
     OperatorRequested,
+    ReportReceived,
     Tick,
+    UpstreamRemoved,
 )
 from endivewick_core.control.log import Log
 from endivewick_core.control.reducer import reduce
@@ -33,30 +35,41 @@
 )
 from endivewick_core.documents import decompress
 from endivewick_core.exceptions import NO_QUORUM, Failure
-from endivewick_core.messages import CODEC, Member
+from endivewick_core.messages import CODEC, DirectoryQuestion, DirectoryShare, Member
 from endivewick_core.replicated_state import decode_replicated_state
-from endivewick_core.upstream_links import CloseConnection, OpenConnection, SendStatements
+from endivewick_core.statements import Error, Fault
+from endivewick_core.upstream_links import (
+    CloseConnection,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    OpenConnection,
+    SendStatements,
+)
 from returns.result import Failure as Failed
 
 from .clock import now_ms, random_fraction
-from .conf import ClusterSection, HttpSection, Settings, StatsdSection
 from .control_api import parse_operator_request
-from .http_server import Connection, HttpServer, Request, Response
+from .event_failures import log_failure
+from .http_server import Connection, HttpServer, Request, Response, failure_response
 from .logs import log, log_rate_limited
 from .metrics import Metrics, open_metrics
 from .platform_adapter import PlatformAdapter
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
-from .proxy_api import failure_response
 from .sockets import Poller
 from .storage import INITIAL_VOTER, Storage, Stored, StoredSnapshot, StoredVote
 from .transport import Transport
 from .upstream_connections import UpstreamConnections
 
+if TYPE_CHECKING:
+    # Importing pydantic takes a third of a control process's start-up time.
+    from .conf import ClusterSection, HttpSection, Settings, StatsdSection
+
 TICK_MS = 20
 METRICS_INTERVAL_MS = 1_000
 
 
-def control_settings(settings: Settings) -> ControlSettings:
+def control_settings(settings: "Settings") -> ControlSettings:
     """Return the reducer's settings; ControlSettings has the defaults."""
     section = dict(settings["control"])
     members = settings["control"]["members"]
@@ -102,17 +115,17 @@
 
     control: ControlSettings
     name: str
-    cluster: ClusterSection
-    http: HttpSection
+    cluster: "ClusterSection"
+    http: "HttpSection"
     data_folder: Path
     initial_voters: tuple[str, ...] = ()
     operator_key: str = ""
-    statsd: StatsdSection | None = None
+    statsd: "StatsdSection | None" = None
     tls: ssl.SSLContext | None = None
     platform: PlatformAdapter | None = None
 
 
-def control_options(settings: Settings, tls: ssl.SSLContext | None) -> ControlOptions:
+def control_options(settings: "Settings", tls: ssl.SSLContext | None) -> ControlOptions:
     """Return the options for settings in the project's own format."""
     return ControlOptions(
         control_settings(settings),
@@ -135,6 +148,15 @@
     return int(settings.election_timeout_ms * (0.1 + 0.4 * random_fraction()))
 
 
+def _concerns_soft_state(event: Event) -> bool:
+    """Return whether an event can't change the log, so that the process may outlive an error."""
+    if isinstance(event, MessageReceived):
+        return isinstance(event.message, DirectoryQuestion | DirectoryShare)
+    return isinstance(
+        event, ReportReceived | UpstreamRemoved | ConnectionOpened | ConnectionReplied
+    )
+
+
 class ControlNode:
     """One control process."""
 
@@ -200,8 +222,27 @@
         self._stopped.set()
 
     def _reduce(self, event: Event) -> None:
-        for effect in reduce(self._state, event):
-            _EFFECT_HANDLERS[type(effect)](self, effect)
+        try:
+            for effect in reduce(self._state, event):
+                _EFFECT_HANDLERS[type(effect)](self, effect)
+        except Exception as error:
+            if not _concerns_soft_state(event):
+                raise
+            log_failure(event, error)
+            self._metrics.count("event_failed")
+            self._disconnect_origin(event)
+
+    def _disconnect_origin(self, event: Event) -> None:
+        """Close the connection that an event came from."""
+        if isinstance(event, ConnectionOpened | ConnectionReplied):
+            self._upstreams.close(CloseConnection(event.connection))
+            error = Error(Fault.ABORTED, "closed after an internal error; see event_failed")
+            self._reduce(ConnectionBroke(now_ms(), event.connection, error))
+        if isinstance(event, ReportReceived | UpstreamRemoved):
+            connection = self._waiting_connections.pop(event.number, None)
+            if connection is not None:
+                failure = Failure(NO_QUORUM, "an internal error occurred; report elsewhere")
+                connection.respond(failure_response(failure))
 
     def reload(self, control_addresses: list[str]) -> None:
         """Replace the control addresses to contact first; bound addresses need a restart."""
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -18,17 +18,29 @@
     Event,
     MessageReceived,
     MessageUndelivered,
+    SessionClosed,
+    SessionOpened,
+    StatementReceived,
     Tick,
 )
 from endivewick_core.gateway.reducer import has_waiting, is_drained, next_tick_ms, reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import CODEC
 from endivewick_core.routes import Configuration
-from endivewick_core.upstream_links import CloseConnection, OpenConnection, SendStatements
+from endivewick_core.statements import Error, Fault
+from endivewick_core.upstream_links import (
+    CloseConnection,
+    ConnectionBroke,
+    ConnectionOpened,
+    ConnectionReplied,
+    OpenConnection,
+    SendStatements,
+)
 from returns.result import Failure as Failed
 from returns.result import Result
 
 from .clock import now_ms
+from .event_failures import log_failure
 from .http_server import Connection, HttpServer, Request, Response
 from .logs import log, log_rate_limited
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
@@ -43,6 +55,14 @@
     from .conf import ClusterSection
 
 GAUGE_INTERVAL_MS = 1_000  # gauges change slowly
+# Events of one session, upstream connection or process; see ``event_failures``.
+PEER_EVENTS = (
+    SessionOpened,
+    StatementReceived,
+    ConnectionOpened,
+    ConnectionReplied,
+    MessageReceived,
+)
 
 
 class GatewayOptions(NamedTuple):
@@ -110,11 +130,28 @@
         log("info", "settings_reloaded", f"control addresses to contact first: {control_addresses}")
 
     def _reduce(self, event: Event) -> None:
-        for effect in reduce(self._state, event):
-            _EFFECT_HANDLERS[type(effect)](self, effect)
+        try:
+            for effect in reduce(self._state, event):
+                _EFFECT_HANDLERS[type(effect)](self, effect)
+        except Exception as error:
+            if not isinstance(event, PEER_EVENTS):
+                raise
+            log_failure(event, error)
+            self._metrics.count_event("event_failed")
+            self._disconnect_origin(event)
         if has_waiting(self._state):
             self._statements_waiting.set()
 
+    def _disconnect_origin(self, event: Event) -> None:
+        """Close the connection that an event came from, so that its work is not left half done."""
+        if isinstance(event, ConnectionOpened | ConnectionReplied):
+            self._upstreams.close(CloseConnection(event.connection))
+            error = Error(Fault.ABORTED, "closed after an internal error; see event_failed")
+            self._reduce(ConnectionBroke(now_ms(), event.connection, error))
+        if isinstance(event, SessionOpened | StatementReceived):
+            self._sessions.close_session(event.session)
+            self._reduce(SessionClosed(now_ms(), event.session))
+
     def _receive(self, sender: str, frame: bytes) -> None:
         message = decode(CODEC, frame)
         if isinstance(message, CodecFault):
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -1,12 +1,12 @@
 """Control's care for services: the directory, configurations, and failover of a primary."""
 
 import pytest
-from control_driver import ADDRESSES, SERVICE, FakeUpstream, leading_control
+from control_driver import ADDRESSES, SERVICE, FakeUpstream, leading_control, peer
 from endivewick_core.control import events as ce
 from endivewick_core.control.events import FailoverOutcome
 from endivewick_core.control.service_state import PendingProbe, ProbeKind
 from endivewick_core.directory import Directory, UpstreamState, mark_gone, merge_report
-from endivewick_core.messages import DirectoryQuestion
+from endivewick_core.messages import DirectoryQuestion, DirectoryShare, HeardReport
 from endivewick_core.positions import Position
 from endivewick_core.replicated_state import FailoverRecord
 from endivewick_core.statements import TransactionState, UpstreamReply
@@ -307,3 +307,23 @@
     control.handle(ConnectionReplied(control.now_ms, connection.number, reply))
     assert_that(control.state.watch.watermarks[SERVICE].position, Equals(before.position))
     assert_that(control.state.watch.connections, Not(Contains(connection.number)))
+
+
+def test_a_restarted_process_learns_that_an_upstream_departed(control):
+    """A late report of it may reach a process that has lost its directory with its restart."""
+    control.upstreams["u-third"].reachable = False
+    late = control.state.directory_state.directory.entries["u-third"].report
+    control.handle(ce.UpstreamRemoved(control.now_ms, 9, "u-third"))
+    control.run(20_000)
+    control.shares.clear()
+    share = DirectoryShare(peer(ADDRESSES[1]), 0, [HeardReport(late, 0)], [], 0, [], {})
+    control.handle(ce.MessageReceived(control.now_ms, share))
+    address, answer = control.shares[-1]
+    assert_that(address, Equals(ADDRESSES[1]))
+    states = {item.report.upstream: item.report.state for item in answer.reports}
+    assert_that(states["u-third"], Equals(UpstreamState.GONE))
+    restarted = Directory()
+    merge_report(restarted, control.now_ms, late, 0)
+    for report_, age_ms in answer.reports:
+        merge_report(restarted, control.now_ms, report_, age_ms)
+    assert_that(restarted.entries["u-third"].report.state, Equals(UpstreamState.GONE))
