Read what has arrived before a planned stop closes idle sessions; tests for silent VMs

Cause: the timed work that closes idle sessions could run before sockets that were already readable, so a statement that had just arrived lost its session. Now the sockets that are ready are handled first. Tests besides: a primary that reports nothing stays while it answers probes; a transaction goes on at a holder that control no longer lists; a session that opens during a planned stop is served.

--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -166,6 +166,9 @@
 
     async def _tick(self) -> None:
         while True:
+            if self._state.draining_since_ms is not None:
+                # The tick closes idle sessions: a statement that has arrived must be read before.
+                self._poller.handle_all_ready()
             self._reduce(Tick(now_ms()))
             if is_drained(self._state, now_ms()):
                 log("info", "stopped", "planned stop: all sessions have ended")
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -56,10 +56,20 @@
         """Call the callbacks until cancelled."""
         while True:
             await trio.lowlevel.wait_readable(self._epoll.fileno())
-            for descriptor, events in self._epoll.poll(0, EVENTS_PER_TURN):
-                callback = self._callbacks.get(descriptor)
-                if callback is not None:
-                    callback(events)
+            self._handle_ready()
+
+    def handle_all_ready(self) -> None:
+        """Call the callbacks of all sockets that are ready now."""
+        while self._handle_ready() == EVENTS_PER_TURN:
+            pass
+
+    def _handle_ready(self) -> int:
+        ready = self._epoll.poll(0, EVENTS_PER_TURN)
+        for descriptor, events in ready:
+            callback = self._callbacks.get(descriptor)
+            if callback is not None:
+                callback(events)
+        return len(ready)
 
 
 def listen(address: str, setting: str) -> socket.socket:
--- a/tests/test_control_services.py
+++ b/tests/test_control_services.py
@@ -327,3 +327,11 @@
     for report_, age_ms in answer.reports:
         merge_report(restarted, control.now_ms, report_, age_ms)
     assert_that(restarted.entries["u-third"].report.state, Equals(UpstreamState.GONE))
+
+
+def test_a_primary_that_reports_nothing_stays_while_it_answers_probes(control):
+    """Pattern: a VM that is only slow to report must not have its work taken away."""
+    control.report_all = lambda: None
+    control.run(30_000)
+    assert_that(control.orders, Equals([]))
+    assert_that(control.state.watch.watermarks[SERVICE].upstream, Equals("u-primary"))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -394,3 +394,14 @@
         1,
         5_000,
     )
+
+
+def test_a_transaction_goes_on_at_a_holder_that_control_no_longer_lists(centre):
+    """Pattern: a VM that is silent towards control for a while; its running work is not moved."""
+    begin_and_write(centre)
+    others = [item for item in ADDRESSES if item != centre.holder_address]
+    centre.ingress.state.control.neighbours = tuple(others)
+    centre.ingress.state.control.ranked_holders.clear()
+    request = centre.ingress.send(1, K.COMMIT)
+    centre.deliver()
+    assert_that(centre.holder.find_sent(request), Not(Is(None)))
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -2,8 +2,10 @@
 
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway.reducer import next_tick_ms
+from endivewick_core.positions import Position
 from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
-from gateway_driver import PRIMARY, REPLICA, configuration, ready_gateway
+from endivewick_core.watermarks import Watermark
+from gateway_driver import PRIMARY, REPLICA, SERVICE, configuration, ready_gateway
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
 
@@ -213,3 +215,18 @@
     assert_that(next_tick_ms(gateway.state, gateway.now_ms) > 20, Equals(True))
     gateway.state.queued = 1
     assert_that(next_tick_ms(gateway.state, gateway.now_ms), Equals(20))
+
+
+def test_a_session_that_opens_during_a_planned_stop_is_served_before_it_is_closed(gateway):
+    """Pattern: a planned stop under load; the balancer sends sessions until it notices."""
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(2_400)
+    session = gateway.session(5, "bounded")
+    gateway.state.watermarks[SERVICE].marks.append(Watermark(gateway.now_ms, Position(1, 10)))
+    request = gateway.send(session, K.READ)
+    gateway.tick(200)
+    assert_that(gateway.closed_sessions, Equals([]))
+    gateway.reply(gateway.find_sent(request))
+    assert_that(gateway.answers[-1].error, Is(None))
+    gateway.tick(20)
+    assert_that(gateway.closed_sessions, Equals([session]))
