--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -36,6 +36,7 @@
 # An answer is overdue after OVERDUE_MS plus OVERDUE_FACTOR times the upstream's mean latency.
 OVERDUE_MS = 250
 OVERDUE_FACTOR = 2.5
+FORWARDED_REFUSAL_MARGIN_MS = 120  # a tick, and the way to a gateway under load
 ABANDONED_ANSWER_TIMEOUT_MS = 1_000  # for an answer that no session waits for any more
 ANSWER_TIMEOUT_MARGIN_MS = 250  # so that a timeout is reported before its connection is closed
 CONNECT_BACKOFF_MS = 100  # base of the pause after failed connections; doubles with each failure
@@ -139,12 +140,24 @@
     """Fail the requests whose statement timeout has passed."""
     effects: list[Effect] = []
     for request in list(state.requests.values()):
-        if now_ms < request.deadline_ms or request.serial not in state.requests:
+        if now_ms < _due_ms(state, request) or request.serial not in state.requests:
             continue
         effects += _time_out(state, now_ms, request)
     return effects
 
 
+def _due_ms(state: GatewayState, request: Request) -> int:
+    """Return when a request is failed for its statement timeout.
+
+    A request of another gateway that was not sent is refused sooner, so that the refusal arrives
+    before that gateway has to give up without knowing whether the request has run.
+    """
+    session = state.sessions[request.session]
+    if session.origin is not None and not request.sent_ms:
+        return request.deadline_ms - FORWARDED_REFUSAL_MARGIN_MS
+    return request.deadline_ms
+
+
 def close_unresponsive(state: GatewayState, now_ms: int) -> list[Effect]:
     """Close the connections that have not opened, or not answered a statement, in time."""
     effects: list[Effect] = []
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -405,3 +405,20 @@
     request = centre.ingress.send(1, K.COMMIT)
     centre.deliver()
     assert_that(centre.holder.find_sent(request), Not(Is(None)))
+
+
+def test_a_write_that_its_holder_could_not_send_is_refused_as_not_run(centre):
+    """Pattern: many gateways before few connections, while the primary is being replaced.
+
+    The gateway of the session used to reach the timeout first, and could only answer that the
+    write may have run, which a client can't repeat.
+    """
+    centre.holder.state.primaries.clear()
+    centre.ingress.session(1, "strict")
+    centre.ingress.send(1, K.WRITE)
+    centre.deliver()
+    for _ in range(49):
+        for gateway in (centre.ingress, centre.holder):
+            gateway.tick(20)
+        centre.deliver()
+    assert_that(centre.ingress.answers[-1].error.fault, Equals(Fault.BUSY))
