Give each test process its own network in test_system

Cause of the known red (TooSlowError at the start): the networks were fixed, so two checkouts that run the test together take each other's addresses.

--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -20,12 +20,13 @@
 
 CTL = Path(sys.executable).parent / "endivewickctl"
 LIMIT_S = 60.0
+TLS_RUN = 7  # the number of its network
 
 
 @asynccontextmanager
 async def system(number, **options):
-    """Run the small system on a loopback network of its own."""
-    async with cl.running(cl.SMALL, net=f"127.44.{number}", **options) as cluster:
+    """Run the small system on a loopback network that no other test or checkout uses."""
+    async with cl.running(cl.SMALL, net=cl.default_net(number), **options) as cluster:
         yield cluster
 
 
@@ -223,7 +224,8 @@
 @pytest.fixture
 def certificate(tmp_path):
     authority = trustme.CA()
-    issued = authority.issue_cert("127.44.7.1", "127.44.7.101", "127.44.7.102", "127.44.7.103")
+    hosts = [f"{cl.default_net(TLS_RUN)}.{number}" for number in (1, 101, 102, 103)]
+    issued = authority.issue_cert(*hosts)
     issued.private_key_pem.write_to_path(tmp_path / "key.pem")
     issued.cert_chain_pems[0].write_to_path(tmp_path / "certificate.pem")
     authority.cert_pem.write_to_path(tmp_path / "authority.pem")
@@ -251,7 +253,8 @@
     async def run():
         folder = certificate / "run"
         folder.mkdir()
-        cluster = cl.create_cluster(cl.SMALL._replace(proxies=1), folder, "127.44.7")
+        net = cl.default_net(TLS_RUN)
+        cluster = cl.create_cluster(cl.SMALL._replace(proxies=1), folder, net)
         for name, settings in cluster.settings.items():
             settings["tls"] = tls
             settings["operator_key"] = key
@@ -272,10 +275,11 @@
             code, text = await ctl(cluster, flags[0], "drain", "proxy-1")
             assert_that((code, "unauthorized" in text), Equals((1, True)))
             context = ssl.create_default_context(cafile=str(certificate / "authority.pem"))
-            stream = await trio.open_ssl_over_tcp_stream("127.44.7.1", 8000, ssl_context=context)
+            host = f"{net}.1"
+            stream = await trio.open_ssl_over_tcp_stream(host, 8000, ssl_context=context)
             await stream.send_all(b"GET /v1/health HTTP/1.1\r\n\r\n")
             assert_that(await stream.receive_some(), Contains(b'"healthy":true'))
-            assert_that(await without_tls("127.44.7.1"), Equals(b""))
+            assert_that(await without_tls(host), Equals(b""))
         finally:
             cl.stop_all(cluster)
 
