Send nothing behind a write or a COMMIT before its answer

Change: the BEGIN for the next session is sent once the write or COMMIT is answered; a proof in the answer to one of our own statements ends the connection, since an earlier answer was lost. test_an_answer_without_a_proof_is_no_answer_to_a_write gets the stray answer directly, as no BEGIN is behind a COMMIT any more; it checks the same. Two tests fail on the code before.

--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -97,13 +97,17 @@
     Except for a single write and a single read with ``wait_for``, the connection must be inside a
     transaction before the statement is sent. If it isn't, a BEGIN is sent first, and the statement
     only after the answer to it.
+
+    Nothing is sent behind a write or a COMMIT before its answer: if that answer is lost, the
+    refusal of the next statement would be taken for the refusal of the write, which has run.
     """
     single = session.state is TransactionState.IDLE
     batch: Batch = []
     if single and (request.is_write or wait_for is not None):
         _apply_session_values(now_ms, connection, session, batch)
         _add_work(state, now_ms, connection, session, request, wait_for, batch)
-        _begin_next_transaction(state, now_ms, connection, batch)
+        if not request.changes_data:
+            _begin_next_transaction(state, now_ms, connection, batch)
         return _send(connection, batch)
     begun = (
         connection.in_transaction
@@ -148,8 +152,6 @@
         connection.is_dirty = True
         _set(now_ms, connection, name, value, batch)
     _add_work(state, now_ms, connection, session, request, None, batch)
-    if request.statement.kind is StatementKind.COMMIT:
-        _begin_next_transaction(state, now_ms, connection, batch)
     return _send(connection, batch)
 
 
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -91,6 +91,8 @@
         return False
     if pending.purpose is Purpose.WORK:
         return not reply.proof
+    if reply.proof:
+        return True
     return pending.purpose is Purpose.BEGIN and reply.state is not TransactionState.OPEN
 
 
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -1,6 +1,8 @@
 """The outcomes that a gateway reports for statements whose answers are missing or errors."""
 
-from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
+from endivewick_core.positions import Position
+from endivewick_core.statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
+from endivewick_core.upstream_links import ConnectionReplied
 from gateway_driver import PRIMARY, REPLICA
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is, Not
@@ -165,19 +167,31 @@
 
 
 def test_an_answer_without_a_proof_is_no_answer_to_a_write(gateway):
-    """An upstream that loses one answer still sends those to the next statements."""
+    """An upstream that loses one answer still sends those to other statements."""
     gateway.session(1, "strict")
     gateway.send(1, K.BEGIN)
     item = gateway.find_sent(gateway.send(1, K.WRITE))
     gateway.reply(item)
     commit = gateway.find_sent(gateway.send(1, K.COMMIT))
-    gateway.sent.remove(commit)
-    begin = next(one for one in gateway.sent if one.connection == commit.connection)
-    gateway.reply(begin)
+    reply = UpstreamReply((), "", None, TransactionState.IDLE, Position(1, 10))
+    gateway.handle(ConnectionReplied(gateway.now_ms, commit.connection, reply))
     assert_that(gateway.answers[-1].error.fault, Equals(Fault.OUTCOME_UNKNOWN))
     assert_that(gateway.closed, Equals([commit.connection]))
 
 
+def test_a_proof_in_the_answer_to_an_own_statement_ends_the_connection(gateway):
+    """An earlier answer was lost, so that this one belongs to a client's statement."""
+    session = gateway.session(1, "strict")
+    gateway.send(session, K.SET, name="v", argument="1")
+    request = gateway.send(session, K.WRITE)
+    item = gateway.find_sent(request)
+    assert_that(gateway._first_on(item.connection).statement.request_id, Equals("-"))
+    reply = UpstreamReply((), "proof", None, TransactionState.IDLE, Position(1, 11))
+    gateway.handle(ConnectionReplied(gateway.now_ms, item.connection, reply))
+    assert_that(gateway.closed, Equals([item.connection]))
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.OUTCOME_UNKNOWN))
+
+
 def test_a_read_whose_answer_has_no_proof_is_retried(gateway):
     gateway.session(1, "strict")
     request = gateway.send(1, K.READ)
@@ -202,3 +216,26 @@
             break
     assert_that(gateway.closed, Equals([begin.connection]))
     assert_that(gateway.find_sent(request), Is(None))
+
+
+def test_a_refusal_of_a_later_statement_is_never_taken_for_that_of_a_write(gateway):
+    """Pattern (soak seed 201 without fencing): a write's answer is lost, its upstream steps down.
+
+    The refusal of the BEGIN that followed the write in one batch was taken for the write's own: the
+    write was sent again seven times, and then refused as not run.
+    """
+    for kind in (K.WRITE, K.COMMIT):
+        session = gateway.session(20 + len(gateway.answers), "strict")
+        if kind is K.COMMIT:
+            gateway.send(session, K.BEGIN)
+            write = gateway.send(session, K.WRITE)
+            gateway.answer_own_statements()
+            gateway.reply(gateway.find_sent(write))
+        request = gateway.send(session, kind)
+        gateway.answer_own_statements()
+        item = gateway.find_sent(request)
+        behind = [one for one in gateway.sent if one.connection == item.connection]
+        assert_that(behind, Equals([item]))
+        gateway.reply(item, number=11)
+        gateway.answer_own_statements()
+        assert_that(gateway.state.connections[item.connection].in_transaction, Equals(True))
