--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,11 @@
     run_soak(f"--seed={seed}", "--faults_s=8", "--calm_s=4", "--faults=reloaded,killed")
 
 
+def test_a_seed_that_failed_once_without_fencing_keeps_every_promise():
+    """Seed 201: the refusal of a BEGIN was taken for that of the write before it."""
+    run_soak("--seed=201", "--nofenced")
+
+
 def test_a_start_ignores_sighup_before_it_loads_anything(monkeypatch):
     """Its default action ends a process, and loading takes some tenths of a second."""
     handlers = []
