Make one piece of what the leases and failovers had twice; no change of behaviour

A position of a replica that isn't paused was read as zero, which can't occur: dropped; - a gateway stores leases where it handles control's other answers; - the retry of a pre-vote reads the random number that the state holds already; - tests: one way to make the driven control process a follower. No assertion changed.

--- a/packages/bench/src/endivewick_bench/soak/execution.py
+++ b/packages/bench/src/endivewick_bench/soak/execution.py
@@ -103,10 +103,11 @@
     elif kind is K.ROLLBACK:
         connection.transaction = None
     elif kind in (K.PAUSE, K.RESUME, K.STEP_DOWN):
+        term = int(statement.argument or 0)
         if kind is K.STEP_DOWN:
-            db.step_down(member, int(statement.argument))
+            db.step_down(member, term)
         else:
-            member.paused_term = int(statement.argument) if kind is K.PAUSE else 0
+            member.paused_term = term
         role = "primary" if member.is_leader else "replica"
         received = f"{member.received.term}.{member.received.offset}"
         return Result((f"{role} {member.term} {received} {member.paused_term} 0 0 0",))
--- a/packages/core/src/endivewick_core/control/election.py
+++ b/packages/core/src/endivewick_core/control/election.py
@@ -36,14 +36,14 @@
     state.election_due_ms = max(state.election_due_ms, due_ms)
 
 
-def _schedule_retry(state: ControlState, now_ms: int, random: float) -> None:
+def _schedule_retry(state: ControlState, now_ms: int) -> None:
     """Schedule the next pre-vote after a quarter to half an election timeout.
 
     A pre-vote disturbs nobody, and the first one often fails: the other voters lost contact to the
     leader some milliseconds later than this one.
     """
     quarter_ms = state.settings.election_timeout_ms // 4
-    state.election_due_ms = now_ms + quarter_ms + int(random * quarter_ms)
+    state.election_due_ms = now_ms + quarter_ms + int(state.election_random * quarter_ms)
 
 
 def check_election(state: ControlState, now_ms: int, random: float) -> list[Effect]:
@@ -53,7 +53,7 @@
         return []
     if now_ms < state.election_due_ms:
         return []
-    _schedule_retry(state, now_ms, random)
+    _schedule_retry(state, now_ms)
     state.role = Role.PRE_CANDIDATE
     state.leader = ""
     state.votes = {state.me.member_id}
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -12,12 +12,11 @@
 
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
-from ..positions import ZERO, Position
-from ..statements import RESUME, StatementKind, UpstreamReply, internal_statement
-from . import directory, primary_leases, probes, replication
+from ..statements import StatementKind, UpstreamReply
+from . import directory, primary_leases, probes, replica_pauses, replication
 from .effects import Effect, LogEvent, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
-from .service_state import Failover, PausedReplica, ProbeKind, Stage
+from .service_state import Failover, ProbeKind, Stage
 from .state import ControlState, Role
 
 # The primary has failed when a majority of control finds its responses overdue for this long.
@@ -29,8 +28,6 @@
 # Write failures are ignored for this long after a failover, so that the writes that waited for it
 # can complete first.
 WRITE_FAILURE_GRACE_MS = 8_000
-# While a failover is in one of these stages, every replica is kept paused.
-PAUSED_STAGES = (Stage.PAUSING, Stage.ORDERED, Stage.PROMOTING)
 
 
 def check_failovers(state: ControlState, now_ms: int) -> list[Effect]:
@@ -47,27 +44,7 @@
             effects += _start_if_needed(state, now_ms, service)
             continue
         effects += _advance(state, now_ms, attempt)
-    return effects + _resume_replicas(state, now_ms)
-
-
-def handle_paused(
-    state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
-) -> list[Effect]:
-    """Record the received position of a paused replica.
-
-    A pause has no effect unless its term is above the replica's; it is then repeated.
-    """
-    if reply.error is not None or reply.status is None:
-        return []
-    if reply.status.paused_term <= reply.status.term:
-        return []
-    entry = state.directory_state.directory.entries.get(upstream)
-    if entry is None:
-        return []
-    attempt = state.failover.running.get(entry.report.service)
-    if attempt is not None and attempt.stage in PAUSED_STAGES:
-        attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received)
-    return []
+    return effects + replica_pauses.resume(state, now_ms)
 
 
 def handle_stepped_down(
@@ -86,15 +63,6 @@
     return [_log_event("info", "primary_stepped_down", attempt, now_ms)]
 
 
-def handle_resumed(
-    state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
-) -> list[Effect]:
-    """Remove a replica that has resumed replication from those to resume."""
-    if reply.error is None:
-        state.failover.to_resume.pop(upstream, None)
-    return []
-
-
 def handle_primary_confirmed(
     state: ControlState, now_ms: int, service: str, upstream: str
 ) -> list[Effect]:
@@ -170,7 +138,9 @@
     if entry is None:
         return "", False
     if not _is_ready(entry):
-        others = [item for item in _replicas(state, service, previous) if _is_ready(item)]
+        others = [
+            item for item in replica_pauses.replicas(state, service, previous) if _is_ready(item)
+        ]
         return ("the primary is shutting down", False) if others else ("", False)
     failing_ms = probes.failing_ms(state, now_ms, service)
     if failing_ms >= FAILURE_DETECTION_MS and probes.majority_finds_failing(
@@ -198,7 +168,9 @@
 def _advance(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     if attempt.stage in (Stage.PROPOSED, Stage.ENDING):
         return []
-    if attempt.stage in PAUSED_STAGES and not primary_leases.is_confirmed_leader(state, now_ms):
+    if attempt.stage in replica_pauses.PAUSED_STAGES and not primary_leases.is_confirmed_leader(
+        state, now_ms
+    ):
         return []
     if attempt.stage is Stage.PAUSING:
         return _pause_replicas(state, now_ms, attempt)
@@ -214,7 +186,7 @@
         return _restart(state, now_ms, attempt, "the target has left the directory")
     effects: list[Effect] = []
     if not attempt.keeps_primary:
-        effects += _pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
+        effects += replica_pauses.pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
     if attempt.stage is Stage.ORDERED and not attempt.order_in_flight:
         if now_ms - attempt.ordered_ms >= ORDER_RETRY_MS:
             return effects + _repeat_order(state, now_ms, attempt)
@@ -229,9 +201,9 @@
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
         return _keep_primary(state, now_ms, attempt, primary)
-    effects = _pause(state, now_ms, attempt)
-    replicas = _replicas(state, attempt.service, attempt.previous)
-    if not replicas or _unpaused(state, attempt):
+    effects = replica_pauses.pause(state, now_ms, attempt)
+    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
+    if not replicas or replica_pauses.unpaused_replicas(state, attempt):
         return effects
     if not primary_leases.may_replace_primary(state, now_ms, attempt):
         return effects + _step_down(state, now_ms, attempt)
@@ -259,40 +231,18 @@
     attempt.stage = Stage.RESUMING
     attempt.target = primary
     attempt.ordered_ms = now_ms
-    for entry in _replicas(state, attempt.service, primary):
+    for entry in replica_pauses.replicas(state, attempt.service, primary):
         state.failover.to_resume[entry.report.upstream] = attempt.service
     return [_log_event("info", "failover_promoted", attempt, now_ms)]
 
 
-def _pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
-    term = probes.newest_term(state, attempt.service) + 1
-    pause = internal_statement(StatementKind.PAUSE, argument=str(term))
-    effects: list[Effect] = []
-    for entry in _unpaused(state, attempt):
-        state.failover.to_resume[entry.report.upstream] = attempt.service
-        effects += probes.send_probe(state, now_ms, entry, pause, ProbeKind.PAUSE)
-    return effects
-
-
-def _unpaused(state: ControlState, attempt: Failover) -> list[DirectoryEntry]:
-    """Return the replicas that have not confirmed their pause since they last started."""
-    unpaused = []
-    for entry in _replicas(state, attempt.service, attempt.previous):
-        paused = attempt.paused.get(entry.report.upstream)
-        if paused is None or paused.born_ms != entry.report.born_ms:
-            unpaused.append(entry)
-    return unpaused
-
-
 def _step_down(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Tell the previous primary, where it can be reached, to become a replica."""
     entry = state.directory_state.directory.entries.get(attempt.previous)
     if entry is None or attempt.stepped_down_born_ms == entry.report.born_ms:
         return []
-    term = probes.newest_term(state, attempt.service) + 1
-    step_down = internal_statement(StatementKind.STEP_DOWN, argument=str(term))
-    return probes.send_probe(state, now_ms, entry, step_down, ProbeKind.STEP_DOWN)
+    statement = probes.next_term_statement(state, attempt.service, StatementKind.STEP_DOWN)
+    return probes.send_probe(state, now_ms, entry, statement, ProbeKind.STEP_DOWN)
 
 
 def _repeat_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
@@ -302,12 +252,12 @@
     """
     if attempt.keeps_primary:
         return _send_order(state, now_ms, attempt)
-    if _unpaused(state, attempt):
+    if replica_pauses.unpaused_replicas(state, attempt):
         return []
-    replicas = _replicas(state, attempt.service, attempt.previous)
+    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
     if replicas:
         best = _choose_target(replicas, attempt)
-        if _received(attempt, best) > _received(attempt, attempt.target):
+        if attempt.paused[best].received > attempt.paused[attempt.target].received:
             return _restart(state, now_ms, attempt, f"{best} has received more than the target")
     return _send_order(state, now_ms, attempt)
 
@@ -325,7 +275,7 @@
     best = max(
         replicas,
         key=lambda item: (
-            _received(attempt, item.report.upstream),
+            attempt.paused[item.report.upstream].received,
             _is_ready(item),
             item.report.upstream,
         ),
@@ -333,12 +283,6 @@
     return best.report.upstream
 
 
-def _received(attempt: Failover, upstream: str) -> Position:
-    """Return the position that a replica had received when it was paused."""
-    paused = attempt.paused.get(upstream)
-    return paused.received if paused is not None else ZERO
-
-
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ORDERED
     attempt.ordered_ms = now_ms
@@ -374,28 +318,6 @@
     return [log_event, *replication.propose_now(state, now_ms, command)]
 
 
-def _resume_replicas(state: ControlState, now_ms: int) -> list[Effect]:
-    """Resume the replicas whose failover has reached its last stages or has ended."""
-    effects: list[Effect] = []
-    for upstream, service in list(state.failover.to_resume.items()):
-        attempt = state.failover.running.get(service)
-        if attempt is not None and attempt.stage not in (Stage.RESUMING, Stage.ENDING):
-            continue
-        entry = state.directory_state.directory.entries.get(upstream)
-        if entry is None or entry.report.state is UpstreamState.GONE:
-            del state.failover.to_resume[upstream]
-            continue
-        effects += probes.send_probe(state, now_ms, entry, RESUME, ProbeKind.RESUME)
-    return effects
-
-
-def _replicas(state: ControlState, service: str, primary: str) -> list[DirectoryEntry]:
-    """Return the upstreams other than the primary, any of which may hold an acknowledged commit."""
-    return [
-        entry for entry in probes.upstreams_of(state, service) if entry.report.upstream != primary
-    ]
-
-
 def _is_ready(entry: DirectoryEntry) -> bool:
     return entry.report.state is UpstreamState.READY
 
--- a/packages/core/src/endivewick_core/control/probes.py
+++ b/packages/core/src/endivewick_core/control/probes.py
@@ -6,7 +6,14 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..messages import PrimaryHealth
-from ..statements import BEGIN, ROLLBACK, Statement, UpstreamStatement
+from ..statements import (
+    BEGIN,
+    ROLLBACK,
+    Statement,
+    StatementKind,
+    UpstreamStatement,
+    internal_statement,
+)
 from ..upstream_links import OpenConnection, SendStatements
 from .effects import Effect
 from .service_state import Peer, PendingProbe, ProbeKind, WatchedConnection
@@ -145,3 +152,8 @@
 def newest_term(state: ControlState, service: str) -> int:
     """Return the highest term that any upstream of a service has reported."""
     return state.watch.terms.get(service, 0)
+
+
+def next_term_statement(state: ControlState, service: str, kind: StatementKind) -> Statement:
+    """Return a statement of this kind with the term after the newest one."""
+    return internal_statement(kind, argument=str(newest_term(state, service) + 1))
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -0,0 +1,85 @@
+"""The pauses of replicas during a failover.
+
+A paused replica receives nothing, so the former primary can't have a further commit acknowledged.
+"""
+
+from ..directory import DirectoryEntry, UpstreamState
+from ..statements import RESUME, StatementKind, UpstreamReply
+from . import probes
+from .effects import Effect
+from .service_state import Failover, PausedReplica, ProbeKind, Stage
+from .state import ControlState
+
+# While a failover is in one of these stages, every replica is kept paused.
+PAUSED_STAGES = (Stage.PAUSING, Stage.ORDERED, Stage.PROMOTING)
+
+
+def handle_paused(
+    state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
+) -> list[Effect]:
+    """Record the received position of a paused replica.
+
+    A pause has no effect unless its term is above the replica's; it is then repeated.
+    """
+    if reply.error is not None or reply.status is None:
+        return []
+    if reply.status.paused_term <= reply.status.term:
+        return []
+    entry = state.directory_state.directory.entries.get(upstream)
+    if entry is None:
+        return []
+    attempt = state.failover.running.get(entry.report.service)
+    if attempt is not None and attempt.stage in PAUSED_STAGES:
+        attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received)
+    return []
+
+
+def handle_resumed(
+    state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
+) -> list[Effect]:
+    """Remove a replica that has resumed replication from those to resume."""
+    if reply.error is None:
+        state.failover.to_resume.pop(upstream, None)
+    return []
+
+
+def pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
+    statement = probes.next_term_statement(state, attempt.service, StatementKind.PAUSE)
+    effects: list[Effect] = []
+    for entry in unpaused_replicas(state, attempt):
+        state.failover.to_resume[entry.report.upstream] = attempt.service
+        effects += probes.send_probe(state, now_ms, entry, statement, ProbeKind.PAUSE)
+    return effects
+
+
+def unpaused_replicas(state: ControlState, attempt: Failover) -> list[DirectoryEntry]:
+    """Return the replicas that have not confirmed their pause since they last started."""
+    missing = []
+    for entry in replicas(state, attempt.service, attempt.previous):
+        paused = attempt.paused.get(entry.report.upstream)
+        if paused is None or paused.born_ms != entry.report.born_ms:
+            missing.append(entry)
+    return missing
+
+
+def resume(state: ControlState, now_ms: int) -> list[Effect]:
+    """Resume the replicas whose failover has reached its last stages or has ended."""
+    effects: list[Effect] = []
+    for upstream, service in list(state.failover.to_resume.items()):
+        attempt = state.failover.running.get(service)
+        if attempt is not None and attempt.stage not in (Stage.RESUMING, Stage.ENDING):
+            continue
+        entry = state.directory_state.directory.entries.get(upstream)
+        if entry is None or entry.report.state is UpstreamState.GONE:
+            del state.failover.to_resume[upstream]
+            continue
+        effects += probes.send_probe(state, now_ms, entry, RESUME, ProbeKind.RESUME)
+    return effects
+
+
+def replicas(state: ControlState, service: str, primary: str) -> list[DirectoryEntry]:
+    """Return the upstreams other than the primary, any of which may hold an acknowledged commit."""
+    return [
+        entry for entry in probes.upstreams_of(state, service) if entry.report.upstream != primary
+    ]
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -13,7 +13,7 @@
     ConnectionOpened,
     ConnectionReplied,
 )
-from . import failover, primary_leases, probes
+from . import failover, primary_leases, probes, replica_pauses
 from .effects import Effect, LogEvent
 from .service_state import PendingProbe, PrimaryWatermark, ProbeKind, WatchedConnection
 from .state import ControlState
@@ -58,9 +58,9 @@
     if pending.kind is ProbeKind.POSITION:
         return _accept_position(state, event.now_ms, connection, pending, event.reply)
     if pending.kind is ProbeKind.PAUSE:
-        return failover.handle_paused(state, event.now_ms, connection.upstream, event.reply)
+        return replica_pauses.handle_paused(state, event.now_ms, connection.upstream, event.reply)
     if pending.kind is ProbeKind.RESUME:
-        return failover.handle_resumed(state, event.now_ms, connection.upstream, event.reply)
+        return replica_pauses.handle_resumed(state, event.now_ms, connection.upstream, event.reply)
     if pending.kind is ProbeKind.STEP_DOWN:
         return failover.handle_stepped_down(state, event.now_ms, connection.upstream, event.reply)
     return []
--- a/packages/core/src/endivewick_core/gateway/commit_confirmations.py
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -4,28 +4,14 @@
 once a later lease shows which upstream was the primary at the time, or at the statement's timeout.
 """
 
-from ..messages import PrimaryLeaseAnswer
-from ..primary_leases import renew
 from ..statements import Error, Fault, UpstreamReply
-from . import answers, routing
+from . import answers
 from .effects import Effect, LogEvent
 from .primary_leases import covers_primary
 from .requests import apply_success
 from .state import GatewayState, Request, UnconfirmedCommit
 
 
-def handle_leases(state: GatewayState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
-    """Store the leases in control's answer, and continue the work that waited for them."""
-    requested_ms = state.control.poll_sent_ms.get(answer.sequence)
-    if requested_ms is None or not state.settings.needs_primary_leases:
-        return []
-    renew(state.primary_leases, requested_ms, answer.leases)
-    effects = _resolve_commits(state, now_ms)
-    for note in answer.leases:
-        effects += routing.dispatch_queued(state, now_ms, note.service)
-    return effects
-
-
 def await_confirmation(
     state: GatewayState, now_ms: int, upstream: str, request: Request, reply: UpstreamReply
 ) -> list[Effect]:
@@ -54,7 +40,7 @@
     return any(commit.request is request for commit in state.unconfirmed_commits)
 
 
-def _resolve_commits(state: GatewayState, now_ms: int) -> list[Effect]:
+def resolve(state: GatewayState, now_ms: int) -> list[Effect]:
     """Answer the commits whose upstream is now known to have been the primary, or another one."""
     waiting, state.unconfirmed_commits = state.unconfirmed_commits, []
     effects: list[Effect] = []
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -6,10 +6,12 @@
 """
 
 from ..directory import UpstreamState, merge_report
-from ..messages import DirectoryAnswer, DirectoryQuestion
+from ..messages import DirectoryAnswer, DirectoryQuestion, PrimaryLeaseAnswer
 from ..positions import Position
+from ..primary_leases import renew
 from ..watermarks import WatermarkHistory, add_watermark
 from . import (
+    commit_confirmations,
     forwarding,
     holders,
     limits,
@@ -40,11 +42,9 @@
     last_received_ms = link.last_received_ms if link.last_received_ms is not None else 0
     waited_ms = now_ms - max(link.address_chosen_ms, last_received_ms)
     if not link.address:
-        link.address = _next_control(state, now_ms)
-        link.address_chosen_ms = now_ms
+        _choose_control(state, now_ms)
     elif waited_ms >= state.settings.control_timeout_ms:
         effects.append(_change_control(state, now_ms, f"no answer for {waited_ms} ms"))
-        link.address_chosen_ms = now_ms
     link.sequence += 1
     interval_ms = URGENT_POLL_INTERVAL_MS
     if _has_started(state) and not _waits_for_primary(state, now_ms):
@@ -74,8 +74,7 @@
     if address != link.address:
         return []
     if link.last_received_ms is None:
-        link.address = _next_control(state, now_ms)
-        link.address_chosen_ms = now_ms
+        _choose_control(state, now_ms)
         link.next_poll_ms = now_ms + UNCONNECTED_POLL_INTERVAL_MS
         return []
     link.undelivered_polls += 1
@@ -83,10 +82,20 @@
         link.next_poll_ms = now_ms + URGENT_POLL_INTERVAL_MS
         return []
     link.undelivered_polls = 0
-    event = _change_control(state, now_ms, "it is not connected")
-    link.address_chosen_ms = now_ms
     link.next_poll_ms = now_ms
-    return [event]
+    return [_change_control(state, now_ms, "it is not connected")]
+
+
+def handle_leases(state: GatewayState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
+    """Store the leases on primaries, and continue the work that waited for them."""
+    requested_ms = state.control.poll_sent_ms.get(answer.sequence)
+    if requested_ms is None or not state.settings.needs_primary_leases:
+        return []
+    renew(state.primary_leases, requested_ms, answer.leases)
+    effects = commit_confirmations.resolve(state, now_ms)
+    for note in answer.leases:
+        effects += routing.dispatch_queued(state, now_ms, note.service)
+    return effects
 
 
 def handle_answer(state: GatewayState, now_ms: int, answer: DirectoryAnswer) -> list[Effect]:
@@ -254,11 +263,16 @@
     link = state.control
     link.backoff_until_ms[link.address] = now_ms + CONTROL_BACKOFF_MS
     previous = link.address
-    link.address = _next_control(state, now_ms)
+    _choose_control(state, now_ms)
     inputs: dict[str, object] = {"previous": previous, "reason": reason}
     return LogEvent("warning", "control_changed", "", "", inputs, link.address)
 
 
+def _choose_control(state: GatewayState, now_ms: int) -> None:
+    state.control.address = _next_control(state, now_ms)
+    state.control.address_chosen_ms = now_ms
+
+
 def _next_control(state: GatewayState, now_ms: int) -> str:
     nearest = _nearest_control(state, now_ms)
     if nearest:
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -11,7 +11,6 @@
     PrimaryLeaseAnswer,
 )
 from . import (
-    commit_confirmations,
     control_link,
     forwarding,
     maintenance,
@@ -72,7 +71,7 @@
     if isinstance(event.message, DirectoryAnswer):
         return control_link.handle_answer(state, event.now_ms, event.message)
     if isinstance(event.message, PrimaryLeaseAnswer):
-        return commit_confirmations.handle_leases(state, event.now_ms, event.message)
+        return control_link.handle_leases(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedStatement):
         return forwarding.handle_statement(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedReply):
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -37,10 +37,8 @@
 from endivewick_core.exceptions import NO_QUORUM, Failure
 from endivewick_core.messages import CODEC, DirectoryQuestion, DirectoryShare, Member
 from endivewick_core.replicated_state import decode_replicated_state
-from endivewick_core.statements import Error, Fault
 from endivewick_core.upstream_links import (
     CloseConnection,
-    ConnectionBroke,
     ConnectionOpened,
     ConnectionReplied,
     OpenConnection,
@@ -50,7 +48,7 @@
 
 from .clock import now_ms, random_fraction
 from .control_api import parse_operator_request
-from .event_failures import log_failure
+from .event_failures import CONNECTION_CLOSED_TEXT, log_failure
 from .http_server import Connection, HttpServer, Request, Response, failure_response
 from .logs import log, log_rate_limited
 from .metrics import Metrics, open_metrics
@@ -235,9 +233,7 @@
     def _disconnect_origin(self, event: Event) -> None:
         """Close the connection that an event came from."""
         if isinstance(event, ConnectionOpened | ConnectionReplied):
-            self._upstreams.close(CloseConnection(event.connection))
-            error = Error(Fault.ABORTED, "closed after an internal error; see event_failed")
-            self._reduce(ConnectionBroke(now_ms(), event.connection, error))
+            self._upstreams.abort(event.connection, CONNECTION_CLOSED_TEXT)
         if isinstance(event, ReportReceived | UpstreamRemoved):
             connection = self._waiting_connections.pop(event.number, None)
             if connection is not None:
--- a/packages/node/src/endivewick_node/event_failures.py
+++ b/packages/node/src/endivewick_node/event_failures.py
@@ -9,6 +9,7 @@
 
 from .logs import log_rate_limited
 
+CONNECTION_CLOSED_TEXT = "closed after an internal error; see event_failed"
 TRACEBACK_LINES = 12  # the innermost calls; a log line stays within some kilobytes
 
 
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -27,10 +27,8 @@
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import CODEC
 from endivewick_core.routes import Configuration
-from endivewick_core.statements import Error, Fault
 from endivewick_core.upstream_links import (
     CloseConnection,
-    ConnectionBroke,
     ConnectionOpened,
     ConnectionReplied,
     OpenConnection,
@@ -40,7 +38,7 @@
 from returns.result import Result
 
 from .clock import now_ms
-from .event_failures import log_failure
+from .event_failures import CONNECTION_CLOSED_TEXT, log_failure
 from .http_server import Connection, HttpServer, Request, Response
 from .logs import log, log_rate_limited
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
@@ -145,9 +143,7 @@
     def _disconnect_origin(self, event: Event) -> None:
         """Close the connection that an event came from, so that its work is not left half done."""
         if isinstance(event, ConnectionOpened | ConnectionReplied):
-            self._upstreams.close(CloseConnection(event.connection))
-            error = Error(Fault.ABORTED, "closed after an internal error; see event_failed")
-            self._reduce(ConnectionBroke(now_ms(), event.connection, error))
+            self._upstreams.abort(event.connection, CONNECTION_CLOSED_TEXT)
         if isinstance(event, SessionOpened | StatementReceived):
             self._sessions.close_session(event.session)
             self._reduce(SessionClosed(now_ms(), event.session))
--- a/packages/node/src/endivewick_node/upstream_connections.py
+++ b/packages/node/src/endivewick_node/upstream_connections.py
@@ -77,6 +77,11 @@
         if connection is not None:
             self._poller.close(connection.stream)
 
+    def abort(self, number: int, text: str) -> None:
+        """Close a connection and report it as broken; ``text`` says why."""
+        self.close(CloseConnection(number))
+        self._handle(ConnectionBroke(now_ms(), number, Error(Fault.ABORTED, text)))
+
     def _on_event(self, connection: Connection, events: int) -> None:
         if not connection.is_connected:
             fault = sockets.connect_error(connection.stream)
--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -153,6 +153,13 @@
             error = Error(Fault.READ_ONLY, "")
         return UpstreamReply((), "", error, state, upstream.received, status)
 
+    def make_follower(self, leader=""):
+        """Make the process a follower of ``leader`` that calls no election for a minute."""
+        state = self.state
+        state.role, state.leader_state, state.leader = Role.FOLLOWER, None, leader
+        state.leader_last_contact_ms = self.now_ms
+        state.election_due_ms = self.now_ms + 60_000
+
     def break_connections(self, name):
         """End an upstream's connections, as a crash does."""
         for number in [item for item, upstream in self.connections.items() if upstream == name]:
--- a/tests/test_primary_leases.py
+++ b/tests/test_primary_leases.py
@@ -9,7 +9,6 @@
 from control_driver import ADDRESSES, SERVICE, leading_control
 from endivewick_core.control import events as ce
 from endivewick_core.control.events import FailoverOutcome
-from endivewick_core.control.state import Role
 from endivewick_core.messages import (
     DirectoryAnswer,
     DirectoryQuestion,
@@ -133,11 +132,8 @@
 
 
 def test_a_follower_counts_a_lease_from_before_its_request(control):
-    state = control.state
-    state.role, state.leader_state = Role.FOLLOWER, None
-    state.leader, state.leader_last_contact_ms = f"{ADDRESSES[1]}#founder", control.now_ms
-    state.election_due_ms = control.now_ms + 60_000
-    state.primary_leases.leases.clear()
+    control.make_follower(f"{ADDRESSES[1]}#founder")
+    control.state.primary_leases.leases.clear()
     control.replies.clear()
     control.run(20)
     asked_ms = control.now_ms
@@ -153,9 +149,7 @@
 
 def test_a_follower_cut_off_from_its_leader_passes_no_watermark_on(control):
     """Its probes of a former primary still succeed, but prove nothing."""
-    state = control.state
-    state.role, state.leader_state = Role.FOLLOWER, None
-    state.leader, state.election_due_ms = "", control.now_ms + 60_000
+    control.make_follower()
     control.run(LEASE_MS + 500)
     leases, answer = poll(control)
     assert_that((leases.leases, answer.watermarks), Equals(([], [])))
@@ -278,10 +272,7 @@
 
 
 def test_a_follower_asks_more_often_once_a_lease_has_ended(control):
-    state = control.state
-    state.role, state.leader_state = Role.FOLLOWER, None
-    state.leader, state.leader_last_contact_ms = f"{ADDRESSES[1]}#founder", control.now_ms
-    state.election_due_ms = control.now_ms + 60_000
+    control.make_follower(f"{ADDRESSES[1]}#founder")
     control.run(LEASE_MS + 500)
     control.replies.clear()
     control.run(400)
