--- a/review/standins.py
+++ b/review/standins.py
@@ -79,10 +79,10 @@
 class Entry:
     """A commit in a log: the term, and the request ids of its writes."""
 
-    __slots__ = ("term", "ids", "data", "received")
+    __slots__ = ("ids", "term")
 
-    def __init__(self, term: int, ids: tuple, data: dict) -> None:
-        self.term, self.ids, self.data = term, ids, data
+    def __init__(self, term: int, ids: tuple) -> None:
+        self.term, self.ids = term, ids
 
 
 class Instance:
@@ -376,7 +376,7 @@
     async def commit(self, writes: list, proof: str):
         """Append to the log; answer once one replica has received the commit."""
         instance = self.instance
-        entry = Entry(instance.term, tuple(item[0] for item in writes), {})
+        entry = Entry(instance.term, tuple(item[0] for item in writes))
         number, term = len(instance.log), instance.term
         instance.log.append(entry)
         instance.received_s.append(time.monotonic())
@@ -719,7 +719,6 @@
         All connections over loopback come from one address, so the port tells them apart.
         """
         wanted = f":{port:04X}"
-        inode = ""
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
             fields = line.split()
             if fields[1].endswith(wanted) and not fields[2].endswith(":0000"):
