Log what control knew at each decision of a failover

The lines of failovers, pauses, reports and believed primaries now carry inputs: per upstream its state, the age of its report, its position and the age of that, the primary's last known position, departed replicas and restarts. A new line replica_paused tells which position stopped where.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -86,7 +86,7 @@
     departed: list[HeardReport] = []
     for report, age_ms in share.reports:
         if merge_report(state.directory_state.directory, now_ms, report, age_ms):
-            effects.append(_report_event(report))
+            effects.append(_report_event(report, age_ms, share.sender.address))
         entry = departed_since(state.directory_state.directory, report)
         if entry is not None:
             departed.append(HeardReport(entry.report, now_ms - entry.last_contact_ms))
@@ -322,10 +322,22 @@
     ]
 
 
-def _report_event(report: UpstreamReport) -> Effect:
+def _report_event(report: UpstreamReport, age_ms: int = 0, heard_from: str = "") -> Effect:
+    """Return the log event of a changed report; ``heard_from`` is empty for its own upstream."""
     role = "primary" if report.is_primary else "replica"
     text = (
         f"{report.upstream} of {report.service} at {report.address} in {report.data_centre} is "
         f"{report.state.value}, {role}; started at {report.born_ms}, report {report.sequence}"
     )
-    return LogEvent("info", "upstream_changed", text)
+    inputs: dict[str, object] = {
+        "upstream": report.upstream,
+        "service": report.service,
+        "address": report.address,
+        "state": report.state.value,
+        "is_primary": report.is_primary,
+        "born_ms": report.born_ms,
+        "sequence": report.sequence,
+        "heard_ms_ago": age_ms,
+        "heard_from": heard_from,
+    }
+    return LogEvent("info", "upstream_changed", text, inputs)
--- a/packages/core/src/endivewick_core/control/effects.py
+++ b/packages/core/src/endivewick_core/control/effects.py
@@ -54,11 +54,15 @@
 
 
 class LogEvent(NamedTuple):
-    """Write a log line and count ``name``; ``text`` describes the event."""
+    """Write a log line and count ``name``; ``text`` describes the event.
+
+    ``inputs`` holds what decided it: identities, positions, and the ages of what was known.
+    """
 
     level: str
     name: str
     text: str
+    inputs: dict[str, object] | None = None
 
 
 class AnswerConfiguration(NamedTuple):
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -14,8 +14,9 @@
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import StatementKind, UpstreamReply
 from . import directory, primary_leases, probes, replica_pauses, replication
-from .effects import Effect, LogEvent, OrderFailover
+from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
+from .failover_log import failover_event
 from .service_state import Failover, ProbeKind, Stage
 from .state import ControlState, Role
 
@@ -60,7 +61,7 @@
     if attempt is None or attempt.previous != upstream:
         return []
     attempt.stepped_down_born_ms = entry.report.born_ms
-    return [_log_event("info", "primary_stepped_down", attempt, now_ms)]
+    return [failover_event(state, now_ms, attempt, "info", "primary_stepped_down")]
 
 
 def handle_primary_confirmed(
@@ -84,11 +85,13 @@
     if event.outcome is FailoverOutcome.ACCEPTED:
         if attempt.stage is Stage.ORDERED:
             attempt.stage = Stage.PROMOTING
-        return [_log_event("info", "failover_accepted", attempt, event.now_ms)]
+        return [failover_event(state, event.now_ms, attempt, "info", "failover_accepted")]
     if event.outcome is FailoverOutcome.REFUSED:
-        effects: list[Effect] = [_log_event("warning", "failover_refused", attempt, event.now_ms)]
+        effects: list[Effect] = [
+            failover_event(state, event.now_ms, attempt, "warning", "failover_refused")
+        ]
         return effects + _restart(state, event.now_ms, attempt, "the order was refused")
-    return [_log_event("warning", "failover_unanswered", attempt, event.now_ms)]
+    return [failover_event(state, event.now_ms, attempt, "warning", "failover_unanswered")]
 
 
 def handle_failover_started(
@@ -102,7 +105,7 @@
         return []
     attempt.token = index
     attempt.stage = Stage.PAUSING
-    return [_log_event("info", "failover_begun", attempt, now_ms)]
+    return [failover_event(state, now_ms, attempt, "info", "failover_begun")]
 
 
 def handle_failover_ended(state: ControlState, command: EndFailover) -> None:
@@ -233,7 +236,7 @@
     attempt.ordered_ms = now_ms
     for entry in replica_pauses.replicas(state, attempt.service, primary):
         state.failover.to_resume[entry.report.upstream] = attempt.service
-    return [_log_event("info", "failover_promoted", attempt, now_ms)]
+    return [failover_event(state, now_ms, attempt, "info", "failover_promoted")]
 
 
 def _step_down(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
@@ -288,7 +291,7 @@
     attempt.ordered_ms = now_ms
     attempt.order_in_flight = True
     order = OrderFailover(attempt.service, attempt.target, state.me.name, attempt.token)
-    return [order, _log_event("info", "failover_ordered", attempt, now_ms)]
+    return [order, failover_event(state, now_ms, attempt, "info", "failover_ordered")]
 
 
 def _restart(state: ControlState, now_ms: int, attempt: Failover, reason: str) -> list[Effect]:
@@ -303,7 +306,7 @@
 
 
 def _propose(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    log_event = _log_event("warning", "failover_needed", attempt, now_ms)
+    log_event = failover_event(state, now_ms, attempt, "warning", "failover_needed")
     command = BeginFailover(attempt.service, state.me.member_id)
     return [log_event, *replication.propose_now(state, now_ms, command)]
 
@@ -311,7 +314,7 @@
 def _finish(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ENDING
     state.failover.ended_ms[attempt.service] = now_ms
-    log_event = _log_event("info", "failover_done", attempt, now_ms)
+    log_event = failover_event(state, now_ms, attempt, "info", "failover_done")
     entry = state.directory_state.directory.entries.get(attempt.target)
     address = entry.report.address if entry is not None else ""
     command = EndFailover(attempt.service, attempt.token, attempt.target, address)
@@ -320,16 +323,3 @@
 
 def _is_ready(entry: DirectoryEntry) -> bool:
     return entry.report.state is UpstreamState.READY
-
-
-def _log_event(level: str, name: str, attempt: Failover, now_ms: int) -> LogEvent:
-    received = {
-        name: f"{item.received.term}.{item.received.offset}"
-        for name, item in attempt.paused.items()
-    }
-    text = (
-        f"{attempt.service}: {attempt.reason}; stage {attempt.stage.value}, token {attempt.token}, "
-        f"from {attempt.previous or 'unknown'} to {attempt.target or 'undecided'}, received "
-        f"{received}, {now_ms - attempt.started_ms} ms after its start"
-    )
-    return LogEvent(level, name, text)
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -0,0 +1,94 @@
+"""Log events of failovers, with everything that control knew at each decision."""
+
+from ..directory import DirectoryEntry, UpstreamState
+from ..positions import Position
+from .effects import LogEvent
+from .service_state import Failover
+from .state import ControlState
+
+
+def failover_event(
+    state: ControlState, now_ms: int, attempt: Failover, level: str, name: str
+) -> LogEvent:
+    """Return the log event of a decision of a failover."""
+    received = {
+        name: _format_position(replica.received) for name, replica in attempt.paused.items()
+    }
+    text = (
+        f"{attempt.service}: {attempt.reason}; stage {attempt.stage.value}, token {attempt.token}, "
+        f"from {attempt.previous or 'unknown'} to {attempt.target or 'undecided'}, received "
+        f"{received}, {now_ms - attempt.started_ms} ms after its start"
+    )
+    return LogEvent(level, name, text, _inputs(state, now_ms, attempt))
+
+
+def replica_paused(
+    state: ControlState, now_ms: int, attempt: Failover, entry: DirectoryEntry
+) -> LogEvent:
+    """Return the log event of a replica's confirmation that it receives nothing any more."""
+    inputs: dict[str, object] = {
+        "service": attempt.service,
+        "token": attempt.token,
+        "stage": attempt.stage.value,
+        "target": attempt.target,
+        "upstream": _describe_upstream(now_ms, attempt, entry),
+    }
+    text = f"{entry.report.upstream} of {attempt.service} has received all that it will"
+    return LogEvent("info", "replica_paused", text, inputs)
+
+
+def _inputs(state: ControlState, now_ms: int, attempt: Failover) -> dict[str, object]:
+    """Return what was known of the service, with the age of each part."""
+    watermark = state.watch.watermarks.get(attempt.service)
+    leader_state = state.leader_state
+    known = state.directory_state.directory.entries
+    inputs: dict[str, object] = {
+        "service": attempt.service,
+        "token": attempt.token,
+        "stage": attempt.stage.value,
+        "previous": attempt.previous,
+        "target": attempt.target,
+        "keeps_primary": attempt.keeps_primary,
+        "is_takeover": attempt.is_takeover,
+        "running_ms": now_ms - attempt.started_ms,
+        "led_ms": now_ms - leader_state.since_ms if leader_state is not None else None,
+        "newest_term": state.watch.terms.get(attempt.service, 0),
+        "primary": watermark.upstream if watermark is not None else "",
+        "primary_position": _format_position(watermark.position if watermark else None),
+        "primary_probed_ms_ago": now_ms - watermark.probed_ms if watermark is not None else None,
+        "upstreams": {
+            name: _describe_upstream(now_ms, attempt, entry)
+            for name, entry in known.items()
+            if entry.report.service == attempt.service
+        },
+    }
+    # A replica that departed after its pause may have held commits that no other one received.
+    inputs["departed"] = {
+        name: _format_position(replica.received)
+        for name, replica in attempt.paused.items()
+        if name not in known or known[name].report.state is UpstreamState.GONE
+    }
+    return inputs
+
+
+def _describe_upstream(now_ms: int, attempt: Failover, entry: DirectoryEntry) -> dict[str, object]:
+    report = entry.report
+    description: dict[str, object] = {
+        "state": report.state.value,
+        "is_primary": report.is_primary,
+        "address": report.address,
+        "born_ms": report.born_ms,
+        "sequence": report.sequence,
+        "reported_ms_ago": now_ms - entry.last_contact_ms,
+    }
+    paused = attempt.paused.get(report.upstream)
+    if paused is not None:
+        description["received"] = _format_position(paused.received)
+        description["received_ms_ago"] = now_ms - paused.confirmed_ms
+        # Its log may be another one since it started again.
+        description["restarted_since"] = paused.born_ms != report.born_ms
+    return description
+
+
+def _format_position(position: Position | None) -> str:
+    return f"{position.term}.{position.offset}" if position is not None else ""
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -5,7 +5,7 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import RESUME, StatementKind, UpstreamReply
-from . import probes
+from . import failover_log, probes
 from .effects import Effect
 from .service_state import Failover, PausedReplica, ProbeKind, Stage
 from .state import ControlState
@@ -30,7 +30,10 @@
         return []
     attempt = state.failover.running.get(entry.report.service)
     if attempt is not None and attempt.stage in PAUSED_STAGES:
-        attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received)
+        attempt.paused[upstream] = PausedReplica(
+            entry.report.born_ms, reply.status.received, now_ms
+        )
+        return [failover_log.replica_paused(state, now_ms, attempt, entry)]
     return []
 
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -86,13 +86,15 @@
 
 
 class PausedReplica(NamedTuple):
-    """A replica that confirmed its pause, and the end of its log.
+    """A replica that confirmed its pause, and the end of its log when it did.
 
     A restart ends the pause, so ``born_ms`` identifies the start that confirmed it.
+    ``confirmed_ms`` is when its confirmation arrived.
     """
 
     born_ms: int
     received: Position
+    confirmed_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -143,7 +143,18 @@
             f"{connection.upstream} is primary of {service} at {reply.position}, probed "
             f"{now_ms - pending.sent_ms} ms ago; previous primary: {previous_name}"
         )
-        effects.append(LogEvent("info", "primary_believed", text))
+        inputs: dict[str, object] = {
+            "service": service,
+            "upstream": connection.upstream,
+            "position": f"{reply.position.term}.{reply.position.offset}",
+            "probed_ms_ago": now_ms - pending.sent_ms,
+            "previous": previous.upstream if previous else "",
+            "previous_position": (
+                f"{previous.position.term}.{previous.position.offset}" if previous else ""
+            ),
+            "previous_probed_ms_ago": now_ms - previous.probed_ms if previous else None,
+        }
+        effects.append(LogEvent("info", "primary_believed", text, inputs))
     return effects + failover.handle_primary_confirmed(state, now_ms, service, connection.upstream)
 
 
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -358,7 +358,8 @@
         self._metrics.count(f"notes.{effect.name}")
         if self._platform is not None:
             self._prometheus.count_event(effect.name)
-        log_rate_limited(effect.level, effect.name, effect.text)
+        fields = {} if effect.inputs is None else {"inputs": effect.inputs}
+        log_rate_limited(effect.level, effect.name, effect.text, **fields)
 
     def _count_dropped_message(self) -> None:
         self._metrics.count("messages.dropped")
--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -74,6 +74,7 @@
     answers: dict[int, Any] = field(default_factory=dict)
     shares: list[tuple[str, DirectoryShare]] = field(default_factory=list)
     log_event_names: list[str] = field(default_factory=list)
+    log_events: list[cx.LogEvent] = field(default_factory=list)
     replies: list[Any] = field(default_factory=list)
     deaf: set[str] = field(default_factory=set)
     sequence: int = 1
@@ -105,6 +106,7 @@
             self.answers[effect.number] = effect
         if isinstance(effect, cx.LogEvent):
             self.log_event_names.append(effect.name)
+            self.log_events.append(effect)
         return []
 
     def _follow(self, effect):
--- a/tests/test_failover_pauses.py
+++ b/tests/test_failover_pauses.py
@@ -99,3 +99,16 @@
     control.promote(order.upstream)
     control.run(160)
     assert_that(control.log_event_names, Contains("failover_promoted"))
+
+
+def test_an_order_is_logged_with_what_was_known_of_each_upstream(control):
+    """Guards against a lost commit whose cause the logs can't tell (issue 28)."""
+    order_failover(control)
+    ordered = [item for item in control.log_events if item.name == "failover_ordered"][-1]
+    upstreams = ordered.inputs["upstreams"]
+    assert_that(sorted(upstreams), Equals(["u-primary", "u-second", "u-third"]))
+    for name in ("u-second", "u-third"):
+        known = upstreams[name]
+        assert_that((known["received"], known["restarted_since"]), Equals(("1.10", False)))
+        assert_that(known["received_ms_ago"] <= ordered.inputs["running_ms"], Equals(True))
+    assert_that(ordered.inputs["primary_position"], Equals("1.10"))
