KNOWN-RED.txt: the tests that it names by their node are expected to fail

Exactly these are marked as strict expected failures, and printed (-rx): one that passes fails the run, so that its entry goes with the fix; one that has another error than a failed assertion fails the run, too. An entry whose test doesn't exist ends the run. Entries without the name of a node, that is all present ones, have no effect here; test_soak.py goes on to pass over its own.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,13 @@
 import pytest
 from endivewick_bench.checkers import CHECKERS
 from gateway_driver import ready_gateway
+from known_red import pytest_collection_modifyitems as mark_known_red
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_collection_modifyitems(config, items):
+    """Expect the tests that KNOWN-RED.txt names to fail."""
+    mark_known_red(config, items)
 
 
 def pytest_terminal_summary(terminalreporter):
