--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -80,7 +80,10 @@
 
     def handle(self, event):
         """Reduce one event and carry out its effects at once."""
-        pending = list(reduce(self.state, event))
+        self._perform(reduce(self.state, event))
+
+    def _perform(self, effects):
+        pending = list(effects)
         while pending:
             pending += self._carry_out(pending.pop(0))
 
@@ -160,6 +163,27 @@
         state.leader_last_contact_ms = self.now_ms
         state.election_due_ms = self.now_ms + 60_000
 
+    def win_election(self):
+        """Make the process the leader of the next term, with the votes of a quorum."""
+        state = self.state
+        state.term += 1
+        state.voted_for = state.me.member_id
+        state.votes = {state.me.member_id, f"{ADDRESSES[1]}#founder"}
+        state.role = Role.CANDIDATE
+        self._perform(election._count_votes(state, self.now_ms))
+
+    def restart(self):
+        """Start the process again with its durable log; it calls no election for a minute."""
+        before = self.state
+        assert not before.log.start_index, "a compacted log needs its snapshot"
+        self.state = ControlState(before.settings, before.me, Role.FOLLOWER)
+        self.state.term, self.state.voted_for = before.term, before.voted_for
+        self.state.log = before.log
+        self.state.snapshot_membership = before.snapshot_membership
+        self.state.directory_state.boot = f"boot at {self.now_ms}"
+        self.state.election_due_ms = self.now_ms + 60_000
+        self.connections.clear()
+
     def break_connections(self, name):
         """End an upstream's connections, as a crash does."""
         for number in [item for item, upstream in self.connections.items() if upstream == name]:
@@ -236,7 +260,7 @@
         self.upstreams[name].paused_term = 0
 
 
-def leading_control(primary_lease_ms=0):
+def leading_control(primary_lease_ms=0, driver=Control, upstream=FakeUpstream):
     """Return a leader of three founders, with a configuration and three upstreams."""
     me = Member(f"{ADDRESSES[0]}#founder", ADDRESSES[0], ADDRESSES[0])
     settings = ControlSettings(
@@ -247,18 +271,12 @@
     state.snapshot_membership = Membership(voters, [])
     state.directory_state.boot = "boot"
     upstreams = {
-        "u-primary": FakeUpstream("u-primary", leads=True),
-        "u-second": FakeUpstream("u-second"),
-        "u-third": FakeUpstream("u-third"),
+        "u-primary": upstream("u-primary", leads=True),
+        "u-second": upstream("u-second"),
+        "u-third": upstream("u-third"),
     }
-    control = Control(state, upstreams)
-    state.term = 1
-    state.voted_for = me.member_id
-    state.votes = {me.member_id, voters[1].member_id}
-    state.role = Role.CANDIDATE
-    for effect in election._count_votes(state, control.now_ms):
-        for following in control._carry_out(effect):
-            control._carry_out(following)
+    control = driver(state, upstreams)
+    control.win_election()
     control.run(200)
     control.operator(1, ce.PutConfigurationRequest(1, [SERVICE], b"document-1"))
     control.report_all()
