--- a/tests/replicated_service.py
+++ b/tests/replicated_service.py
@@ -263,6 +263,10 @@
             upstream.report_due_ms = self.now_ms
         return reply
 
+    def deliver(self, instance, statement):
+        """Let a statement of another control process reach an upstream."""
+        self._reply(instance, statement)
+
     def report(self, upstream, number=0):
         """Let an upstream report itself; its next report follows after the usual interval."""
         upstream.report_due_ms = self.now_ms + REPORT_INTERVAL_MS
--- a/tests/test_promotions_keep_commits.py
+++ b/tests/test_promotions_keep_commits.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 import pytest
+from endivewick_core.statements import RESUME
 from replicated_service import OrderCourse, running_service
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -360,3 +361,35 @@
     run_until_promoted(service)
     assert_serves_within(service, LOSS_LIMIT_MS)
     assert_nothing_lost(service)
+
+
+# RESUME has no term: one of an earlier leader that was frozen, or that is late, ends the pause of
+# this leader's failover. It isn't told so.
+def test_a_late_resume_of_an_earlier_leader_confirms_nothing(service):
+    primary, second, third = instances(service)
+    service.cut_from_control(primary)
+    order = run_until_ordered(service)
+    resumed = third if order.upstream != third.name else second
+    service.run(100)
+    service.deliver(resumed, RESUME)
+    run_until_promoted(service)
+    assert_nothing_lost(service)
+
+
+# After a crash the former primary has commits that nobody else received, so its log is the longest,
+# but it lacks those of the newer term. The first promotion may wait for it: control can't know that
+# those commits were not acknowledged.
+def test_a_former_primary_with_a_longer_log_of_an_older_term_is_not_promoted(service):
+    primary, second, third = instances(service)
+    second.is_deaf = third.is_deaf = True
+    service.run(1_000)
+    service.crash(primary)
+    second.is_deaf = third.is_deaf = False
+    service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
+    primary.is_deaf = True
+    service.come_back(primary)
+    service.run(500)
+    assert_that(len(primary.log), GreaterThan(len(service.primary().log)))
+    service.crash(service.primary())
+    run_until_promoted(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
