Acknowledge commits only under a lease, and pause replicas only once that has ended

Callers lost commits that had been acknowledged while a primary was replaced.

Cause: control paused the replicas that it knew and ordered one of them at once, while the primary still served. A replica that control didn't know (just started, its report sent to a frozen process, or control restarted) was then the only one that received, confirmed commits, and the promoted upstream lacked them. Nobody held the acknowledgements back for the 300 to 1,000 ms until the order took effect.

Why it works: leases on primaries, which the platforms without fencing had, are now granted everywhere, and gateways acknowledge a commit of writes only under one. A primary that is replaced as planned steps down before any replica is paused; for one that can't be reached the leader waits until every lease has ended. Until then all replicas receive, so none is ahead for being unknown. Where the platform fences, reads and transactions need no lease as before, and the lease of a new primary doesn't wait for the end of the former one's. A single write without a lease is not sent, and doesn't hold up requests behind it.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -149,7 +149,7 @@
         _neighbours(state, request.data_centre),
     )
     effects: list[Effect] = []
-    if primary_leases.are_needed(state):
+    if primary_leases.are_granted(state):
         # Before the answer, so that its watermarks are covered by a lease.
         leases = PrimaryLeaseAnswer(request.sequence, primary_leases.notes(state, now_ms))
         effects.append(Send(request.gateway, leases))
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -1,9 +1,11 @@
 """Failover of a service's primary, decided by the leader of control.
 
 Where commits wait for one replica, each acknowledged commit is on at least one replica, but it is
-not known which. The leader therefore pauses every replica first: from then on no further commit is
-acknowledged, and the replica with the highest received position holds every acknowledged commit.
-Only then does the leader order the platform to promote that replica.
+not known which, and control may not know of every replica. The leader therefore first makes sure
+that no further commit is acknowledged: the primary has become a replica, or every lease on it has
+ended. Until then the replicas go on to receive, so that none gets ahead of those that are known.
+Then the leader pauses them, reads their positions, and orders the platform to promote the one with
+the highest position, which holds every acknowledged commit.
 
 The fencing token of an attempt is the index of its log entry, which is unique. If an earlier leader
 left an attempt open, the new leader orders the primary again with a newer token, so that the
@@ -71,9 +73,9 @@
     attempt = state.failover.running.get(service)
     if attempt is None or state.leader_state is None:
         return []
-    if attempt.stage in (Stage.ORDERED, Stage.PROMOTING) and upstream == attempt.target:
-        return _start_to_resume(state, now_ms, attempt, upstream)
-    return []
+    if attempt.stage not in (Stage.ORDERED, Stage.PROMOTING) or upstream != attempt.target:
+        return []
+    return _start_to_resume(state, now_ms, attempt, upstream)
 
 
 def handle_order_answered(state: ControlState, event: FailoverAnswered) -> list[Effect]:
@@ -124,6 +126,7 @@
     attempt = Failover(service, previous, reason, may_keep_primary, now_ms)
     record = state.replicated_state.failovers.get(service)
     attempt.is_takeover = record is not None and record.is_open
+    attempt.has_earlier_orders = attempt.is_takeover
     state.failover.running[service] = attempt
     return _propose(state, now_ms, attempt)
 
@@ -135,7 +138,7 @@
     record = state.replicated_state.failovers.get(service)
     if record is not None and record.is_open:
         # Without fencing, a late order of the earlier leader may still replace the primary.
-        may_keep_primary = not primary_leases.are_needed(state)
+        may_keep_primary = not primary_leases.prove_leadership(state)
         return "an earlier leader left a failover open", may_keep_primary
     entry = state.directory_state.directory.entries.get(previous)
     if entry is None:
@@ -176,7 +179,7 @@
     ):
         return []
     if attempt.stage is Stage.PAUSING:
-        return _pause_replicas(state, now_ms, attempt)
+        return _choose_primary(state, now_ms, attempt)
     if attempt.stage is Stage.RESUMING:
         paused = attempt.service in state.failover.to_resume.values()
         if paused and now_ms - attempt.ordered_ms < RESUME_TIMEOUT_MS:
@@ -185,8 +188,8 @@
     if now_ms - attempt.ordered_ms >= PROMOTION_TIMEOUT_MS:
         return _restart(state, now_ms, attempt, "the promotion took too long")
     target = state.directory_state.directory.entries.get(attempt.target)
-    if target is None:
-        return _restart(state, now_ms, attempt, "the target has left the directory")
+    if target is None or target.report.state is UpstreamState.GONE:
+        return _restart(state, now_ms, attempt, "the target has departed")
     effects: list[Effect] = []
     if not attempt.keeps_primary:
         effects += replica_pauses.pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
@@ -196,20 +199,21 @@
     return effects + probes.probe_position(state, now_ms, target, TARGET_PROBE_INTERVAL_MS)
 
 
-def _pause_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    """Pause every replica; order the promotion of the most advanced one once all have responded.
+def _choose_primary(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Order the promotion of an upstream once it is sure to have every acknowledged commit.
 
     Where the attempt may keep the primary and it has responded meanwhile, it is ordered instead.
     """
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
         return _keep_primary(state, now_ms, attempt, primary)
+    if not primary_leases.may_replace_primary(state, now_ms, attempt):
+        # A primary that may be kept goes on to serve until the leases on it have ended.
+        return [] if attempt.may_keep_primary else _step_down(state, now_ms, attempt)
     effects = replica_pauses.pause(state, now_ms, attempt)
     replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
     if not replicas or replica_pauses.unpaused_replicas(state, attempt):
         return effects
-    if not primary_leases.may_replace_primary(state, now_ms, attempt):
-        return effects + _step_down(state, now_ms, attempt)
     attempt.target = _choose_target(replicas, attempt)
     return effects + _send_order(state, now_ms, attempt)
 
@@ -221,7 +225,7 @@
 
     Where the platform checks no tokens nothing was ordered, and the attempt ends.
     """
-    if primary_leases.are_needed(state):
+    if primary_leases.prove_leadership(state):
         return _start_to_resume(state, now_ms, attempt, primary)
     attempt.target = primary
     attempt.keeps_primary = True
@@ -242,7 +246,9 @@
 def _step_down(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Tell the previous primary, where it can be reached, to become a replica."""
     entry = state.directory_state.directory.entries.get(attempt.previous)
-    if entry is None or attempt.stepped_down_born_ms == entry.report.born_ms:
+    if entry is None or attempt.target == attempt.previous:
+        return []
+    if attempt.stepped_down_born_ms == entry.report.born_ms:
         return []
     statement = probes.next_term_statement(state, attempt.service, StatementKind.STEP_DOWN)
     return probes.send_probe(state, now_ms, entry, statement, ProbeKind.STEP_DOWN)
@@ -253,15 +259,15 @@
 
     A replica that registered after the order may have received commits that the target lacks.
     """
-    if attempt.keeps_primary:
+    if attempt.target == attempt.previous:
         return _send_order(state, now_ms, attempt)
     if replica_pauses.unpaused_replicas(state, attempt):
         return []
-    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    if replicas:
-        best = _choose_target(replicas, attempt)
-        if attempt.paused[best].received > attempt.paused[attempt.target].received:
-            return _restart(state, now_ms, attempt, f"{best} has received more than the target")
+    for entry in replica_pauses.replicas(state, attempt.service, attempt.previous):
+        upstream = entry.report.upstream
+        if attempt.paused[upstream].received > attempt.paused[attempt.target].received:
+            reason = f"{upstream} has received more than the target"
+            return _restart(state, now_ms, attempt, reason)
     return _send_order(state, now_ms, attempt)
 
 
@@ -270,7 +276,8 @@
     watermark = state.watch.watermarks.get(attempt.service)
     if watermark is None or watermark.probed_ms < attempt.started_ms:
         return ""
-    return watermark.upstream
+    known = state.directory_state.directory.entries
+    return watermark.upstream if watermark.upstream in known else ""
 
 
 def _choose_target(replicas: list[DirectoryEntry], attempt: Failover) -> str:
@@ -297,10 +304,11 @@
 def _restart(state: ControlState, now_ms: int, attempt: Failover, reason: str) -> list[Effect]:
     """Restart the failover with a newer token."""
     # Without fencing, the order of the attempt may still be carried out.
-    may_keep_primary = attempt.may_keep_primary and not primary_leases.are_needed(state)
+    may_keep_primary = attempt.may_keep_primary and not primary_leases.prove_leadership(state)
     fresh = Failover(attempt.service, attempt.previous, reason, may_keep_primary, now_ms)
     fresh.stepped_down_born_ms = attempt.stepped_down_born_ms
     fresh.is_takeover = attempt.is_takeover
+    fresh.has_earlier_orders = attempt.has_earlier_orders or bool(attempt.ordered_ms)
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
--- a/packages/core/src/endivewick_core/control/primary_leases.py
+++ b/packages/core/src/endivewick_core/control/primary_leases.py
@@ -1,12 +1,12 @@
 """Leases on primaries at a control process; see ``endivewick_core.primary_leases``.
 
 The leader grants them while a quorum confirms its leadership and the primary answers its probes.
-The other control processes request them from the leader, and pass them on to gateways. An order to
-promote another upstream waits until the leases that this or an earlier leader granted have ended,
-or until the former primary has stepped down.
+The other control processes request them from the leader, and pass them on to gateways, which
+acknowledge commits only under a lease. An order to promote another upstream waits until the leases
+that this or an earlier leader granted have ended, or until the former primary has stepped down.
 """
 
-from ..directory import DirectoryEntry
+from ..directory import DirectoryEntry, UpstreamState
 from ..messages import PrimaryLeaseAnswer, PrimaryLeaseNote, PrimaryLeaseQuestion
 from ..primary_leases import PrimaryLease, covers, renew, to_notes
 from . import probes, replication
@@ -26,15 +26,23 @@
 TRUST_OTHERS_AFTER_MS = 1_000
 
 
-def are_needed(state: ControlState) -> bool:
-    """Return whether the platform leaves former primaries running, so that leases are needed."""
+def are_granted(state: ControlState) -> bool:
+    """Return whether this control process grants leases on primaries."""
     return state.settings.primary_lease_ms > 0
 
 
+def prove_leadership(state: ControlState) -> bool:
+    """Return whether only a lease proves that an upstream that accepts transactions is primary.
+
+    That is so where the platform leaves former primaries running.
+    """
+    return are_granted(state) and not state.settings.fences_primaries
+
+
 def check_leases(state: ControlState, now_ms: int) -> list[Effect]:
     """Grant leases as leader, or request them from the leader when due."""
     lease_state = state.primary_leases
-    if not are_needed(state):
+    if not are_granted(state):
         return []
     if state.role is Role.LEADER:
         _grant(state, now_ms)
@@ -57,7 +65,7 @@
     state: ControlState, now_ms: int, question: PrimaryLeaseQuestion
 ) -> list[Effect]:
     """Answer another control process with the leases, if this process is the leader."""
-    if state.role is not Role.LEADER or not are_needed(state):
+    if state.role is not Role.LEADER or not are_granted(state):
         return []
     _grant(state, now_ms)
     answer = PrimaryLeaseAnswer(question.sequence, notes(state, now_ms))
@@ -80,14 +88,14 @@
 
 def probe_interval_ms(state: ControlState) -> int:
     """Return how often this process probes each primary."""
-    if are_needed(state) and state.role is Role.LEADER:
+    if are_granted(state) and state.role is Role.LEADER:
         return LEASED_PROBE_INTERVAL_MS
     return probes.PROBE_INTERVAL_MS
 
 
 def covers_watermark(state: ControlState, service: str, watermark: PrimaryWatermark) -> bool:
     """Return whether the upstream of a watermark was surely the primary when it was probed."""
-    if not are_needed(state):
+    if not prove_leadership(state):
         return True
     leases = state.primary_leases.leases
     return covers(leases, service, watermark.upstream, watermark.probed_ms)
@@ -99,7 +107,7 @@
     Where former primaries aren't fenced, several upstreams may accept them. The primary is the
     target of the last promotion, or its successor at the same address.
     """
-    if not are_needed(state):
+    if not prove_leadership(state):
         return True
     service = entry.report.service
     attempt = state.failover.running.get(service)
@@ -117,27 +125,38 @@
 
 def may_replace_primary(state: ControlState, now_ms: int, attempt: Failover) -> bool:
     """Return whether another upstream may be promoted: no lease on the former primary is left."""
-    if not are_needed(state):
+    if not are_granted(state):
         return True
     assert state.leader_state is not None
     margin_ms = state.settings.lease_margin_ms
-    led_ms = now_ms - state.leader_state.since_ms
-    if _has_stepped_down(state, attempt):
-        return led_ms > ORDER_VALIDITY_MS + margin_ms
-    # An earlier leader's leases ended at most one lease after the election of this one.
-    if led_ms <= state.settings.primary_lease_ms + margin_ms:
+    # A lease on an upstream that an earlier leader promoted doesn't end with the step down.
+    if has_stepped_down(state, attempt) and not attempt.is_takeover:
+        return now_ms - state.leader_state.since_ms > ORDER_VALIDITY_MS + margin_ms
+    if not have_earlier_ended(state, now_ms):
         return False
     lease = state.primary_leases.leases.get(attempt.service)
     return lease is None or now_ms > lease.valid_until_ms + margin_ms
 
 
-def _has_stepped_down(state: ControlState, attempt: Failover) -> bool:
-    """Return whether the former primary has become a replica.
+def may_keep_primary(state: ControlState, attempt: Failover) -> bool:
+    """Return whether the former primary, which is still the primary, may be ordered itself.
 
-    That ends no lease on an upstream that an earlier leader promoted instead.
+    Where the platform checks no tokens, an earlier order may still be executed.
     """
+    return not prove_leadership(state) or not attempt.has_earlier_orders
+
+
+def have_earlier_ended(state: ControlState, now_ms: int) -> bool:
+    """Return whether every lease that an earlier leader granted has ended."""
+    assert state.leader_state is not None
+    led_ms = now_ms - state.leader_state.since_ms
+    return led_ms > state.settings.primary_lease_ms + state.settings.lease_margin_ms
+
+
+def has_stepped_down(state: ControlState, attempt: Failover) -> bool:
+    """Return whether the former primary has become a replica since it last started."""
     entry = state.directory_state.directory.entries.get(attempt.previous)
-    if entry is None or attempt.is_takeover:
+    if entry is None or entry.report.state is UpstreamState.GONE:
         return False
     return attempt.stepped_down_born_ms == entry.report.born_ms
 
@@ -158,8 +177,8 @@
             confirmed_ms, _primary_known_ms(state, now_ms, service, watermark)
         )
         known = leases.get(service)
-        # The lease of another upstream must have ended, whoever promoted this one.
-        if known is not None and known.upstream != watermark.upstream:
+        # Without fencing, the lease of another upstream must have ended, whoever promoted this one.
+        if known is not None and known.upstream != watermark.upstream and prove_leadership(state):
             if now_ms <= known.valid_until_ms:
                 continue
         if known is None or known.valid_until_ms < until_ms:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -104,8 +104,9 @@
     ``may_keep_primary`` is set where the current primary is kept if it responds before the order.
     ``keeps_primary`` is set where the target is the current primary. ``paused`` holds the replicas
     that confirmed their pause. ``stepped_down_born_ms`` identifies the start of the previous
-    primary that confirmed that it has become a replica, None if none did. ``is_takeover`` is set
-    where an earlier leader began to replace the primary.
+    primary that confirmed that it has become a replica; None if none did. ``is_takeover`` is set
+    where an earlier leader began to replace the primary, and ``has_earlier_orders`` where an
+    earlier attempt, of this or another leader, may have ordered an upstream.
     """
 
     service: str
@@ -121,6 +122,7 @@
     keeps_primary: bool = False
     stepped_down_born_ms: int | None = None
     is_takeover: bool = False
+    has_earlier_orders: bool = False
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
@@ -176,7 +178,7 @@
     """The directory of upstreams, and what is shared with other control processes and gateways.
 
     ``boot`` identifies this run of the process to gateways. ``pending_reports`` is keyed by the
-    serial of the share that carries the report. ``failing_shared`` and ``contended_shared`` are the
+    serial of the share that carries the report. ``failing_shared`` and ``contended_shared`` are
     contents of the last share. ``connection_refused_ms`` is when an upstream last refused a
     connection to a gateway. ``gateway_contact_ms``, ``gateway_centres``, ``writes_failing`` and
     ``wanted`` hold what each gateway reported in its last poll, and when.
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -19,8 +19,9 @@
     ``members`` maps the names of the control processes to their addresses. Where it is empty, the
     processes are discovered: each is named by its address, ``seeds`` are contacted first, and up to
     ``voter_target`` processes vote. ``me`` holds the addresses of this process.
-    ``primary_lease_ms`` is how long a lease on a primary lasts, 0 where the platform fences former
-    primaries, so that no leases are needed.
+    ``primary_lease_ms`` is how long a lease on a primary lasts; without leases it is 0.
+    ``fences_primaries`` is whether a primary stops to lead at the moment when another upstream is
+    promoted.
     """
 
     members: dict[str, str]
@@ -33,6 +34,7 @@
     lease_ms: int = 2_000
     lease_margin_ms: int = 100
     primary_lease_ms: int = 0
+    fences_primaries: bool = True
     join_interval_ms: int = 500
     snapshot_entries: int = 1_000
     entries_kept: int = 200
--- a/packages/core/src/endivewick_core/gateway/commit_confirmations.py
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -1,13 +1,13 @@
-"""Commits whose success was received without a lease on the primary.
+"""Acknowledgement of commits, and commits whose success was received without a lease.
 
-The upstream may have been replaced before the commit, which is then lost. The client is answered
+The upstream may have been replaced before such a commit, which is then lost. The client is answered
 once a later lease shows which upstream was the primary at the time, or at the statement's timeout.
 """
 
 from ..statements import Error, Fault, UpstreamReply
 from . import answers
 from .effects import Effect, LogEvent
-from .primary_leases import covers_primary
+from .primary_leases import covers_commit
 from .requests import apply_success
 from .state import GatewayState, Request, UnconfirmedCommit
 
@@ -35,6 +35,15 @@
     return [log_event]
 
 
+def acknowledge(
+    state: GatewayState, now_ms: int, request: Request, reply: UpstreamReply
+) -> list[Effect]:
+    """Answer a statement that succeeded."""
+    session = state.sessions[request.session]
+    apply_success(session, request, reply.position)
+    return answers.succeed(state, now_ms, request, reply)
+
+
 def is_waiting(state: GatewayState, request: Request) -> bool:
     """Return whether a request's commit waits for its confirmation."""
     return any(commit.request is request for commit in state.unconfirmed_commits)
@@ -49,9 +58,8 @@
         service = request.route.service
         if request.serial not in state.requests:
             continue
-        if covers_primary(state, service, commit.upstream, commit.received_ms):
-            apply_success(state.sessions[request.session], request, commit.reply.position)
-            effects += answers.succeed(state, now_ms, request, commit.reply)
+        if covers_commit(state, service, commit.upstream, commit.received_ms):
+            effects += acknowledge(state, now_ms, request, commit.reply)
             continue
         lease = state.primary_leases.get(service)
         if lease is None or lease.upstream == commit.upstream:
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -89,7 +89,7 @@
 def handle_leases(state: GatewayState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
     """Store the leases on primaries, and continue the work that waited for them."""
     requested_ms = state.control.poll_sent_ms.get(answer.sequence)
-    if requested_ms is None or not state.settings.needs_primary_leases:
+    if requested_ms is None:
         return []
     renew(state.primary_leases, requested_ms, answer.leases)
     effects = commit_confirmations.resolve(state, now_ms)
@@ -186,12 +186,14 @@
 
 
 def _waits_for_primary(state: GatewayState, now_ms: int) -> bool:
-    """Return whether statements are queued for a primary that no lease covers."""
+    """Return whether statements or commits wait for a lease on a primary."""
+    if state.unconfirmed_commits:
+        return True
     for service, queue in state.queues.items():
         if not queue.primary:
             continue
         primary = state.primaries.get(service, "")
-        if not primary_leases.covers_primary(state, service, primary, now_ms):
+        if not primary_leases.covers_commit(state, service, primary, now_ms):
             return True
     return False
 
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -17,7 +17,7 @@
 from . import answers, commit_confirmations, forwarding, pool, primary_leases, routing
 from .effects import CloseConnection, Effect, LogEvent
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
-from .requests import apply_success, commits_writes, is_single_read
+from .requests import commits_writes, is_single_read
 from .state import (
     Connection,
     GatewayState,
@@ -278,15 +278,14 @@
         session.connection = None
         connection.session = None
         connection.is_used = False
-    if commits_writes(session, request) and not primary_leases.covers_primary(
+    if commits_writes(session, request) and not primary_leases.covers_commit(
         state, item.service, item.upstream, now_ms
     ):
         effects = commit_confirmations.await_confirmation(
             state, now_ms, item.upstream, request, reply
         )
     else:
-        apply_success(session, request, reply.position)
-        effects = answers.succeed(state, now_ms, request, reply)
+        effects = commit_confirmations.acknowledge(state, now_ms, request, reply)
     return effects + _advance_connection(state, now_ms, connection)
 
 
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -41,10 +41,14 @@
 
 
 class RoutingResult(NamedTuple):
-    """The result of an attempt to route a request; ``is_routed`` is False if it has to wait."""
+    """The result of an attempt to route a request; ``is_routed`` is False if it has to wait.
+
+    ``needs_lease`` is set if it waits for a lease, which other requests may not need.
+    """
 
     is_routed: bool
     effects: list[Effect]
+    needs_lease: bool = False
 
 
 def route_request(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
@@ -56,7 +60,7 @@
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
         return result.effects
-    if primary_leases.is_out_of_reach(state, now_ms):
+    if primary_leases.is_out_of_reach(state, now_ms, session, request):
         text = "this gateway has no contact with control, which would confirm the primary"
         error = Error(Fault.BUSY, text, OUT_OF_REACH_RETRY_AFTER_MS)
         return result.effects + answers.fail(state, now_ms, request, error)
@@ -169,6 +173,7 @@
 
 def _dispatch_heap(state: GatewayState, now_ms: int, heap: list[QueuedRequest]) -> list[Effect]:
     effects: list[Effect] = []
+    waiting: list[QueuedRequest] = []
     while heap:
         item = heapq.heappop(heap)
         state.queued -= 1
@@ -180,9 +185,12 @@
         effects += result.effects
         if result.is_routed:
             continue
+        waiting.append(item)
+        if not result.needs_lease:
+            break
+    for item in waiting:
         heapq.heappush(heap, item)
-        state.queued += 1
-        break
+    state.queued += len(waiting)
     return effects
 
 
@@ -262,9 +270,9 @@
     if wait_for is None:
         if now_ms < item.read_only_backoff_until_ms:
             return RoutingResult(False, [])
-        if not primary_leases.covers_primary(state, item.service, upstream, now_ms):
+        if not primary_leases.covers_statement(state, now_ms, session, request, upstream):
             request.last_refusal = f"{upstream}: no lease on it as the primary"
-            return RoutingResult(False, [])
+            return RoutingResult(False, [], needs_lease=True)
     connection = pool.take_idle(item, session)
     if connection is None:
         queue = state.queues.get(item.service)
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -52,6 +52,8 @@
     connection_limit_backoff_ms: int = 150
     # Queued statements of one gateway; keeps the queue's memory below a megabyte.
     queue_limit: int = 500
+    # Whether a commit is acknowledged only under a lease on its primary.
+    commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
 
@@ -282,7 +284,7 @@
     By service, ``primary_confirmed_ms`` is when the upstream in ``primaries`` was last known to be
     the primary, ``unanswered_write_since_ms`` is when the first write was sent after the last one
     that the primary answered, and ``unreachable_since_ms`` is since when the primary can't be
-    connected to. ``primary_leases`` are empty where the platform fences former primaries.
+    connected to. ``primary_leases`` are empty where none are needed.
     ``unconfirmed_commits`` are answered once a lease covers the time of their success.
     """
 
--- a/tests/control_driver.py
+++ b/tests/control_driver.py
@@ -262,11 +262,24 @@
         self.upstreams[name].paused_term = 0
 
 
-def leading_control(primary_lease_ms=0, driver=Control, upstream=FakeUpstream):
+def leading_control(
+    primary_lease_ms=2_000,
+    fences_primaries=True,
+    lease_margin_ms=100,
+    driver=Control,
+    upstream=FakeUpstream,
+):
     """Return a leader of three founders, with a configuration and three upstreams."""
     me = Member(f"{ADDRESSES[0]}#founder", ADDRESSES[0], ADDRESSES[0])
     settings = ControlSettings(
-        {}, {}, ADDRESSES, 3, peer(ADDRESSES[0]), primary_lease_ms=primary_lease_ms
+        {},
+        {},
+        ADDRESSES,
+        3,
+        peer(ADDRESSES[0]),
+        primary_lease_ms=primary_lease_ms,
+        lease_margin_ms=lease_margin_ms,
+        fences_primaries=fences_primaries,
     )
     state = ControlState(settings, me, Role.FOLLOWER)
     voters = [Member(f"{address}#founder", address, address) for address in ADDRESSES]
--- a/tests/replicated_service.py
+++ b/tests/replicated_service.py
@@ -9,7 +9,9 @@
 control sends, and records the acknowledged commits that a promoted upstream lacks.
 """
 
+import sys
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from control_driver import SERVICE, Control, FakeUpstream, leading_control
@@ -22,6 +24,9 @@
 from endivewick_core.primary_leases import PrimaryLeases, covers, renew
 from endivewick_core.statements import StatementKind
 
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+from endivewick_platform.control_role import LEASE_MARGIN_MS, PRIMARY_LEASE_MS  # noqa: E402
+
 STEP_MS = 20  # between commits, and for a commit's way to a replica
 REPORT_INTERVAL_MS = 1_000
 POLL_INTERVAL_MS = 100  # of a gateway, so that its lease is as new as it can be
@@ -33,8 +38,6 @@
 ELECTION_MS = 300  # from the start of all control processes to the first leader
 LEADER_CHANGE_MS = 700  # from the end of a leader to the next one, little more than the timeout
 FIRST_REPORT_MS = 900  # after an election, of an upstream whose report came just before a restart
-LEASE_MS = 2_000
-FENCED_LEASE_MS = 0  # where the platform fences, no lease is granted or needed
 GATEWAYS = ("10.0.0.8:7000", "10.0.0.9:7000")
 
 
@@ -238,7 +241,16 @@
         self.polls += 1
         failing = self.is_writing and self.now_ms - self.answered_ms >= WRITES_FAILING_MS
         question = DirectoryQuestion(
-            gateway, "dc-a", self.polls, 1, "", 0, [], [SERVICE] if failing else [], {}, False
+            gateway,
+            "dc-a",
+            self.polls,
+            1,
+            "",
+            0,
+            [],
+            [SERVICE] if failing else [],
+            {},
+            False,
         )
         self.handle(ce.MessageReceived(self.now_ms, question))
 
@@ -400,6 +412,6 @@
     def driver(state, upstreams):
         return ReplicatedService(state, upstreams, is_fenced=is_fenced)
 
-    service = leading_control(FENCED_LEASE_MS if is_fenced else LEASE_MS, driver, Instance)
+    service = leading_control(PRIMARY_LEASE_MS, is_fenced, LEASE_MARGIN_MS, driver, Instance)
     service.run(3_000)
     return service
--- a/tests/test_primary_leases.py
+++ b/tests/test_primary_leases.py
@@ -30,7 +30,7 @@
 
 @pytest.fixture
 def control():
-    return leading_control(LEASE_MS)
+    return leading_control(LEASE_MS, fences_primaries=False)
 
 
 @pytest.fixture
