Promote only an upstream that has every commit that was acknowledged

Callers lost commits after a replica that held the only copy had departed: a replica that lagged was promoted, though the primary came back with them.

Cause: control took the most advanced of the replicas that were left, and forgot what a departed one had received, also its own target. Nothing told it where commits had been acknowledged.

Why it works: gateways report with each poll where they last acknowledged a commit, control processes share that, and a failover remembers the highest position that any replica had. A target must have both, or the end of the log at which the primary stepped down. After 30 s the most advanced replica is promoted all the same, since a service whose primary is gone gets a new one; commits_missing is logged. The position in an answer may be past the commit by what is in flight, at most the upstream's slots: that is waited for 2.2 s only.

Failed before, passes now: test_a_lagging_replica_is_not_promoted_after_the_only_copy_departed, test_what_a_departed_target_had_is_not_forgotten, test_a_leaving_primary_is_not_replaced_by_a_lagging_replica, with and without fencing.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,10 +27,11 @@
     PrimaryLeaseAnswer,
     WatermarkNote,
 )
+from ..positions import Position
 from . import primary_leases, probes
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
-from .service_state import Peer, PendingReport
+from .service_state import DirectoryState, Peer, PendingReport
 from .state import ControlState, Role, peers
 
 SHARE_INTERVAL_MS = 1_000  # between repeats of the recent reports to the other control processes
@@ -82,6 +83,7 @@
         share.contended,
         share.wanted,
     )
+    _merge_acknowledged(state.directory_state, share.acknowledged)
     effects: list[Effect] = []
     departed: list[HeardReport] = []
     for report, age_ms in share.reports:
@@ -124,6 +126,7 @@
         directory_state.gateway_centres[request.gateway] = request.data_centre
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
+    _merge_acknowledged(directory_state, request.acknowledged)
     for upstream in request.refused_by:
         directory_state.connection_refused_ms[upstream] = now_ms
     after = request.revision if request.control_boot == directory_state.boot else 0
@@ -159,7 +162,8 @@
 def check_sharing(state: ControlState, now_ms: int) -> list[Effect]:
     """Refuse reports that were not confirmed in time, and share recent reports when due.
 
-    A share is sent early when the failing primaries change or another upstream is contended.
+    A share is sent early when the failing primaries change, when gateways have acknowledged further
+    commits of one or of a service in a failover, or when another upstream is contended.
     """
     directory_state = state.directory_state
     effects: list[Effect] = []
@@ -173,13 +177,21 @@
         if probes.failing_ms(state, now_ms, service) > 0
     )
     contended = _own_contended(state, now_ms)
+    failovers = state.replicated_state.failovers
+    acknowledged = {
+        service: position
+        for service, position in directory_state.acknowledged.items()
+        if service in failing or (service in failovers and failovers[service].is_open)
+    }
     is_new = (
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
+        or acknowledged != directory_state.acknowledged_shared
     )
     if now_ms < directory_state.share_due_ms and not is_new:
         return effects
     directory_state.failing_shared = failing
+    directory_state.acknowledged_shared = acknowledged
     directory_state.contended_shared = contended
     directory_state.share_due_ms = now_ms + SHARE_INTERVAL_MS
     remove_expired(directory_state.directory, now_ms)
@@ -298,9 +310,16 @@
         _count_own_gateways(state, now_ms),
         sorted(_own_contended(state, now_ms)),
         _sum_counts(state.directory_state.wanted.values()),
+        dict(state.directory_state.acknowledged),
     )
 
 
+def _merge_acknowledged(directory_state: DirectoryState, positions: dict[str, Position]) -> None:
+    for service, position in positions.items():
+        known = directory_state.acknowledged.get(service, position)
+        directory_state.acknowledged[service] = max(known, position)
+
+
 def _report_to(state: ControlState, now_ms: int, report: UpstreamReport) -> str:
     """Return the operator address that an upstream should report to.
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -4,8 +4,11 @@
 not known which, and control may not know of every replica. The leader therefore first makes sure
 that no further commit is acknowledged: the primary has become a replica, or every lease on it has
 ended. Until then the replicas go on to receive, so that none gets ahead of those that are known.
-Then the leader pauses them, reads their positions, and orders the platform to promote the one with
-the highest position, which holds every acknowledged commit.
+Then the leader pauses them, reads their positions, and orders the platform to promote one that has
+every commit that may have been acknowledged; see ``commit_coverage``.
+
+If there is none, the leader waits for the former primary, or for a replica that has them. If they
+don't come, it promotes the most advanced replica.
 
 The fencing token of an attempt is the index of its log entry, which is unique. If an earlier leader
 left an attempt open, the new leader orders the primary again with a newer token, so that the
@@ -15,7 +18,8 @@
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import StatementKind, UpstreamReply
-from . import directory, primary_leases, probes, replica_pauses, replication
+from . import commit_coverage, directory, primary_leases, probes, replica_pauses, replication
+from .commit_coverage import Coverage
 from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
 from .failover_log import failover_event
@@ -27,6 +31,13 @@
 ORDER_RETRY_MS = 400  # an order without a response is repeated with the same token
 TARGET_PROBE_INTERVAL_MS = 100  # clients wait for the new primary to be noticed
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
+# For a new replica to report, where its first report gets no response and is repeated elsewhere.
+UNREPORTED_REPLICA_MS = 2_200
+# For an upstream that has the missing commits to return, before they are given up.
+MISSING_COMMITS_TIMEOUT_MS = 30_000
+# Before a primary that has stepped down leads again, since no replica has all of its commits.
+RETURN_TO_PRIMARY_MS = 700
+KEPT_PRIMARY_RETRY_MS = 1_000  # before a primary that was kept is replaced as planned again
 RESUME_TIMEOUT_MS = 3_000  # then the failover ends, and unreachable replicas are resumed later
 # Write failures are ignored for this long after a failover, so that the writes that waited for it
 # can complete first.
@@ -62,7 +73,10 @@
     attempt = state.failover.running.get(entry.report.service)
     if attempt is None or attempt.previous != upstream:
         return []
+    if attempt.stepped_down_born_ms != entry.report.born_ms:
+        attempt.stepped_down_ms = now_ms
     attempt.stepped_down_born_ms = entry.report.born_ms
+    attempt.primary_end = reply.status.received
     return [failover_event(state, now_ms, attempt, "info", "primary_stepped_down")]
 
 
@@ -144,6 +158,8 @@
     if entry is None:
         return "", False
     if not _is_ready(entry):
+        if now_ms - state.failover.kept_ms.get(service, 0) < KEPT_PRIMARY_RETRY_MS:
+            return "", False
         others = [
             item for item in replica_pauses.replicas(state, service, previous) if _is_ready(item)
         ]
@@ -214,8 +230,39 @@
     replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
     if not replicas or replica_pauses.unpaused_replicas(state, attempt):
         return effects
-    attempt.target = _choose_target(replicas, attempt)
-    return effects + _send_order(state, now_ms, attempt)
+    target, covered = commit_coverage.choose_target(state, now_ms, attempt, replicas)
+    if covered is Coverage.COMPLETE or _has_waited(attempt, covered, now_ms):
+        attempt.target = target
+        return effects + _send_order(state, now_ms, attempt)
+    if attempt.incomplete_since_ms is None:
+        attempt.incomplete_since_ms = now_ms
+        effects.append(failover_event(state, now_ms, attempt, "warning", "commits_missing"))
+    return effects + _return_to_primary(state, now_ms, attempt, primary)
+
+
+def _has_waited(attempt: Failover, covered: Coverage, now_ms: int) -> bool:
+    """Return whether an attempt has waited long enough for an upstream with every commit."""
+    if attempt.incomplete_since_ms is None:
+        return False
+    limit_ms = MISSING_COMMITS_TIMEOUT_MS
+    if covered is Coverage.UNCERTAIN:
+        limit_ms = UNREPORTED_REPLICA_MS
+    return now_ms - attempt.incomplete_since_ms >= limit_ms
+
+
+def _return_to_primary(
+    state: ControlState, now_ms: int, attempt: Failover, primary: str
+) -> list[Effect]:
+    """Let the former primary lead again if it has commits that no known replica has."""
+    if primary and primary_leases.may_keep_primary(state, attempt):
+        return _keep_primary(state, now_ms, attempt, primary)
+    effects = _step_down(state, now_ms, attempt)
+    assert attempt.incomplete_since_ms is not None
+    waited_ms = now_ms - attempt.incomplete_since_ms
+    if waited_ms < RETURN_TO_PRIMARY_MS or not primary_leases.has_stepped_down(state, attempt):
+        return effects
+    attempt.target = attempt.previous
+    return _send_order(state, now_ms, attempt)
 
 
 def _keep_primary(
@@ -280,19 +327,6 @@
     return watermark.upstream if watermark.upstream in known else ""
 
 
-def _choose_target(replicas: list[DirectoryEntry], attempt: Failover) -> str:
-    """Return the replica with the highest received position; of equals, prefer a ready one."""
-    best = max(
-        replicas,
-        key=lambda item: (
-            attempt.paused[item.report.upstream].received,
-            _is_ready(item),
-            item.report.upstream,
-        ),
-    )
-    return best.report.upstream
-
-
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ORDERED
     attempt.ordered_ms = now_ms
@@ -309,6 +343,10 @@
     fresh.stepped_down_born_ms = attempt.stepped_down_born_ms
     fresh.is_takeover = attempt.is_takeover
     fresh.has_earlier_orders = attempt.has_earlier_orders or bool(attempt.ordered_ms)
+    fresh.primary_end = attempt.primary_end
+    fresh.stepped_down_ms = attempt.stepped_down_ms
+    fresh.received = attempt.received
+    fresh.incomplete_since_ms = attempt.incomplete_since_ms
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
@@ -322,6 +360,8 @@
 def _finish(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ENDING
     state.failover.ended_ms[attempt.service] = now_ms
+    if attempt.target == attempt.previous:
+        state.failover.kept_ms[attempt.service] = now_ms
     log_event = failover_event(state, now_ms, attempt, "info", "failover_done")
     entry = state.directory_state.directory.entries.get(attempt.target)
     address = entry.report.address if entry is not None else ""
--- a/packages/core/src/endivewick_core/control/failover_log.py
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -55,6 +55,9 @@
         "newest_term": state.watch.terms.get(attempt.service, 0),
         "primary": watermark.upstream if watermark is not None else "",
         "primary_position": _format_position(watermark.position if watermark else None),
+        "acknowledged": _format_position(state.directory_state.acknowledged.get(attempt.service)),
+        "primary_end": _format_position(attempt.primary_end),
+        "received": _format_position(attempt.received),
         "primary_probed_ms_ago": now_ms - watermark.probed_ms if watermark is not None else None,
         "upstreams": {
             name: _describe_upstream(now_ms, attempt, entry)
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -33,6 +33,7 @@
         attempt.paused[upstream] = PausedReplica(
             entry.report.born_ms, reply.status.received, now_ms
         )
+        attempt.received = max(attempt.received, reply.status.received)
         return [failover_log.replica_paused(state, now_ms, attempt, entry)]
     return []
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -10,7 +10,7 @@
 
 from ..directory import Directory
 from ..messages import ControlPeer, PrimaryHealth
-from ..positions import Position
+from ..positions import ZERO, Position
 from ..primary_leases import PrimaryLeases
 
 
@@ -104,9 +104,12 @@
     ``may_keep_primary`` is set where the current primary is kept if it responds before the order.
     ``keeps_primary`` is set where the target is the current primary. ``paused`` holds the replicas
     that confirmed their pause. ``stepped_down_born_ms`` identifies the start of the previous
-    primary that confirmed that it has become a replica; None if none did. ``is_takeover`` is set
-    where an earlier leader began to replace the primary, and ``has_earlier_orders`` where an
-    earlier attempt, of this or another leader, may have ordered an upstream.
+    primary that confirmed that it has become a replica, at ``stepped_down_ms`` with its log ending
+    at ``primary_end``; None if none did. ``is_takeover`` is set where an earlier leader began to
+    replace the primary, and ``has_earlier_orders`` where an earlier attempt, of this or another
+    leader, may have ordered an upstream. ``received`` is the highest position that any replica is
+    known to have received, also one that has departed since. ``incomplete_since_ms`` is since when
+    no replica is known to have every commit that may have been acknowledged.
     """
 
     service: str
@@ -123,6 +126,10 @@
     stepped_down_born_ms: int | None = None
     is_takeover: bool = False
     has_earlier_orders: bool = False
+    primary_end: Position | None = None
+    stepped_down_ms: int | None = None
+    received: Position = ZERO
+    incomplete_since_ms: int | None = None
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
@@ -131,12 +138,13 @@
     """The running failovers by service, and the replicas that are still to be resumed.
 
     ``to_resume`` maps each replica to its service; ``ended_ms`` is when a service's last failover
-    ended.
+    ended, and ``kept_ms`` when one last ended with the former primary.
     """
 
     running: dict[str, Failover] = field(default_factory=dict)
     to_resume: dict[str, str] = field(default_factory=dict)
     ended_ms: dict[str, int] = field(default_factory=dict)
+    kept_ms: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -178,10 +186,12 @@
     """The directory of upstreams, and what is shared with other control processes and gateways.
 
     ``boot`` identifies this run of the process to gateways. ``pending_reports`` is keyed by the
-    serial of the share that carries the report. ``failing_shared`` and ``contended_shared`` are
-    contents of the last share. ``connection_refused_ms`` is when an upstream last refused a
-    connection to a gateway. ``gateway_contact_ms``, ``gateway_centres``, ``writes_failing`` and
-    ``wanted`` hold what each gateway reported in its last poll, and when.
+    serial of the share that carries the report. ``failing_shared``, ``contended_shared`` and
+    ``acknowledged_shared`` are contents of the last share; the last one is that of services whose
+    primary is failing or being replaced. ``connection_refused_ms`` is when an upstream last refused
+    a connection to a gateway. ``gateway_contact_ms``, ``gateway_centres``, ``writes_failing`` and
+    ``wanted`` hold what each gateway reported in its last poll, and when. ``acknowledged`` is the
+    highest position at which any gateway is known to have acknowledged a commit, by service.
     """
 
     boot: str = ""
@@ -197,3 +207,5 @@
     connection_refused_ms: dict[str, int] = field(default_factory=dict)
     writes_failing: dict[str, list[str]] = field(default_factory=dict)
     wanted: dict[str, dict[str, int]] = field(default_factory=dict)
+    acknowledged: dict[str, Position] = field(default_factory=dict)
+    acknowledged_shared: dict[str, Position] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/gateway/commit_confirmations.py
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -8,7 +8,7 @@
 from . import answers
 from .effects import Effect, LogEvent
 from .primary_leases import covers_commit
-from .requests import apply_success
+from .requests import apply_success, commits_writes
 from .state import GatewayState, Request, UnconfirmedCommit
 
 
@@ -38,8 +38,12 @@
 def acknowledge(
     state: GatewayState, now_ms: int, request: Request, reply: UpstreamReply
 ) -> list[Effect]:
-    """Answer a statement that succeeded."""
+    """Answer a statement that succeeded; remember the position of a commit of writes."""
     session = state.sessions[request.session]
+    if reply.position is not None and commits_writes(session, request):
+        service = request.route.service
+        known = state.acknowledged.get(service, reply.position)
+        state.acknowledged[service] = max(known, reply.position)
     apply_success(session, request, reply.position)
     return answers.succeed(state, now_ms, request, reply)
 
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -64,6 +64,7 @@
         _writes_failing(state, now_ms),
         limits.wanted(state),
         state.draining_since_ms is not None,
+        dict(state.acknowledged),
     )
     return [*effects, Send(link.address, question)]
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -286,6 +286,7 @@
     that the primary answered, and ``unreachable_since_ms`` is since when the primary can't be
     connected to. ``primary_leases`` are empty where none are needed.
     ``unconfirmed_commits`` are answered once a lease covers the time of their success.
+    ``acknowledged`` is the highest position at which a commit was acknowledged, by service.
     """
 
     settings: GatewaySettings
@@ -297,6 +298,7 @@
     primary_confirmed_ms: dict[str, int] = field(default_factory=dict)
     primary_leases: PrimaryLeases = field(default_factory=dict)
     unconfirmed_commits: list[UnconfirmedCommit] = field(default_factory=list)
+    acknowledged: dict[str, Position] = field(default_factory=dict)
     unanswered_write_since_ms: dict[str, int] = field(default_factory=dict)
     unreachable_since_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -333,6 +333,8 @@
     ``refused_by`` names the upstreams that recently refused the gateway a connection because their
     limit was reached, and ``writes_failing`` the services whose writes have had no response for
     some time. ``wanted`` is the number of connections that the gateway wants, by upstream.
+    ``acknowledged`` is the highest position at which the gateway has acknowledged a commit, by
+    service.
     """
 
     gateway: str
@@ -345,6 +347,7 @@
     writes_failing: list[str]
     wanted: dict[str, int]
     is_draining: bool
+    acknowledged: dict[str, Position] = {}
 
 
 class DirectoryAnswer(NamedTuple):
@@ -405,7 +408,8 @@
     The receiver confirms ``serial``, unless it is 0. ``gateways`` counts the gateways that request
     the directory from the sender, ``contended`` names the upstreams that recently refused
     connections to them, and ``wanted`` is the number of connections that they want together, by
-    upstream.
+    upstream. ``acknowledged`` is the highest position at which any gateway is known to have
+    acknowledged a commit, by service.
     """
 
     sender: ControlPeer
@@ -415,6 +419,7 @@
     gateways: int
     contended: list[str]
     wanted: dict[str, int]
+    acknowledged: dict[str, Position] = {}
 
 
 # Between gateways.
--- a/tests/replicated_service.py
+++ b/tests/replicated_service.py
@@ -96,7 +96,8 @@
 
     ``lost`` holds the acknowledged commits that a promoted upstream lacked, ``promoted`` the
     upstreams that were promoted. ``courses`` are those of the next orders, ``token_seen`` is the
-    highest token that the platform has seen.
+    highest token that the platform has seen. ``positions`` is where each gateway acknowledged
+    commits.
     """
 
     is_fenced: bool = True
@@ -111,6 +112,9 @@
     leases: dict[str, PrimaryLeases] = field(
         default_factory=lambda: {gateway: {} for gateway in GATEWAYS}
     )
+    positions: dict[str, dict[str, Position]] = field(
+        default_factory=lambda: {gateway: {} for gateway in GATEWAYS}
+    )
     courses: list[OrderCourse] = field(default_factory=list)
     token_seen: int = 0
     scheduled: list[tuple[int, Any]] = field(default_factory=list)
@@ -224,6 +228,10 @@
 
     def _acknowledge(self, commit):
         self.acknowledged[commit.entry] = self.now_ms
+        # The primary's answer shows the end of its log, which may be past the commit.
+        known = self.positions[commit.gateway].get(SERVICE, Position(0, 0))
+        answered = commit.primary.end_of_log()
+        self.positions[commit.gateway][SERVICE] = max(known, answered)
         newest = self.newest_primary
         if newest is not None and commit.entry not in newest.log:
             self.lost.append((commit.entry, newest.name))
@@ -251,6 +259,7 @@
             [SERVICE] if failing else [],
             {},
             False,
+            dict(self.positions[gateway]),
         )
         self.handle(ce.MessageReceived(self.now_ms, question))
 
