Replace a primary that was lost while control restarted

Cause: a failover needs the last confirmed primary, which is held in memory. After the restart there was none, so nothing ever failed.

Why it works: once every lease of an earlier leader must have ended, a leader begins a failover of a service of which a majority of control knows no primary that answers. It excludes the upstream that reports to be primary, if any, and keeps the primary if it answers before the order.

Failed before, passes now: test_a_primary_lost_while_control_restarts_is_replaced and test_a_lagging_replica_heard_first_after_a_restart_is_not_promoted, with and without fencing (nothing promoted in 15 s).

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -132,8 +132,7 @@
 
 
 def _start_if_needed(state: ControlState, now_ms: int, service: str) -> list[Effect]:
-    watermark = state.watch.watermarks.get(service)
-    previous = watermark.upstream if watermark else ""
+    previous = _last_primary(state, service)
     reason, may_keep_primary = _failover_reason(state, now_ms, service, previous)
     if not reason:
         return []
@@ -145,6 +144,17 @@
     return _propose(state, now_ms, attempt)
 
 
+def _last_primary(state: ControlState, service: str) -> str:
+    """Return the upstream that was last confirmed as primary, else the one that reports to be."""
+    watermark = state.watch.watermarks.get(service)
+    if watermark is not None:
+        return watermark.upstream
+    for entry in probes.upstreams_of(state, service):
+        if entry.report.is_primary:
+            return entry.report.upstream
+    return ""
+
+
 def _failover_reason(
     state: ControlState, now_ms: int, service: str, previous: str
 ) -> tuple[str, bool]:
@@ -155,8 +165,8 @@
         may_keep_primary = not primary_leases.prove_leadership(state)
         return "an earlier leader left a failover open", may_keep_primary
     entry = state.directory_state.directory.entries.get(previous)
-    if entry is None:
-        return "", False
+    if entry is None or service not in state.watch.watermarks:
+        return _missing_primary_reason(state, now_ms, service)
     if not _is_ready(entry):
         if now_ms - state.failover.kept_ms.get(service, 0) < KEPT_PRIMARY_RETRY_MS:
             return "", False
@@ -175,6 +185,19 @@
     return "", False
 
 
+def _missing_primary_reason(state: ControlState, now_ms: int, service: str) -> tuple[str, bool]:
+    """Return the reason for a failover of a service whose primary isn't known.
+
+    It may have been lost while control restarted. A primary that is there answers a probe, and the
+    other upstreams report, before the leases of an earlier leader have ended.
+    """
+    if not primary_leases.have_earlier_ended(state, now_ms):
+        return "", False
+    if not probes.majority_knows_no_primary(state, now_ms, service):
+        return "", False
+    return "no upstream is known to be the primary", True
+
+
 def _most_gateways_fail(state: ControlState, now_ms: int, service: str) -> bool:
     """Return whether a majority of gateways, and at least two, get no responses to writes.
 
--- a/packages/core/src/endivewick_core/control/probes.py
+++ b/packages/core/src/endivewick_core/control/probes.py
@@ -86,6 +86,17 @@
     return failing * 2 > answered
 
 
+def majority_knows_no_primary(state: ControlState, now_ms: int, service: str) -> bool:
+    """Return whether most live control processes know no primary of a service that answers."""
+    answered, unknown = 1, 1
+    for peer in live_peers(state, now_ms):
+        answered += 1
+        known = [health for health in peer.primaries if health.service == service]
+        if not known or any(health.failing_ms for health in known):
+            unknown += 1
+    return unknown * 2 > answered
+
+
 def send_probe(
     state: ControlState, now_ms: int, entry: DirectoryEntry, statement: Statement, kind: ProbeKind
 ) -> list[Effect]:
