End a failover only once no earlier order can be executed

Callers lost commits that a kept primary had acknowledged when a late or accepted order of an earlier leader then promoted a replica.

Cause: a failover ended with the first answered probe of its target, before the platform had seen its newer token, and before a promotion that the platform had accepted earlier had taken effect, up to a second later. A newer token doesn't stop such a promotion.

Why it works: where an earlier attempt may have ordered an upstream, the failover ends, and leases are granted again, only 1.2 s after the platform accepted its own order. By then earlier orders are refused, and earlier promotions have taken effect.

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -31,6 +31,8 @@
 ORDER_RETRY_MS = 400  # an order without a response is repeated with the same token
 TARGET_PROBE_INTERVAL_MS = 100  # clients wait for the new primary to be noticed
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
+# Longer than the platform takes to promote an upstream after it has accepted the order.
+PROMOTION_SETTLING_MS = 1_200
 # For a new replica to report, where its first report gets no response and is repeated elsewhere.
 UNREPORTED_REPLICA_MS = 2_200
 # For an upstream that has the missing commits to return, before they are given up.
@@ -89,6 +91,8 @@
         return []
     if attempt.stage not in (Stage.ORDERED, Stage.PROMOTING) or upstream != attempt.target:
         return []
+    if attempt.has_earlier_orders and not _is_settled(attempt, now_ms):
+        return []
     return _start_to_resume(state, now_ms, attempt, upstream)
 
 
@@ -101,6 +105,7 @@
     if event.outcome is FailoverOutcome.ACCEPTED:
         if attempt.stage is Stage.ORDERED:
             attempt.stage = Stage.PROMOTING
+            attempt.accepted_ms = event.now_ms
         return [failover_event(state, event.now_ms, attempt, "info", "failover_accepted")]
     if event.outcome is FailoverOutcome.REFUSED:
         effects: list[Effect] = [
@@ -341,6 +346,17 @@
     return _send_order(state, now_ms, attempt)
 
 
+def _is_settled(attempt: Failover, now_ms: int) -> bool:
+    """Return whether no order of an earlier attempt can be executed any more.
+
+    The platform has seen the newer token of this attempt, and a promotion that it had accepted
+    before has taken effect.
+    """
+    if attempt.accepted_ms is None:
+        return False
+    return now_ms - attempt.accepted_ms >= PROMOTION_SETTLING_MS
+
+
 def _confirmed_primary(state: ControlState, now_ms: int, attempt: Failover) -> str:
     """Return the primary if it has responded since the failover began, else an empty text."""
     watermark = state.watch.watermarks.get(attempt.service)
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -108,8 +108,9 @@
     at ``primary_end``; None if none did. ``is_takeover`` is set where an earlier leader began to
     replace the primary, and ``has_earlier_orders`` where an earlier attempt, of this or another
     leader, may have ordered an upstream. ``received`` is the highest position that any replica is
-    known to have received, also one that has departed since. ``incomplete_since_ms`` is since when
-    no replica is known to have every commit that may have been acknowledged.
+    known to have received, also one that has departed since. ``accepted_ms`` is when the platform
+    accepted the order, and ``incomplete_since_ms`` since when no replica is known to have every
+    commit that may have been acknowledged.
     """
 
     service: str
@@ -129,6 +130,7 @@
     primary_end: Position | None = None
     stepped_down_ms: int | None = None
     received: Position = ZERO
+    accepted_ms: int | None = None
     incomplete_since_ms: int | None = None
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
