Ask a replica again for its position after it may have restarted

Callers could lose everything a service had: an order without an answer was repeated for a target that had started again with an empty log.

Cause: the position of a paused replica was kept until control heard of its new start, which its report may tell a second later.

Why it works: the confirmation of a pause ends with the connection on which it was given, so the replica is asked again before an order is sent or repeated; an attempt whose target has another start than when it was chosen begins anew.

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -234,6 +234,8 @@
     target = state.directory_state.directory.entries.get(attempt.target)
     if target is None or target.report.state is UpstreamState.GONE:
         return _restart(state, now_ms, attempt, "the target has departed")
+    if target.report.born_ms != attempt.target_born_ms:
+        return _restart(state, now_ms, attempt, "the target has started again")
     effects: list[Effect] = []
     if not attempt.keeps_primary:
         effects += replica_pauses.pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
@@ -368,6 +370,7 @@
 
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ORDERED
+    attempt.target_born_ms = state.directory_state.directory.entries[attempt.target].report.born_ms
     attempt.ordered_ms = now_ms
     attempt.order_in_flight = True
     order = OrderFailover(attempt.service, attempt.target, state.me.name, attempt.token)
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -38,6 +38,13 @@
     return []
 
 
+def handle_connection_ended(state: ControlState, service: str, upstream: str) -> None:
+    """Have a replica paused again whose connection has ended: it may have restarted."""
+    attempt = state.failover.running.get(service)
+    if attempt is not None and upstream in attempt.paused:
+        attempt.paused[upstream] = attempt.paused[upstream]._replace(born_ms=None)
+
+
 def handle_resumed(
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -88,11 +88,12 @@
 class PausedReplica(NamedTuple):
     """A replica that confirmed its pause, and the end of its log when it did.
 
-    A restart ends the pause, so ``born_ms`` identifies the start that confirmed it.
-    ``confirmed_ms`` is when its confirmation arrived.
+    A restart ends the pause, so ``born_ms`` identifies the start that confirmed it; it is None once
+    the connection has ended, since the replica may have restarted. ``confirmed_ms`` is when its
+    confirmation arrived.
     """
 
-    born_ms: int
+    born_ms: int | None
     received: Position
     confirmed_ms: int = 0
 
@@ -110,7 +111,8 @@
     leader, may have ordered an upstream. ``received`` is the highest position that any replica is
     known to have received, also one that has departed since. ``accepted_ms`` is when the platform
     accepted the order, and ``incomplete_since_ms`` since when no replica is known to have every
-    commit that may have been acknowledged.
+    commit that may have been acknowledged. ``target_born_ms`` identifies the start of the target
+    whose log was chosen.
     """
 
     service: str
@@ -132,6 +134,7 @@
     received: Position = ZERO
     accepted_ms: int | None = None
     incomplete_since_ms: int | None = None
+    target_born_ms: int = 0
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -191,4 +191,5 @@
 def _remove(state: ControlState, now_ms: int, connection: WatchedConnection) -> None:
     state.watch.connections.pop(connection.number, None)
     state.watch.by_upstream.pop(connection.upstream, None)
+    replica_pauses.handle_connection_ended(state, connection.service, connection.upstream)
     state.watch.reopen_at_ms[connection.upstream] = now_ms + REOPEN_DELAY_MS
