Replace a primary although a replica can't be reached for good

A service whose primary and one replica crashed together got no new primary until the replica's entry expired after 60 s.

Cause: a failover waited for the answer of each replica in the directory, since it might have the only copy of a commit; after a restart of control without fencing it waited so for the new primary itself.

Why it works: gateways report where they acknowledged commits, so another replica that has all of these needs no answer of the one that is out of reach. It is waited for 5 s. Without such a replica the wait for missing commits applies.

Failed before, passes now: test_a_primary_and_a_replica_that_crash_together_are_replaced and test_a_restart_of_control_after_an_order_keeps_commits_and_serves[without_fencing].

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -35,6 +35,7 @@
 PROMOTION_SETTLING_MS = 1_200
 # For a new replica to report, where its first report gets no response and is repeated elsewhere.
 UNREPORTED_REPLICA_MS = 2_200
+UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
 # Before a primary that has stepped down leads again, since no replica has all of its commits.
@@ -257,8 +258,10 @@
         # A primary that may be kept goes on to serve until the leases on it have ended.
         return [] if attempt.may_keep_primary else _step_down(state, now_ms, attempt)
     effects = replica_pauses.pause(state, now_ms, attempt)
-    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    if not replicas or replica_pauses.unpaused_replicas(state, attempt):
+    if attempt.pausing_since_ms is None:
+        attempt.pausing_since_ms = now_ms
+    replicas = _answered_replicas(state, now_ms, attempt)
+    if not replicas:
         return effects
     target, covered = commit_coverage.choose_target(state, now_ms, attempt, replicas)
     if covered is Coverage.COMPLETE or _has_waited(attempt, covered, now_ms):
@@ -270,6 +273,16 @@
     return effects + _return_to_primary(state, now_ms, attempt, primary)
 
 
+def _answered_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[DirectoryEntry]:
+    """Return the replicas that confirmed their pause, or none while one should be waited for."""
+    unpaused = replica_pauses.unpaused_replicas(state, attempt)
+    pausing_since_ms = attempt.pausing_since_ms or now_ms
+    if unpaused and now_ms - pausing_since_ms < UNREACHABLE_REPLICA_MS:
+        return []
+    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
+    return [entry for entry in replicas if entry not in unpaused]
+
+
 def _has_waited(attempt: Failover, covered: Coverage, now_ms: int) -> bool:
     """Return whether an attempt has waited long enough for an upstream with every commit."""
     if attempt.incomplete_since_ms is None:
@@ -338,9 +351,10 @@
     """
     if attempt.target == attempt.previous:
         return _send_order(state, now_ms, attempt)
-    if replica_pauses.unpaused_replicas(state, attempt):
+    replicas = _answered_replicas(state, now_ms, attempt)
+    if attempt.target not in [entry.report.upstream for entry in replicas]:
         return []
-    for entry in replica_pauses.replicas(state, attempt.service, attempt.previous):
+    for entry in replicas:
         upstream = entry.report.upstream
         if attempt.paused[upstream].received > attempt.paused[attempt.target].received:
             reason = f"{upstream} has received more than the target"
@@ -389,6 +403,7 @@
     fresh.stepped_down_ms = attempt.stepped_down_ms
     fresh.received = attempt.received
     fresh.incomplete_since_ms = attempt.incomplete_since_ms
+    fresh.pausing_since_ms = attempt.pausing_since_ms
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -110,9 +110,9 @@
     replace the primary, and ``has_earlier_orders`` where an earlier attempt, of this or another
     leader, may have ordered an upstream. ``received`` is the highest position that any replica is
     known to have received, also one that has departed since. ``accepted_ms`` is when the platform
-    accepted the order, and ``incomplete_since_ms`` since when no replica is known to have every
-    commit that may have been acknowledged. ``target_born_ms`` identifies the start of the target
-    whose log was chosen.
+    accepted the order, ``pausing_since_ms`` since when replicas are paused, and
+    ``incomplete_since_ms`` since when no replica is known to have every commit that may have been
+    acknowledged. ``target_born_ms`` identifies the start of the target whose log was chosen.
     """
 
     service: str
@@ -134,6 +134,7 @@
     received: Position = ZERO
     accepted_ms: int | None = None
     incomplete_since_ms: int | None = None
+    pausing_since_ms: int | None = None
     target_born_ms: int = 0
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
