Resume the replicas that an earlier leader left paused

A replica stayed paused for good, so that commits of its service waited for the other one, or for ever.

Cause: only the leader that paused a replica remembered to resume it.

Why it works: a leader resumes each replica of a service that had a failover once, again after its restart, and notes the answer.

Failed before, passes now: test_a_replica_that_an_earlier_leader_paused_receives_again, with and without fencing (1,186 commits behind after 15 s).

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -51,6 +51,7 @@
     """Start, advance and end failovers; only a leader that has applied its log does so."""
     if state.role is not Role.LEADER or state.leader_state is None:
         state.failover.running.clear()
+        state.failover.receiving.clear()
         return []
     if state.commit_index < state.leader_state.start_index:
         return []
@@ -61,6 +62,7 @@
             effects += _start_if_needed(state, now_ms, service)
             continue
         effects += _advance(state, now_ms, attempt)
+    replica_pauses.find_paused(state)
     return effects + replica_pauses.resume(state, now_ms)
 
 
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -49,17 +49,35 @@
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
     """Remove a replica that has resumed replication from those to resume."""
+    entry = state.directory_state.directory.entries.get(upstream)
     if reply.error is None:
         state.failover.to_resume.pop(upstream, None)
+        if entry is not None:
+            state.failover.receiving[upstream] = entry.report.born_ms
     return []
 
 
+def find_paused(state: ControlState) -> None:
+    """Have the replicas resumed that an earlier leader may have left paused."""
+    for service, record in state.replicated_state.failovers.items():
+        if record.is_open or service in state.failover.running:
+            continue
+        watermark = state.watch.watermarks.get(service)
+        if watermark is None:
+            continue
+        for entry in replicas(state, service, watermark.upstream):
+            upstream = entry.report.upstream
+            if state.failover.receiving.get(upstream) != entry.report.born_ms:
+                state.failover.to_resume[upstream] = service
+
+
 def pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
     statement = probes.next_term_statement(state, attempt.service, StatementKind.PAUSE)
     effects: list[Effect] = []
     for entry in unpaused_replicas(state, attempt):
         state.failover.to_resume[entry.report.upstream] = attempt.service
+        state.failover.receiving.pop(entry.report.upstream, None)
         effects += probes.send_probe(state, now_ms, entry, statement, ProbeKind.PAUSE)
     return effects
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -144,13 +144,15 @@
     """The running failovers by service, and the replicas that are still to be resumed.
 
     ``to_resume`` maps each replica to its service; ``ended_ms`` is when a service's last failover
-    ended, and ``kept_ms`` when one last ended with the former primary.
+    ended, and ``kept_ms`` when one last ended with the former primary. ``receiving`` maps each
+    replica that this leader knows not to be paused to its start.
     """
 
     running: dict[str, Failover] = field(default_factory=dict)
     to_resume: dict[str, str] = field(default_factory=dict)
     ended_ms: dict[str, int] = field(default_factory=dict)
     kept_ms: dict[str, int] = field(default_factory=dict)
+    receiving: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
