Treat the departure of an upstream as its last report

A service had no primary for 65 s, and then lost its whole log: a failover waited for a replica that had departed, until all others had been replaced.

Cause: reports were ordered by sequence, also after a departure. A report that lay in a frozen control process had the next sequence, so it brought the departed replica back when that process went on, and its repetition kept it there.

Why it works: of the reports of one start, the departure is the last one. An upstream that starts again under its id has another start.

Failed before, passes now: test_a_late_report_of_a_departed_replica_does_not_hold_up_a_failover.

--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -1,8 +1,9 @@
 """The directory of upstreams: the last report of each upstream about itself.
 
 Every control process holds a directory, and every gateway a copy of it. Reports of an upstream are
-ordered by ``(born_ms, sequence)`` as the upstream sent them. A report that arrives late therefore
-never overwrites a newer one, whichever process it came from.
+ordered by ``(born_ms, sequence)`` as the upstream sent them, with its departure after all others of
+one start. A report that arrives late therefore never overwrites a newer one, whichever process it
+came from.
 """
 
 from dataclasses import dataclass, field
@@ -135,8 +136,12 @@
     return report._replace(state=UpstreamState.GONE, is_primary=False)
 
 
-def _order(report: UpstreamReport) -> tuple[int, int, bool]:
-    return (report.born_ms, report.sequence, report.state is UpstreamState.GONE)
+def _order(report: UpstreamReport) -> tuple[int, bool, int]:
+    """Return the order of an upstream's reports; its departure is the last one since its start.
+
+    A report of before the departure may have a higher sequence than the last one that was known.
+    """
+    return (report.born_ms, report.state is UpstreamState.GONE, report.sequence)
 
 
 def _content(report: UpstreamReport) -> UpstreamReport:
--- a/tests/test_promotions_keep_commits.py
+++ b/tests/test_promotions_keep_commits.py
@@ -7,6 +7,9 @@
 from collections import Counter
 
 import pytest
+from control_driver import ADDRESSES, peer
+from endivewick_core.control import events as ce
+from endivewick_core.messages import DirectoryShare, HeardReport
 from endivewick_core.statements import RESUME
 from replicated_service import OrderCourse, running_service
 from testtools.assertions import assert_that
@@ -393,3 +396,18 @@
     service.crash(service.primary())
     run_until_promoted(service, CRASH_LIMIT_MS)
     assert_nothing_lost(service)
+
+
+# The last report of a departed replica lay in a frozen control process, and was shared when it went
+# on. The failover then waited for a replica that no longer existed (seen on review/1).
+def test_a_late_report_of_a_departed_replica_does_not_hold_up_a_failover(service):
+    primary, second, _ = instances(service)
+    service.leave(second)
+    late = service.state.directory_state.directory.entries[second.name].report
+    service.depart(second)
+    heard = HeardReport(late._replace(sequence=late.sequence + 1), 900)
+    share = DirectoryShare(peer(ADDRESSES[1]), 0, [heard], [], 0, [], {})
+    service.handle(ce.MessageReceived(service.now_ms, share))
+    service.leave(primary)
+    run_until_promoted(service, limit_ms=4_000)
+    assert_nothing_lost(service)
