Wait for the missing commits although they may all be unacknowledged

A commit that a caller had got acknowledged could be lost where a departed or an unreported replica was only a commit or two ahead.

Cause: a target that lacked no more commits than the primary has slots was promoted after 2.2 s, since the position in an answer may be past the commit.

Evidence: the exploration of control's reducers found it in two scenarios within six actions: "commit a, crash a, depart b", and "commit a, join, receive new1" with the primary cut off from control.

Why it works: such a target now waits for the former primary or a better replica as any other one does, 30 s at most.

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -19,7 +19,6 @@
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import StatementKind, UpstreamReply
 from . import commit_coverage, directory, primary_leases, probes, replica_pauses, replication
-from .commit_coverage import Coverage
 from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
 from .failover_log import failover_event
@@ -33,8 +32,6 @@
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
 # Longer than the platform takes to promote an upstream after it has accepted the order.
 PROMOTION_SETTLING_MS = 1_200
-# For a new replica to report, where its first report gets no response and is repeated elsewhere.
-UNREPORTED_REPLICA_MS = 2_200
 UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
@@ -265,8 +262,8 @@
     replicas = _answered_replicas(state, now_ms, attempt)
     if not replicas:
         return effects
-    target, covered = commit_coverage.choose_target(state, now_ms, attempt, replicas)
-    if covered is Coverage.COMPLETE or _has_waited(attempt, covered, now_ms):
+    target, is_complete = commit_coverage.choose_target(state, now_ms, attempt, replicas)
+    if is_complete or _has_waited(attempt, now_ms):
         attempt.target = target
         return effects + _send_order(state, now_ms, attempt)
     if attempt.incomplete_since_ms is None:
@@ -285,14 +282,10 @@
     return [entry for entry in replicas if entry not in unpaused]
 
 
-def _has_waited(attempt: Failover, covered: Coverage, now_ms: int) -> bool:
+def _has_waited(attempt: Failover, now_ms: int) -> bool:
     """Return whether an attempt has waited long enough for an upstream with every commit."""
-    if attempt.incomplete_since_ms is None:
-        return False
-    limit_ms = MISSING_COMMITS_TIMEOUT_MS
-    if covered is Coverage.UNCERTAIN:
-        limit_ms = UNREPORTED_REPLICA_MS
-    return now_ms - attempt.incomplete_since_ms >= limit_ms
+    since_ms = attempt.incomplete_since_ms
+    return since_ms is not None and now_ms - since_ms >= MISSING_COMMITS_TIMEOUT_MS
 
 
 def _return_to_primary(
