Let a later report revoke a departure that was not announced

A live upstream could be taken for gone for up to 60 s: a late or repeated departure, which names no start, was applied to the next start under the name, and since all later reports of that start were dropped.

Why it works: only the departure of an upstream that had announced it, or that has a successor at its address, is the last report of its start. A departure of one that was ready counts until its next report.

--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -1,9 +1,8 @@
 """The directory of upstreams: the last report of each upstream about itself.
 
 Every control process holds a directory, and every gateway a copy of it. Reports of an upstream are
-ordered by ``(born_ms, sequence)`` as the upstream sent them, with its departure after all others of
-one start. A report that arrives late therefore never overwrites a newer one, whichever process it
-came from.
+ordered by ``(born_ms, sequence)`` as the upstream sent them. A report that arrives late therefore
+never overwrites a newer one, whichever process it came from.
 """
 
 from dataclasses import dataclass, field
@@ -11,6 +10,9 @@
 from typing import NamedTuple
 
 RETENTION_MS = 60_000  # longer than a report may be delayed on its way
+# Of the departure of an upstream that had announced it, or has a successor: it is the last report
+# of that start, although a late one may have a higher sequence than those that were known before.
+FINAL_SEQUENCE = 2**53
 
 
 class UpstreamState(StrEnum):
@@ -103,7 +105,7 @@
             return _gone(report)
         directory.revision += 1
         entry.revision = directory.revision
-        entry.report = _gone(other)
+        entry.report = _gone(other)._replace(sequence=FINAL_SEQUENCE)
     return report
 
 
@@ -133,15 +135,18 @@
 
 
 def _gone(report: UpstreamReport) -> UpstreamReport:
-    return report._replace(state=UpstreamState.GONE, is_primary=False)
+    """Return the report of an upstream's departure.
 
+    A departure that was not announced may be that of an earlier start under the same name, so a
+    later report revokes it.
+    """
+    is_final = report.state is not UpstreamState.READY
+    sequence = FINAL_SEQUENCE if is_final else report.sequence
+    return report._replace(state=UpstreamState.GONE, is_primary=False, sequence=sequence)
 
-def _order(report: UpstreamReport) -> tuple[int, bool, int]:
-    """Return the order of an upstream's reports; its departure is the last one since its start.
 
-    A report of before the departure may have a higher sequence than the last one that was known.
-    """
-    return (report.born_ms, report.state is UpstreamState.GONE, report.sequence)
+def _order(report: UpstreamReport) -> tuple[int, int, bool]:
+    return (report.born_ms, report.sequence, report.state is UpstreamState.GONE)
 
 
 def _content(report: UpstreamReport) -> UpstreamReport:
