Proxy: don't count a leaving replica for acknowledged writes

Cause: a leaving replica counted for the acknowledgement, but is neither promoted nor waited for.

Why it works: a write waits for a replica that stays.

--- a/packages/core/src/endivewick_core/proxy/acknowledgement.py
+++ b/packages/core/src/endivewick_core/proxy/acknowledgement.py
@@ -45,9 +45,14 @@
 
 
 def replica_holds(state: ProxyState, home: Home, position: Position) -> bool:
-    """Return whether a replica has reported a position at or after this one."""
+    """Return whether a replica has reported a position at or after this one.
+
+    A leaving replica doesn't count: it is not promoted, and its log is gone with it.
+    """
     primary = state.replicated_state.groups[home.group].primary
     for instance in home.instances.values():
-        if instance.name != primary and covers(instance.position, position):
+        if instance.name == primary or instance.leaving:
+            continue
+        if covers(instance.position, position):
             return True
     return False
