Lease the primary of the last failover only, also on the others' word

A leader whose last probe was of a former primary went on to lease that one, and a leader that couldn't reach the new primary leased none, so callers' writes waited for as long as the partition lasted.

Why it works: a lease is granted only on the target of the last failover, or its successor at the address. A leader that doesn't reach it takes it from a majority of control processes that do. Processes that know no primary, as after a restart, no longer count as finding it well when its failure is decided.

--- a/packages/core/src/endivewick_core/control/primary_leases.py
+++ b/packages/core/src/endivewick_core/control/primary_leases.py
@@ -140,7 +140,8 @@
     assert state.leader_state is not None
     margin_ms = state.settings.lease_margin_ms
     # A lease on an upstream that an earlier leader promoted doesn't end with the step down.
-    if has_stepped_down(state, attempt) and not attempt.is_takeover:
+    is_known = is_last_target(state, attempt.service, attempt.previous)
+    if has_stepped_down(state, attempt) and is_known and not attempt.is_takeover:
         return now_ms - state.leader_state.since_ms > ORDER_VALIDITY_MS + margin_ms
     if not have_earlier_ended(state, now_ms):
         return False
@@ -156,6 +157,21 @@
     return not prove_leadership(state) or not attempt.has_earlier_orders
 
 
+def is_last_target(state: ControlState, service: str, upstream: str) -> bool:
+    """Return whether an upstream is the target of a service's last failover, or its successor.
+
+    Its log stays at its address when it restarts under another name.
+    """
+    attempt = state.failover.running.get(service)
+    if attempt is not None and attempt.stage in (Stage.RESUMING, Stage.ENDING):
+        return attempt.target == upstream
+    record = state.replicated_state.failovers.get(service)
+    if record is None or not record.primary or record.primary == upstream:
+        return True
+    entry = state.directory_state.directory.entries.get(upstream)
+    return entry is not None and entry.report.address == record.address
+
+
 def have_earlier_ended(state: ControlState, now_ms: int) -> bool:
     """Return whether every lease that an earlier leader granted has ended."""
     assert state.leader_state is not None
@@ -179,26 +195,42 @@
     confirmed_ms = replication.confirmed_start_ms(state)
     if confirmed_ms is None:
         return
-    leases = state.primary_leases.leases
-    for service, watermark in state.watch.watermarks.items():
-        if not _may_grant(state, service, watermark.upstream):
+    for service in state.replicated_state.configuration.services:
+        upstream, known_ms = _known_primary(state, now_ms, service)
+        if not upstream or not _may_grant(state, service, upstream):
             continue
-        until_ms = state.settings.primary_lease_ms + min(
-            confirmed_ms, _primary_known_ms(state, now_ms, service, watermark)
-        )
-        known = leases.get(service)
-        # Without fencing, the lease of another upstream must have ended, whoever promoted this one.
-        if known is not None and known.upstream != watermark.upstream and prove_leadership(state):
-            if now_ms <= known.valid_until_ms:
-                continue
-        if known is None or known.valid_until_ms < until_ms:
-            leases[service] = PrimaryLease(watermark.upstream, until_ms)
+        until_ms = state.settings.primary_lease_ms + min(confirmed_ms, known_ms)
+        _renew(state, now_ms, service, PrimaryLease(upstream, until_ms))
+
+
+def _renew(state: ControlState, now_ms: int, service: str, lease: PrimaryLease) -> None:
+    leases = state.primary_leases.leases
+    known = leases.get(service)
+    # Without fencing, the lease of another upstream must have ended, whoever promoted this one.
+    if known is not None and known.upstream != lease.upstream and prove_leadership(state):
+        if now_ms <= known.valid_until_ms:
+            return
+    if known is None or known.valid_until_ms < lease.valid_until_ms:
+        leases[service] = lease
+
+
+def _known_primary(state: ControlState, now_ms: int, service: str) -> tuple[str, int]:
+    """Return a service's primary and when it was last known to serve, or an empty name.
+
+    A leader that can't reach the primary since its election takes the others' word for it.
+    """
+    watermark = state.watch.watermarks.get(service)
+    if watermark is not None and is_last_target(state, service, watermark.upstream):
+        return watermark.upstream, _primary_known_ms(state, now_ms, service, watermark)
+    return probes.primary_of_majority(state, now_ms, service), now_ms
 
 
 def _may_grant(state: ControlState, service: str, upstream: str) -> bool:
     entry = state.directory_state.directory.entries.get(upstream)
     if entry is None or not is_possible_primary(state, entry):
         return False
+    if not is_last_target(state, service, upstream):
+        return False
     attempt = state.failover.running.get(service)
     if attempt is not None:
         return attempt.stage in (Stage.RESUMING, Stage.ENDING)
--- a/packages/core/src/endivewick_core/control/probes.py
+++ b/packages/core/src/endivewick_core/control/probes.py
@@ -4,6 +4,8 @@
 derives from the responses how long a primary has been failing.
 """
 
+from collections import Counter
+
 from ..directory import DirectoryEntry, UpstreamState
 from ..messages import PrimaryHealth
 from ..statements import (
@@ -76,16 +78,38 @@
 
 
 def majority_finds_failing(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
-    """Return whether most live control processes find the primary's responses overdue."""
+    """Return whether most live control processes find the primary's responses overdue.
+
+    Those that know no primary of the service, as after a restart, don't count.
+    """
     answered, failing = 1, 1
     for peer in live_peers(state, now_ms):
-        answered += 1
         for health in peer.primaries:
-            if health.service == service and health.upstream == primary and health.failing_ms:
-                failing += 1
+            if health.service != service:
+                continue
+            answered += 1
+            failing += health.upstream == primary and health.failing_ms > 0
     return failing * 2 > answered
 
 
+def primary_of_majority(state: ControlState, now_ms: int, service: str) -> str:
+    """Return the upstream that most control processes reach as a service's primary, or "".
+
+    This process counts as one that reaches none.
+    """
+    peers = live_peers(state, now_ms)
+    reached = Counter(
+        health.upstream
+        for peer in peers
+        for health in peer.primaries
+        if health.service == service and not health.failing_ms
+    )
+    for upstream, count in reached.items():
+        if count * 2 > len(peers) + 1:
+            return upstream
+    return ""
+
+
 def majority_knows_no_primary(state: ControlState, now_ms: int, service: str) -> bool:
     """Return whether most live control processes know no primary of a service that answers."""
     answered, unknown = 1, 1
@@ -147,6 +171,12 @@
     return [SendStatements(connection.number, statements)]
 
 
+def is_connected(state: ControlState, entry: DirectoryEntry) -> bool:
+    """Return whether an upstream has a connection for probes that is open."""
+    connection = _connection(state, entry)
+    return connection is not None and connection.is_open
+
+
 def open_connection(state: ControlState, now_ms: int, entry: DirectoryEntry) -> list[Effect]:
     """Open a connection for probes, unless one failed within the reopen delay."""
     report = entry.report
--- a/tests/test_primary_leases.py
+++ b/tests/test_primary_leases.py
@@ -278,3 +278,18 @@
     control.run(400)
     asked = [item for item in control.replies if isinstance(item.message, PrimaryLeaseQuestion)]
     assert_that(len(asked), GreaterThan(3))
+
+
+def test_a_new_primary_is_leased_before_its_failover_has_ended():
+    """Guards against writes that wait until the last replica has been resumed."""
+    control = leading_control()
+    control.upstreams["u-primary"].reachable = False
+    control.break_connections("u-primary")
+    control.run(3_000)
+    control.platform(FailoverOutcome.ACCEPTED)
+    target = control.orders[-1].upstream
+    control.promote(target)
+    control.upstreams["u-second" if target == "u-third" else "u-third"].reachable = False
+    control.run(400)
+    assert_that(SERVICE in control.state.failover.running, Equals(True))
+    assert_that(control.state.primary_leases.leases[SERVICE].upstream, Equals(target))
