Failover: believe a position only where it is still that of the primary's log

Callers could lose commits, and services their primary, in failovers with a second fault.

- The end of a log was believed from an upstream that was not the primary any more (32 commits) or had started again without its log (100).
It now counts only for the target of the last failover, and not below its last answered probe; and the positions of gateways always count.
- An order was repeated for a target without the commits that were known of (259), and an attempt that began anew promoted the first replica that answered (100).
The target is checked again before each order, and the waits start afresh.
- Right after all processes restarted, gateways too, a lagging replica was promoted before the other one had reported (100).
Without any known position the leader waits 2.2 s more.
- A plain crash with commits in flight waited 30 s for what nobody had received.
It waits 2.2 s where every upstream has answered and the gap is no more than the slots; 30 s where a copy may be elsewhere.
- A primary that had stepped down was kept for an answer of before.
Only a probe that was sent after the step down counts.
- A former primary that had crashed was ordered every 40 ms (233 orders in 10 s).
After a refusal nothing is ordered for 400 ms, and it has to answer again.
- A primary whose replicas were all lost stepped down for good.
It steps down only while a replica is connected, and leads again if none answers.
It is not taken down again for 8 s after it was kept.
- A replica that doesn't answer is not waited for where another one has all that the primary had when it stepped down.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -17,6 +17,10 @@
 
 # For every gateway to report the commits that it acknowledged before the primary stepped down.
 ACKNOWLEDGEMENT_REPORT_MS = 500
+# For a new replica to report, where its first report gets no response and is repeated elsewhere.
+UNREPORTED_REPLICA_MS = 2_200
+# For an upstream that has the missing commits to return, before they are given up.
+MISSING_COMMITS_TIMEOUT_MS = 30_000
 
 
 def choose_target(
@@ -45,11 +49,47 @@
     state: ControlState, now_ms: int, attempt: Failover, received: Position
 ) -> bool:
     """Return whether a log that ends at ``received`` surely has every acknowledged commit."""
-    if received < attempt.received:
+    if received < attempt.received or received < _acknowledged(state, attempt):
         return False
     if attempt.primary_end is not None and received >= attempt.primary_end:
         return True
-    if received < state.directory_state.acknowledged.get(attempt.service, ZERO):
-        return False
     stepped_down_ms = attempt.stepped_down_ms
     return stepped_down_ms is None or now_ms - stepped_down_ms >= ACKNOWLEDGEMENT_REPORT_MS
+
+
+def is_wait_over(state: ControlState, now_ms: int, attempt: Failover, received: Position) -> bool:
+    """Return whether the wait for commits that a log lacks has lasted long enough."""
+    if attempt.incomplete_since_ms is None:
+        return False
+    waited_ms = now_ms - attempt.incomplete_since_ms
+    if waited_ms >= MISSING_COMMITS_TIMEOUT_MS:
+        return True
+    return waited_ms >= UNREPORTED_REPLICA_MS and _may_be_unacknowledged(state, attempt, received)
+
+
+def _may_be_unacknowledged(state: ControlState, attempt: Failover, received: Position) -> bool:
+    """Return whether the missing commits were still waiting for a replica, so that no one has them.
+
+    They are no more than the primary has slots, and every upstream that may have had a copy has
+    answered: none has departed, restarted or stayed out of reach.
+    """
+    if received < attempt.received:
+        return False
+    slots = 0
+    for entry in state.directory_state.directory.entries.values():
+        report = entry.report
+        if report.service != attempt.service:
+            continue
+        slots = max(slots, report.slots)
+        if report.upstream == attempt.previous:
+            continue
+        paused = attempt.paused.get(report.upstream)
+        if report.state is UpstreamState.GONE or paused is None:
+            return False
+        if paused.born_ms != report.born_ms:
+            return False
+    return _acknowledged(state, attempt).offset - received.offset <= slots
+
+
+def _acknowledged(state: ControlState, attempt: Failover) -> Position:
+    return state.directory_state.acknowledged.get(attempt.service, ZERO)
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -17,7 +17,9 @@
 
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
+from ..positions import Position
 from ..statements import StatementKind, UpstreamReply
+from ..upstream_links import SendStatements
 from . import commit_coverage, directory, primary_leases, probes, replica_pauses, replication
 from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
@@ -33,11 +35,10 @@
 # Longer than the platform takes to promote an upstream after it has accepted the order.
 PROMOTION_SETTLING_MS = 1_200
 UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
-# For an upstream that has the missing commits to return, before they are given up.
-MISSING_COMMITS_TIMEOUT_MS = 30_000
+REFUSED_ORDER_RETRY_MS = 400  # before another attempt orders an upstream
 # Before a primary that has stepped down leads again, since no replica has all of its commits.
 RETURN_TO_PRIMARY_MS = 700
-KEPT_PRIMARY_RETRY_MS = 1_000  # before a primary that was kept is replaced as planned again
+KEPT_PRIMARY_RETRY_MS = 8_000  # before a primary that was kept is replaced as planned again
 RESUME_TIMEOUT_MS = 3_000  # then the failover ends, and unreachable replicas are resumed later
 # Write failures are ignored for this long after a failover, so that the writes that waited for it
 # can complete first.
@@ -78,10 +79,23 @@
     if attempt.stepped_down_born_ms != entry.report.born_ms:
         attempt.stepped_down_ms = now_ms
     attempt.stepped_down_born_ms = entry.report.born_ms
-    attempt.primary_end = reply.status.received
+    attempt.primary_end = _end_of_primary(state, attempt, reply.status.received)
     return [failover_event(state, now_ms, attempt, "info", "primary_stepped_down")]
 
 
+def _end_of_primary(state: ControlState, attempt: Failover, received: Position) -> Position | None:
+    """Return the end of the log with which the primary stepped down, None if it isn't known.
+
+    An upstream that was a replica before, or started again without its log, tells nothing of it.
+    """
+    watermark = state.watch.watermarks.get(attempt.service)
+    if watermark is None or watermark.upstream != attempt.previous:
+        return None
+    if not primary_leases.is_last_target(state, attempt.service, attempt.previous):
+        return None
+    return received if received >= watermark.position else None
+
+
 def handle_primary_confirmed(
     state: ControlState, now_ms: int, service: str, upstream: str
 ) -> list[Effect]:
@@ -111,7 +125,13 @@
         effects: list[Effect] = [
             failover_event(state, event.now_ms, attempt, "warning", "failover_refused")
         ]
-        return effects + _restart(state, event.now_ms, attempt, "the order was refused")
+        if attempt.target == attempt.previous:
+            # It isn't running; it has to answer again before it can be ordered.
+            attempt.stepped_down_born_ms = None
+        effects += _restart(state, event.now_ms, attempt, "the order was refused")
+        fresh = state.failover.running[event.service]
+        fresh.order_due_ms = event.now_ms + REFUSED_ORDER_RETRY_MS
+        return effects
     return [failover_event(state, event.now_ms, attempt, "warning", "failover_unanswered")]
 
 
@@ -170,13 +190,19 @@
         may_keep_primary = not primary_leases.prove_leadership(state)
         return "an earlier leader left a failover open", may_keep_primary
     entry = state.directory_state.directory.entries.get(previous)
-    if entry is None or service not in state.watch.watermarks:
+    if (
+        entry is None
+        or service not in state.watch.watermarks
+        or not primary_leases.is_last_target(state, service, previous)
+    ):
         return _missing_primary_reason(state, now_ms, service)
     if not _is_ready(entry):
         if now_ms - state.failover.kept_ms.get(service, 0) < KEPT_PRIMARY_RETRY_MS:
             return "", False
         others = [
-            item for item in replica_pauses.replicas(state, service, previous) if _is_ready(item)
+            item
+            for item in replica_pauses.replicas(state, service, previous)
+            if _is_ready(item) and probes.is_connected(state, item)
         ]
         return ("the primary is shutting down", False) if others else ("", False)
     failing_ms = probes.failing_ms(state, now_ms, service)
@@ -185,7 +211,12 @@
     ):
         return f"the primary has not answered for {failing_ms} ms", True
     ended_ms = state.failover.ended_ms.get(service, 0)
-    if now_ms - ended_ms >= WRITE_FAILURE_GRACE_MS and _most_gateways_fail(state, now_ms, service):
+    if now_ms - ended_ms < WRITE_FAILURE_GRACE_MS:
+        return "", False
+    replicas = replica_pauses.replicas(state, service, previous)
+    if not any(probes.is_connected(state, item) for item in replicas):
+        return "", False
+    if _most_gateways_fail(state, now_ms, service):
         return "most gateways get no responses to writes", False
     return "", False
 
@@ -196,7 +227,11 @@
     It may have been lost while control restarted. A primary that is there answers a probe, and the
     other upstreams report, before the leases of an earlier leader have ended.
     """
-    if not primary_leases.have_earlier_ended(state, now_ms):
+    wait_ms = 0
+    if service not in state.directory_state.acknowledged:
+        # No gateway tells which replica has every commit: the one that has may not have reported.
+        wait_ms = commit_coverage.UNREPORTED_REPLICA_MS
+    if not primary_leases.have_earlier_ended(state, now_ms - wait_ms):
         return "", False
     if not probes.majority_knows_no_primary(state, now_ms, service):
         return "", False
@@ -259,11 +294,10 @@
     effects = replica_pauses.pause(state, now_ms, attempt)
     if attempt.pausing_since_ms is None:
         attempt.pausing_since_ms = now_ms
-    replicas = _answered_replicas(state, now_ms, attempt)
-    if not replicas:
-        return effects
-    target, is_complete = commit_coverage.choose_target(state, now_ms, attempt, replicas)
-    if is_complete or _has_waited(attempt, now_ms):
+    target = _find_target(state, now_ms, attempt)
+    if target:
+        if now_ms < attempt.order_due_ms:
+            return effects
         attempt.target = target
         return effects + _send_order(state, now_ms, attempt)
     if attempt.incomplete_since_ms is None:
@@ -272,20 +306,38 @@
     return effects + _return_to_primary(state, now_ms, attempt, primary)
 
 
+def _find_target(state: ControlState, now_ms: int, attempt: Failover) -> str:
+    """Return the replica to promote, or an empty text while there is none to promote yet."""
+    replicas = _answered_replicas(state, now_ms, attempt)
+    if not replicas:
+        return ""
+    target, is_complete = commit_coverage.choose_target(state, now_ms, attempt, replicas)
+    received = attempt.paused[target].received
+    if is_complete:
+        attempt.incomplete_since_ms = None
+        return target
+    return target if commit_coverage.is_wait_over(state, now_ms, attempt, received) else ""
+
+
 def _answered_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[DirectoryEntry]:
     """Return the replicas that confirmed their pause, or none while one should be waited for."""
     unpaused = replica_pauses.unpaused_replicas(state, attempt)
-    pausing_since_ms = attempt.pausing_since_ms or now_ms
-    if unpaused and now_ms - pausing_since_ms < UNREACHABLE_REPLICA_MS:
-        return []
+    waited_ms = now_ms - (attempt.pausing_since_ms or now_ms)
+    limit_ms = UNREACHABLE_REPLICA_MS
+    if attempt.service not in state.directory_state.acknowledged:
+        limit_ms = commit_coverage.MISSING_COMMITS_TIMEOUT_MS
     replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    return [entry for entry in replicas if entry not in unpaused]
+    answered = [entry for entry in replicas if entry not in unpaused]
+    if unpaused and waited_ms < limit_ms and not _has_end_of_primary(attempt, answered):
+        return []
+    return answered
 
 
-def _has_waited(attempt: Failover, now_ms: int) -> bool:
-    """Return whether an attempt has waited long enough for an upstream with every commit."""
-    since_ms = attempt.incomplete_since_ms
-    return since_ms is not None and now_ms - since_ms >= MISSING_COMMITS_TIMEOUT_MS
+def _has_end_of_primary(attempt: Failover, replicas: list[DirectoryEntry]) -> bool:
+    """Return whether a replica has all that the primary had when it stepped down."""
+    end = attempt.primary_end
+    received = [attempt.paused[entry.report.upstream].received for entry in replicas]
+    return end is not None and any(position >= end for position in received)
 
 
 def _return_to_primary(
@@ -297,7 +349,11 @@
     effects = _step_down(state, now_ms, attempt)
     assert attempt.incomplete_since_ms is not None
     waited_ms = now_ms - attempt.incomplete_since_ms
-    if waited_ms < RETURN_TO_PRIMARY_MS or not primary_leases.has_stepped_down(state, attempt):
+    if waited_ms < RETURN_TO_PRIMARY_MS or now_ms < attempt.order_due_ms:
+        return effects
+    if not primary_leases.has_stepped_down(state, attempt) or attempt.primary_end is None:
+        return effects
+    if not commit_coverage.has_every_commit(state, now_ms, attempt, attempt.primary_end):
         return effects
     attempt.target = attempt.previous
     return _send_order(state, now_ms, attempt)
@@ -336,7 +392,10 @@
     if attempt.stepped_down_born_ms == entry.report.born_ms:
         return []
     statement = probes.next_term_statement(state, attempt.service, StatementKind.STEP_DOWN)
-    return probes.send_probe(state, now_ms, entry, statement, ProbeKind.STEP_DOWN)
+    effects = probes.send_probe(state, now_ms, entry, statement, ProbeKind.STEP_DOWN)
+    if any(isinstance(effect, SendStatements) for effect in effects):
+        attempt.step_down_sent_ms = now_ms
+    return effects
 
 
 def _repeat_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
@@ -354,6 +413,10 @@
         if attempt.paused[upstream].received > attempt.paused[attempt.target].received:
             reason = f"{upstream} has received more than the target"
             return _restart(state, now_ms, attempt, reason)
+    received = attempt.paused[attempt.target].received
+    if not commit_coverage.has_every_commit(state, now_ms, attempt, received):
+        if not commit_coverage.is_wait_over(state, now_ms, attempt, received):
+            return _restart(state, now_ms, attempt, "the target lacks commits")
     return _send_order(state, now_ms, attempt)
 
 
@@ -373,6 +436,9 @@
     watermark = state.watch.watermarks.get(attempt.service)
     if watermark is None or watermark.probed_ms < attempt.started_ms:
         return ""
+    # An answer to an earlier probe doesn't show that the primary has not stepped down.
+    if attempt.step_down_sent_ms is not None and watermark.probed_ms <= attempt.step_down_sent_ms:
+        return ""
     known = state.directory_state.directory.entries
     return watermark.upstream if watermark.upstream in known else ""
 
@@ -398,7 +464,7 @@
     fresh.stepped_down_ms = attempt.stepped_down_ms
     fresh.received = attempt.received
     fresh.incomplete_since_ms = attempt.incomplete_since_ms
-    fresh.pausing_since_ms = attempt.pausing_since_ms
+    fresh.step_down_sent_ms = attempt.step_down_sent_ms
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -113,6 +113,8 @@
     accepted the order, ``pausing_since_ms`` since when replicas are paused, and
     ``incomplete_since_ms`` since when no replica is known to have every commit that may have been
     acknowledged. ``target_born_ms`` identifies the start of the target whose log was chosen.
+    ``step_down_sent_ms`` is when the previous primary was last told to step down, and
+    ``order_due_ms`` the time before which nothing is ordered.
     """
 
     service: str
@@ -136,6 +138,8 @@
     incomplete_since_ms: int | None = None
     pausing_since_ms: int | None = None
     target_born_ms: int = 0
+    step_down_sent_ms: int | None = None
+    order_due_ms: int = 0
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
