--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 def pytest_terminal_summary(terminalreporter):
     """Print the fault matrix as a table of promises by faults, with the number of cells run."""
     cells: Counter[tuple[str, str]] = Counter()
-    steps = 0
+    steps, states = 0, 0
     for reports in terminalreporter.stats.values():
         for report in reports:
             if getattr(report, "when", "") != "call":
@@ -21,8 +21,12 @@
                     cells[tuple(value)] += 1
                 if name == "steps":
                     steps += value
+                if name == "states":
+                    states += value
     if steps:
         terminalreporter.write_line(f"control search: {steps} steps explored")
+    if states:
+        terminalreporter.write_line(f"control exploration: {states} states visited")
     if not cells:
         return
     promises = list(CHECKERS)
