--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -1086,15 +1086,19 @@
 
 
 def find(scenario, depth, is_over=None):
-    """Explore one step deeper at a time, up to ``depth``, until a promise is broken."""
-    states = 0
+    """Explore one step deeper at a time, up to ``depth``, until a commit is lost.
+
+    Return what was found with all states visited, and the depth that was explored in full.
+    """
+    states, complete_depth = 0, 0
     found = None
     for bound in range(1, depth + 1):
         found = explore(scenario, bound, is_over=is_over)
         states += found.states
-        if found.paths or (is_over is not None and is_over()):
+        if not found.is_complete:
             break
-    return found._replace(states=states)
+        complete_depth = bound
+    return found._replace(states=states), complete_depth
 
 
 def _serves(world):
@@ -1290,9 +1294,9 @@
         scenario = scenario._replace(told_after_ms=FLAGS.told_ms)
         started_s = time.monotonic()
         end_s = started_s + FLAGS.seconds
-        found = find(scenario, FLAGS.depth, lambda end_s=end_s: time.monotonic() > end_s)
+        found, depth = find(scenario, FLAGS.depth, lambda end_s=end_s: time.monotonic() > end_s)
         took_s = time.monotonic() - started_s
-        print(f"{name}: {found.states} states, {took_s:.1f} s, complete: {found.is_complete}")
+        print(f"{name}: {found.states} states, {took_s:.1f} s, in full up to depth {depth}")
         for path, violation in found.paths:
             print(f"  {violation}: {describe(path)}")
             if FLAGS.explain:
