--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -13,9 +13,11 @@
 """
 
 import hashlib
+import sys
 import time
 from collections import deque
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
@@ -50,6 +52,9 @@
     SendStatements,
 )
 
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+from endivewick_platform import control_role  # noqa: E402
+
 SERVICE = "orders"
 GATEWAY = "10.0.9.1:7000"
 START_MS = 100_000
@@ -226,6 +231,8 @@
     addresses = tuple(_address(item) for item in range(scenario.controls))
     me = ControlPeer(addresses[index], f"10.0.0.{index + 1}:80", "dc-a")
     optional = {"fences_primaries": scenario.is_fenced}
+    if hasattr(control_role, "LEASE_MARGIN_MS"):
+        optional["lease_margin_ms"] = control_role.LEASE_MARGIN_MS
     known = {name: value for name, value in optional.items() if name in ControlSettings._fields}
     return ControlSettings(
         {},
@@ -1193,7 +1200,8 @@
 
 
 # Without its setting, control grants no leases where the platform fences.
-FENCED_LEASE_MS = 2_000 if "fences_primaries" in ControlSettings._fields else 0
+LEASE_MS = control_role.PRIMARY_LEASE_MS
+FENCED_LEASE_MS = LEASE_MS if "fences_primaries" in ControlSettings._fields else 0
 
 
 def scenarios(is_fenced=True, primary_lease_ms=FENCED_LEASE_MS):
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -7,6 +7,7 @@
 import pytest
 from exploration import (
     FENCED_LEASE_MS,
+    LEASE_MS,
     Action,
     Order,
     Scenario,
@@ -22,7 +23,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-PLATFORMS = {"fencing": (True, FENCED_LEASE_MS), "without_fencing": (False, 2_000)}
+PLATFORMS = {"fencing": (True, FENCED_LEASE_MS), "without_fencing": (False, LEASE_MS)}
 FAULTS = {
     "crash": Action("crash", "a"),
     "cut": Action("cut", "a"),
