Ask a former primary again after its connection has ended

A service could lose its whole log: a primary stepped down, started again under its name without its log, and was ordered to lead on the position read before.

Found by the exploration ("commit a, wait 200, rejoin a, wait 1100"); failed before, passes now: test_a_replica_that_starts_again_takes_no_commit_with_it[fencing]. Why it works: that it has stepped down counts only while the connection lasts on which it said so, as the positions of replicas do; control learns of the new start a second later only.

--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -39,9 +39,13 @@
 
 
 def handle_connection_ended(state: ControlState, service: str, upstream: str) -> None:
-    """Have a replica paused again whose connection has ended: it may have restarted."""
+    """Ask an upstream of a failover again whose connection has ended: it may have restarted."""
     attempt = state.failover.running.get(service)
-    if attempt is not None and upstream in attempt.paused:
+    if attempt is None:
+        return
+    if upstream == attempt.previous:
+        attempt.stepped_down_born_ms = None
+    if upstream in attempt.paused:
         attempt.paused[upstream] = attempt.paused[upstream]._replace(born_ms=None)
 
 
