Wait 10 s for commits that may be unacknowledged

A commit could be lost that was acknowledged through a replica which control did not hear of for more than 2.2 s, as behind a partition.

Found by the exploration ("commit a, join, receive new1" with the primary cut off); failed since, passes now: test_a_replica_that_starts_in_a_failover_confirms_nothing_that_is_lost. Why it works: most partitions and restarts are over by then.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -21,6 +21,8 @@
 UNREPORTED_REPLICA_MS = 2_200
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
+# The same, if they may all be unacknowledged; longer than most partitions and restarts.
+UNCERTAIN_COMMITS_TIMEOUT_MS = 10_000
 
 
 def choose_target(
@@ -64,7 +66,9 @@
     waited_ms = now_ms - attempt.incomplete_since_ms
     if waited_ms >= MISSING_COMMITS_TIMEOUT_MS:
         return True
-    return waited_ms >= UNREPORTED_REPLICA_MS and _may_be_unacknowledged(state, attempt, received)
+    return waited_ms >= UNCERTAIN_COMMITS_TIMEOUT_MS and _may_be_unacknowledged(
+        state, attempt, received
+    )
 
 
 def _may_be_unacknowledged(state: ControlState, attempt: Failover, received: Position) -> bool:
