--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -5,7 +5,7 @@
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
 from endivewick_core.directory import UpstreamState
-from endivewick_core.messages import DirectoryShare, PrimaryHealth
+from endivewick_core.messages import DirectoryShare, HeardReport, PrimaryHealth
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
 from replicated_service import GATEWAYS, OrderCourse, running_service
@@ -298,12 +298,14 @@
 
 
 def let_others_reach(service, primary):
-    """Let the other control processes say that a primary answers them."""
+    """Let the other control processes say that a primary answers them, and pass its reports on."""
+    report = service.state.directory_state.directory.entries[primary.name].report
 
     def share():
+        heard = [HeardReport(report._replace(sequence=service.now_ms), 0)]
         for address in ADDRESSES[1:]:
             health = [PrimaryHealth(SERVICE, primary.name, 0, 0)]
-            message = DirectoryShare(peer(address), 0, [], health, 0, [], {})
+            message = DirectoryShare(peer(address), 0, heard, health, 0, [], {})
             service.handle(ce.MessageReceived(service.now_ms, message))
 
     service.share = share
