Confirm a held commit only by a lease of the same leadership

A commit that a failover had rolled back could be acknowledged: a gateway held its success without a lease, the upstream was replaced and promoted again, and the lease on its second leadership confirmed the commit of the first one.

Why it works: a lease carries the token of the failover with which its upstream began to lead; a failover that keeps the primary doesn't change it. A held commit is confirmed by a lease of the leadership that was known at its success, or by the first one on a new primary within a second. The model of the service takes the rule from the same function.

--- a/packages/core/src/endivewick_core/control/primary_leases.py
+++ b/packages/core/src/endivewick_core/control/primary_leases.py
@@ -200,7 +200,19 @@
         if not upstream or not _may_grant(state, service, upstream):
             continue
         until_ms = state.settings.primary_lease_ms + min(confirmed_ms, known_ms)
-        _renew(state, now_ms, service, PrimaryLease(upstream, until_ms))
+        lease = PrimaryLease(upstream, until_ms, _leadership(state, service))
+        _renew(state, now_ms, service, lease)
+
+
+def _leadership(state: ControlState, service: str) -> int:
+    """Return the token of the failover with which the present primary began to lead, or 0."""
+    record = state.replicated_state.failovers.get(service)
+    if record is None:
+        return 0
+    attempt = state.failover.running.get(service)
+    if attempt is not None and attempt.target != record.primary:
+        return attempt.token
+    return record.leadership
 
 
 def _renew(state: ControlState, now_ms: int, service: str, lease: PrimaryLease) -> None:
--- a/packages/core/src/endivewick_core/gateway/commit_confirmations.py
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -4,6 +4,7 @@
 once a later lease shows which upstream was the primary at the time, or at the statement's timeout.
 """
 
+from ..primary_leases import confirms, known_leadership
 from ..statements import Error, Fault, UpstreamReply
 from . import answers
 from .effects import Effect, LogEvent
@@ -16,8 +17,11 @@
     state: GatewayState, now_ms: int, upstream: str, request: Request, reply: UpstreamReply
 ) -> list[Effect]:
     """Keep a commit's success until a lease shows whether its upstream was the primary."""
-    state.unconfirmed_commits.append(UnconfirmedCommit(now_ms, upstream, request, reply))
     lease = state.primary_leases.get(request.route.service)
+    leadership = known_leadership(lease, upstream)
+    state.unconfirmed_commits.append(
+        UnconfirmedCommit(now_ms, upstream, request, reply, leadership)
+    )
     inputs: dict[str, object] = {
         "upstream": upstream,
         "service": request.route.service,
@@ -62,11 +66,13 @@
         service = request.route.service
         if request.serial not in state.requests:
             continue
-        if covers_commit(state, service, commit.upstream, commit.received_ms):
-            effects += acknowledge(state, now_ms, request, commit.reply)
-            continue
         lease = state.primary_leases.get(service)
-        if lease is None or lease.upstream == commit.upstream:
+        if covers_commit(state, service, commit.upstream, commit.received_ms):
+            waited_ms = now_ms - commit.received_ms
+            if lease is None or confirms(lease, commit.leadership, waited_ms):
+                effects += acknowledge(state, now_ms, request, commit.reply)
+                continue
+        elif lease is None or lease.upstream == commit.upstream:
             state.unconfirmed_commits.append(commit)
             continue
         text = f"{commit.upstream} was replaced as primary at about the time of the commit"
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -242,12 +242,16 @@
 
 
 class UnconfirmedCommit(NamedTuple):
-    """An upstream's success that is not known to be of the primary, received at ``received_ms``."""
+    """An upstream's success that is not known to be of the primary, received at ``received_ms``.
+
+    ``leadership`` is that of the last lease on the upstream, None if the last one was on another.
+    """
 
     received_ms: int
     upstream: str
     request: Request
     reply: UpstreamReply
+    leadership: int | None
 
 
 class QueuedRequest(NamedTuple):
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -378,11 +378,15 @@
 
 
 class PrimaryLeaseNote(NamedTuple):
-    """A lease on a service's primary, which ends ``left_ms`` after the message was sent."""
+    """A lease on a service's primary, which ends ``left_ms`` after the message was sent.
+
+    ``leadership`` identifies the time for which the upstream leads, until another one does.
+    """
 
     service: str
     upstream: str
     left_ms: int
+    leadership: int = 0
 
 
 class PrimaryLeaseQuestion(NamedTuple):
--- a/packages/core/src/endivewick_core/replicated_state.py
+++ b/packages/core/src/endivewick_core/replicated_state.py
@@ -86,7 +86,8 @@
     """The newest change of primary of a service; ``is_open`` until its holder ends it.
 
     ``address`` is that of the primary, where its log stays if it restarts under another name. It
-    is empty in records that were written before it was stored.
+    is empty in records that were written before it was stored. ``leadership`` is the token of the
+    last failover that ended with another primary than the one before.
     """
 
     token: int
@@ -94,6 +95,7 @@
     is_open: bool
     primary: str
     address: str = ""
+    leadership: int = 0
 
 
 class StoredConfiguration(NamedTuple):
@@ -360,6 +362,7 @@
         True,
         current.primary if current else "",
         current.address if current else "",
+        current.leadership if current else 0,
     )
     return ChangeResult("", 0, index)
 
@@ -370,8 +373,12 @@
     current = replicated_state.failovers.get(command.service)
     if current is None or current.token != command.token:
         return ChangeResult("change_conflict", 0, index)
+    is_kept = command.primary == current.primary
     replicated_state.failovers[command.service] = current._replace(
-        is_open=False, primary=command.primary, address=command.address
+        is_open=False,
+        primary=command.primary,
+        address=command.address,
+        leadership=current.leadership if is_kept else command.token,
     )
     return ChangeResult("", 0, index)
 
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -170,10 +170,10 @@
         )
         self.handle(ev.MessageReceived(self.now_ms, answer._replace(**changes)))
 
-    def grant_lease(self, left_ms=2_000, upstream=PRIMARY):
+    def grant_lease(self, left_ms=2_000, upstream=PRIMARY, leadership=0):
         """Let control answer the gateway's latest poll with a lease on the primary."""
         question = [item for item in self.messages if item.address == CONTROL][-1].message
-        notes = [PrimaryLeaseNote(SERVICE, upstream, left_ms)]
+        notes = [PrimaryLeaseNote(SERVICE, upstream, left_ms, leadership)]
         self.handle(ev.MessageReceived(self.now_ms, PrimaryLeaseAnswer(question.sequence, notes)))
 
     def open_all(self):
--- a/tests/replicated_service.py
+++ b/tests/replicated_service.py
@@ -21,7 +21,7 @@
 from endivewick_core.directory import UpstreamState
 from endivewick_core.messages import DirectoryQuestion, PrimaryLeaseAnswer
 from endivewick_core.positions import Position
-from endivewick_core.primary_leases import PrimaryLeases, covers, renew
+from endivewick_core.primary_leases import PrimaryLeases, confirms, covers, known_leadership, renew
 from endivewick_core.statements import StatementKind
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
@@ -88,6 +88,7 @@
     primary: Instance
     gateway: str
     received_ms: int
+    leadership: int | None
 
 
 @dataclass
@@ -203,7 +204,11 @@
                 self.pending.append(commit)
                 continue
             self.answered_ms = self.now_ms
-            self.held.append(HeldCommit(commit.entry, primary, commit.gateway, self.now_ms))
+            lease = self.leases[commit.gateway].get(SERVICE)
+            leadership = known_leadership(lease, primary.name)
+            self.held.append(
+                HeldCommit(commit.entry, primary, commit.gateway, self.now_ms, leadership)
+            )
         waiting, self.held = self.held, []
         for commit in waiting:
             if self._may_acknowledge(commit):
@@ -224,7 +229,9 @@
         if not self.state.settings.primary_lease_ms:
             return True
         leases = self.leases[commit.gateway]
-        return covers(leases, SERVICE, commit.primary.name, commit.received_ms)
+        if not covers(leases, SERVICE, commit.primary.name, commit.received_ms):
+            return False
+        return confirms(leases[SERVICE], commit.leadership, self.now_ms - commit.received_ms)
 
     def _acknowledge(self, commit):
         self.acknowledged[commit.entry] = self.now_ms
--- a/tests/test_primary_leases.py
+++ b/tests/test_primary_leases.py
@@ -260,6 +260,20 @@
     assert_that(answer.error.fault, Equals(Fault.OUTCOME_UNKNOWN))
 
 
+def test_a_later_leadership_of_an_upstream_confirms_no_commit_of_an_earlier_one(gateway):
+    """Guards against a commit that was rolled back by a failover and is acknowledged after it."""
+    gateway.grant_lease(left_ms=400, leadership=3)
+    session = gateway.session(1, "strict")
+    request = gateway.send(session, K.WRITE)
+    gateway.answer_own_statements()
+    gateway.tick(420)
+    gateway.reply(gateway.find_sent(request), number=11)
+    gateway.answers.clear()
+    gateway.grant_lease(leadership=7)
+    (answer,) = gateway.answers
+    assert_that(answer.error.fault, Equals(Fault.OUTCOME_UNKNOWN))
+
+
 def test_control_is_polled_often_while_statements_wait_for_a_lease(gateway):
     gateway.grant_lease(left_ms=100)
     gateway.tick(300)
