Forget a step down once the former primary leads again

The platform's acceptance of that order now ends the step down, and a gap counts only where the target is behind.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -92,7 +92,7 @@
             return False
         if paused.born_ms != report.born_ms:
             return False
-    return _acknowledged(state, attempt).offset - received.offset <= slots
+    return 0 <= _acknowledged(state, attempt).offset - received.offset <= slots
 
 
 def _acknowledged(state: ControlState, attempt: Failover) -> Position:
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -120,6 +120,8 @@
         if attempt.stage is Stage.ORDERED:
             attempt.stage = Stage.PROMOTING
             attempt.accepted_ms = event.now_ms
+        if attempt.target == attempt.previous:
+            attempt.stepped_down_born_ms = None  # it leads again
         return [failover_event(state, event.now_ms, attempt, "info", "failover_accepted")]
     if event.outcome is FailoverOutcome.REFUSED:
         effects: list[Effect] = [
