Share positions of acknowledged commits without the reports

Such a share now carries no reports, is sent at most five times a second, and only for commits of gateways that poll its sender. test_positions_are_shared_at_most_five_times_a_second_without_reports failed before.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -31,10 +31,12 @@
 from . import primary_leases, probes
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
-from .service_state import DirectoryState, Peer, PendingReport
+from .service_state import Peer, PendingReport
 from .state import ControlState, Role, peers
 
 SHARE_INTERVAL_MS = 1_000  # between repeats of the recent reports to the other control processes
+# Between shares of the positions of acknowledged commits while their primary fails or is replaced.
+ACKNOWLEDGED_SHARE_INTERVAL_MS = 200
 SHARE_MAX_AGE_MS = 10_000  # reports that were received within this time are repeated
 GATEWAY_TIMEOUT_MS = 1_000  # three missed polls; by then the gateway may poll another process
 CONTENTION_MS = 2_000  # gateways keep to their shares of connections for this long after a refusal
@@ -83,7 +85,7 @@
         share.contended,
         share.wanted,
     )
-    _merge_acknowledged(state.directory_state, share.acknowledged)
+    _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
     effects: list[Effect] = []
     departed: list[HeardReport] = []
     for report, age_ms in share.reports:
@@ -126,7 +128,8 @@
         directory_state.gateway_centres[request.gateway] = request.data_centre
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
-    _merge_acknowledged(directory_state, request.acknowledged)
+    _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
+    _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
     for upstream in request.refused_by:
         directory_state.connection_refused_ms[upstream] = now_ms
     after = request.revision if request.control_boot == directory_state.boot else 0
@@ -162,8 +165,7 @@
 def check_sharing(state: ControlState, now_ms: int) -> list[Effect]:
     """Refuse reports that were not confirmed in time, and share recent reports when due.
 
-    A share is sent early when the failing primaries change, when gateways have acknowledged further
-    commits of one or of a service in a failover, or when another upstream is contended.
+    A share is sent early when the failing primaries change or another upstream is contended.
     """
     directory_state = state.directory_state
     effects: list[Effect] = []
@@ -177,21 +179,14 @@
         if probes.failing_ms(state, now_ms, service) > 0
     )
     contended = _own_contended(state, now_ms)
-    failovers = state.replicated_state.failovers
-    acknowledged = {
-        service: position
-        for service, position in directory_state.acknowledged.items()
-        if service in failing or (service in failovers and failovers[service].is_open)
-    }
+    effects += _share_acknowledged(state, now_ms, failing)
     is_new = (
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
-        or acknowledged != directory_state.acknowledged_shared
     )
     if now_ms < directory_state.share_due_ms and not is_new:
         return effects
     directory_state.failing_shared = failing
-    directory_state.acknowledged_shared = acknowledged
     directory_state.contended_shared = contended
     directory_state.share_due_ms = now_ms + SHARE_INTERVAL_MS
     remove_expired(directory_state.directory, now_ms)
@@ -314,10 +309,27 @@
     )
 
 
-def _merge_acknowledged(directory_state: DirectoryState, positions: dict[str, Position]) -> None:
+def _merge_acknowledged(known: dict[str, Position], positions: dict[str, Position]) -> None:
     for service, position in positions.items():
-        known = directory_state.acknowledged.get(service, position)
-        directory_state.acknowledged[service] = max(known, position)
+        known[service] = max(known.get(service, position), position)
+
+
+def _share_acknowledged(state: ControlState, now_ms: int, failing: frozenset[str]) -> list[Effect]:
+    """Share where gateways acknowledge commits of services that fail or are in a failover."""
+    directory_state = state.directory_state
+    if now_ms < directory_state.acknowledged_due_ms:
+        return []
+    failovers = state.replicated_state.failovers
+    acknowledged = {
+        service: position
+        for service, position in directory_state.own_acknowledged.items()
+        if service in failing or (service in failovers and failovers[service].is_open)
+    }
+    if acknowledged == directory_state.acknowledged_shared:
+        return []
+    directory_state.acknowledged_shared = acknowledged
+    directory_state.acknowledged_due_ms = now_ms + ACKNOWLEDGED_SHARE_INTERVAL_MS
+    return _send_share(state, now_ms, [], 0)
 
 
 def _report_to(state: ControlState, now_ms: int, report: UpstreamReport) -> str:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -204,6 +204,8 @@
     a connection to a gateway. ``gateway_contact_ms``, ``gateway_centres``, ``writes_failing`` and
     ``wanted`` hold what each gateway reported in its last poll, and when. ``acknowledged`` is the
     highest position at which any gateway is known to have acknowledged a commit, by service.
+    ``own_acknowledged`` is that of the gateways that poll this process; ``acknowledged_due_ms`` is
+    the time before which it is not shared again.
     """
 
     boot: str = ""
@@ -220,4 +222,6 @@
     writes_failing: dict[str, list[str]] = field(default_factory=dict)
     wanted: dict[str, dict[str, int]] = field(default_factory=dict)
     acknowledged: dict[str, Position] = field(default_factory=dict)
+    own_acknowledged: dict[str, Position] = field(default_factory=dict)
     acknowledged_shared: dict[str, Position] = field(default_factory=dict)
+    acknowledged_due_ms: int = 0
--- a/tests/test_failover_pauses.py
+++ b/tests/test_failover_pauses.py
@@ -5,12 +5,13 @@
 """
 
 import pytest
-from control_driver import FakeUpstream, leading_control
-from endivewick_core.control.events import FailoverOutcome
+from control_driver import ADDRESSES, SERVICE, FakeUpstream, leading_control
+from endivewick_core.control.events import FailoverOutcome, MessageReceived
 from endivewick_core.directory import UpstreamState
+from endivewick_core.messages import DirectoryQuestion
 from endivewick_core.positions import Position
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 
 @pytest.fixture
@@ -112,3 +113,23 @@
         assert_that((known["received"], known["restarted_since"]), Equals(("1.10", False)))
         assert_that(known["received_ms_ago"] <= ordered.inputs["running_ms"], Equals(True))
     assert_that(ordered.inputs["primary_position"], Equals("1.10"))
+
+
+def test_positions_are_shared_at_most_five_times_a_second_without_reports(control):
+    """Guards against a full share to each process for each commit while a primary fails."""
+    control.upstreams["u-primary"].reachable = False
+    control.break_connections("u-primary")
+    control.run(1_200)
+    control.shares.clear()
+    for number in range(50):
+        control.run(20)
+        positions = {SERVICE: Position(1, 11 + number)}
+        question = DirectoryQuestion(
+            "10.0.0.9:7000", "dc-a", number, 1, "boot", 0, [], [], {}, False, positions
+        )
+        control.handle(MessageReceived(control.now_ms, question))
+    to_one = [share for address, share in control.shares if address == ADDRESSES[1]]
+    without_reports = [share for share in to_one if not share.reports]
+    assert_that(len(without_reports), LessThan(7))
+    assert_that(len(without_reports), GreaterThan(2))
+    assert_that(without_reports[-1].acknowledged[SERVICE] > Position(1, 40), Equals(True))
