--- /dev/null
+++ b/tests/test_review_28.py
@@ -0,0 +1,148 @@
+"""Faults that the review of issue 28 claims; each test fails while its fault is there."""
+
+import pytest
+from control_driver import ADDRESSES, SERVICE, peer
+from endivewick_core.control import events as ce
+from endivewick_core.messages import DirectoryShare
+from replicated_service import GATEWAYS, OrderCourse, running_service
+from test_promotions_keep_commits import (
+    CRASH_LIMIT_MS,
+    LOSS_LIMIT_MS,
+    assert_nothing_lost,
+    assert_serves_within,
+    instances,
+    run_until_ordered,
+)
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, Not
+
+
+@pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
+def service(request):
+    return running_service(request.param)
+
+
+# A former primary that started again under its id holds nothing of before. The end of its empty log
+# is taken for the end of the log that it had, so that any replica seems to have every commit, and
+# the positions of gateways aren't looked at.
+def test_the_end_of_a_primary_that_started_empty_proves_nothing(service):
+    primary, second, third = instances(service)
+    third.is_deaf = True
+    service.run(2_000)
+    service.cut_from_control(second)
+    service.crash(primary)
+    primary.log, primary.leads = [], False
+    service.run(1_000)
+    service.come_back(primary, unheard_for_ms=1_000)
+    service.later(9_000, lambda: service.reconnect_to_control(second))
+    service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
+    service.run(2_000)
+    assert_nothing_lost(service)
+
+
+# The next leader can't reach the new primary, and its last probe was of the former one, which is
+# still draining. The end of that one's log, as a replica, is taken for the end of the primary's, and
+# a primary that serves is replaced.
+def test_the_end_of_an_upstream_that_was_not_the_primary_proves_nothing(service):
+    primary, second, third = instances(service)
+    service.leave(primary)
+    watermark = service.state.watch.watermarks[SERVICE]
+    service.run_until(lambda: service.primary() in (second, third), CRASH_LIMIT_MS)
+    service.run_until(lambda: not service.state.failover.running, CRASH_LIMIT_MS)
+    service.run(1_000)
+    promoted = service.primary()
+    other = third if promoted is second else second
+    entries = service.state.directory_state.directory
+    service.cut_from_control(promoted)
+    service._end_control(700)
+    service.state.directory_state.directory = entries
+    service.state.watch.watermarks[SERVICE] = watermark
+    service.win_election()
+    before = len(service.promoted)
+    service.run(100)
+    other.is_deaf = True
+    service.run_until(lambda: len(service.promoted) > before, CRASH_LIMIT_MS)
+    service.run(2_000)
+    assert_nothing_lost(service)
+
+
+# A lost order is repeated for a target that has started again with an empty log: it is compared
+# with the replicas that are left only, not with what is known to be acknowledged.
+def test_an_order_is_not_repeated_for_an_empty_target_that_is_alone(service):
+    primary, second, third = instances(service)
+    service.courses = [OrderCourse(is_lost=True)]
+    service.crash(primary)
+    target = service.upstreams[run_until_ordered(service).upstream]
+    other = third if target is second else second
+    service.run(100)
+    service.depart(other)
+    target.log = []
+    service.come_back(target, unheard_for_ms=2_500)
+    service.break_connections(target.name)
+    service.later(6_000, lambda: service.come_back(primary))
+    service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
+    service.run(2_000)
+    assert_nothing_lost(service)
+
+
+# An attempt that begins anew inherits the times since when it waits, so that after 30 s the first
+# replica that confirms its new pause is promoted, although another one is known to have more.
+def test_an_attempt_that_begins_anew_waits_for_the_best_replica(service):
+    primary, second, third = instances(service)
+    third.is_deaf = True
+    service.run(2_000)
+    service.cut_from_control(second)
+    service.crash(primary)
+    service.run(20_000)
+    service.courses = [OrderCourse(is_lost=True)] * 20  # the platform is down
+    service.reconnect_to_control(second)
+    service.run(22_000)
+    service.courses = []
+    service.come_back(second)
+    service.break_connections(second.name)
+    service.run(8_000)
+    assert_nothing_lost(service)
+
+
+# The primary answers a probe just before it steps down. That answer is taken for one of a primary
+# that leads: it is kept, though nothing leads (without fencing), or ordered at once, and a replica
+# with every acknowledged commit isn't waited for.
+def test_a_primary_that_has_stepped_down_is_not_kept_for_an_earlier_answer(service):
+    primary, _, _ = instances(service)
+    service.leave(primary)
+    service.run_until(lambda: "failover_done" in service.log_event_names, CRASH_LIMIT_MS)
+    assert_that(service.primary(), Not(Is(None)))
+    assert_that(service.promoted[-1], Not(Equals("u-primary")))
+
+
+# Most control processes restarted, know no primary, and so don't find it failing; the leader knows
+# one. Neither majority is reached. Nothing writes, so that gateways don't report either.
+def test_a_primary_that_only_the_leader_knew_is_replaced(service):
+    primary, _, _ = instances(service)
+
+    def share():
+        for address in ADDRESSES[1:]:
+            message = DirectoryShare(peer(address), 0, [], [], 0, [], {})
+            service.handle(ce.MessageReceived(service.now_ms, message))
+
+    service.share = share
+    service.is_writing = False
+    service.crash(primary)
+    service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
+    assert_that(len(service.promoted), GreaterThan(0))
+
+
+# All processes are killed, gateways too: nobody remembers what was acknowledged. The replica that
+# has it is heard of 3 s after the election, and the lagging one is promoted before.
+def test_a_lagging_replica_is_not_promoted_after_gateways_restarted_too(service):
+    primary, second, third = instances(service)
+    third.is_deaf = True
+    service.run(2_000)
+    service.crash(primary)
+    for gateway in GATEWAYS:
+        service.positions[gateway] = {}
+    service.restart_control(late=second)
+    second.report_due_ms = service.now_ms + 3_000
+    service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
+    service.run(2_000)
+    assert_nothing_lost(service)
