--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -14,7 +14,7 @@
     run_until_ordered,
 )
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, Is, Not
+from testtools.matchers import Equals, GreaterThan, Is, LessThan, Not
 
 
 @pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
@@ -94,9 +94,9 @@
     service.cut_from_control(second)
     service.crash(primary)
     service.run(20_000)
-    service.courses = [OrderCourse(is_lost=True)] * 20  # the platform is down
+    service.courses = [OrderCourse(is_lost=True)] * 40  # the platform is down
     service.reconnect_to_control(second)
-    service.run(22_000)
+    service.run(20_000)
     service.courses = []
     service.come_back(second)
     service.break_connections(second.name)
@@ -146,3 +146,66 @@
     service.run_until(lambda: service.promoted, LOSS_LIMIT_MS)
     service.run(2_000)
     assert_nothing_lost(service)
+
+
+# Commits follow each other faster than a replica receives them, so that the answer to a commit
+# shows entries that nobody has received. The positions of gateways then exceed those of every
+# replica, and a plain crash with healthy replicas waits 30 s for what was never acknowledged.
+def test_a_plain_crash_under_load_is_not_held_up_by_unacknowledged_commits(service):
+    primary, _, _ = instances(service)
+    sent = []
+    receive = service._replicate
+
+    def replicate_later():
+        """Let the replicas receive what the primary had 60 ms ago."""
+        sent.append(list(primary.log))
+        if service.primary() is not primary:
+            receive()
+            return
+        newest = primary.log
+        primary.log = sent[-4] if len(sent) > 3 else []
+        receive()
+        primary.log = newest
+
+    service._replicate = replicate_later
+    service.run(2_000)
+    service.crash(primary)
+    assert_serves_within(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
+
+
+def leave_with_a_lagging_replica(service):
+    """Let the replica that has the newest commits depart, and then the primary leave."""
+    primary, second, third = instances(service)
+    service.leave(second)
+    service.run(1_000)
+    third.is_deaf = True
+    service.run(2_000)
+    service.depart(second)
+    service.leave(primary)
+    return primary, third
+
+
+# A former primary that stepped down and then crashed is ordered to lead again. The platform refuses
+# each time, and a new attempt begins at once, with two more entries of the log.
+def test_a_former_primary_that_crashed_is_not_ordered_again_and_again(service):
+    primary, _ = leave_with_a_lagging_replica(service)
+    service.run_until(lambda: service.orders, CRASH_LIMIT_MS)
+    service.run_until(lambda: service.promoted, CRASH_LIMIT_MS)
+    orders = len(service.orders)
+    service.run_until(lambda: not service.primary(), CRASH_LIMIT_MS)
+    service.run(40)
+    service.crash(primary)
+    service.run(10_000)
+    assert_that(len(service.orders) - orders, LessThan(12))  # one a second
+
+
+# While the only replica of a draining primary lags, each planned change fails and takes the service
+# down again, though nothing has changed since the last one.
+def test_a_draining_primary_serves_while_its_replica_lags(service):
+    primary, third = leave_with_a_lagging_replica(service)
+    leading = 0
+    for _ in range(500):
+        service.run(20)
+        leading += service.primary() is not None
+    assert_that(leading, GreaterThan(400))  # of 500
