--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -1,9 +1,12 @@
 """Faults that the review of issue 28 claims; each test fails while its fault is there."""
 
+import matrix
 import pytest
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
 from endivewick_core.messages import DirectoryShare
+from endivewick_core.statements import StatementKind as K
+from gateway_driver import ready_gateway
 from replicated_service import GATEWAYS, OrderCourse, running_service
 from test_promotions_keep_commits import (
     CRASH_LIMIT_MS,
@@ -15,6 +18,7 @@
 )
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan, Not
+from workload import CONTRACT, Session, ready_driver
 
 
 @pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
@@ -209,3 +213,46 @@
         service.run(20)
         leading += service.primary() is not None
     assert_that(leading, GreaterThan(400))  # of 500
+
+
+# A COMMIT that is sent without a lease can't be acknowledged, and ends in doubt, which its client
+# can't retry. Not sent, it could wait for the lease, or be refused with nothing kept.
+def test_a_commit_is_not_sent_while_its_success_could_not_be_acknowledged():
+    gateway = ready_gateway(needs_primary_leases=False)
+    gateway.state.settings = gateway.state.settings._replace(
+        commits_need_leases=True
+    )
+    gateway.grant_lease(left_ms=300)
+    session = gateway.session(1, "strict")
+    gateway.send(session, K.BEGIN)
+    request = gateway.send(session, K.WRITE)
+    gateway.answer_own_statements()
+    gateway.reply(gateway.find_sent(request))
+    gateway.tick(400)
+    request = gateway.send(session, K.COMMIT)
+    assert_that(gateway.find_sent(request), Is(None))
+
+
+# The project's own proxy, with `acknowledge: replica`: a leaving replica counts for acknowledged
+# writes, but neither is promoted nor waited for. One that lags is promoted instead.
+def test_the_proxy_does_not_promote_past_a_leaving_replica(monkeypatch):
+    monkeypatch.setitem(CONTRACT, "acknowledge", "replica")
+    driver = ready_driver(1)
+    for number in range(3):
+        Session(driver, f"s{number}", matrix.PROXIES)
+    driver.run(500)
+    driver.upstreams["u2"].leaving = True
+    driver.run(500)
+    driver.upstreams["u1"].lag_ms = 60_000
+    driver.run(2_000)
+    driver.kill_upstream("u0")
+    driver.run(5_000)
+    (promoted,) = [item.upstream for item in driver.history if item.kind == "promoted"]
+    held = {(item.key, item.value) for item in driver.upstreams[promoted].database.log}
+    lost = [
+        item
+        for item in driver.history
+        if item.kind == "answer" and item.operation == "write" and item.outcome == "ok"
+        if item.key and (item.key, item.value) not in held
+    ]
+    assert_that(len(lost), Equals(0))
