--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -4,6 +4,7 @@
 import pytest
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
+from endivewick_core.directory import UpstreamState
 from endivewick_core.messages import DirectoryShare
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
@@ -256,3 +257,43 @@
         if item.key and (item.key, item.value) not in held
     ]
     assert_that(len(lost), Equals(0))
+
+
+# A DELETE names no start. One that is late, or repeated since its answer was lost, marks the new
+# start of the same id as departed, and for one start that is final: its reports are dropped.
+def test_a_late_departure_does_not_remove_the_next_start_of_an_upstream(service):
+    _, second, _ = instances(service)
+    service.leave(second)
+    service.depart(second)
+    service.run(500)
+    second.state = UpstreamState.READY
+    service.come_back(second)
+    service.run(500)
+    service.handle(ce.UpstreamRemoved(service.now_ms, 0, second.name))
+    service.run(5_000)
+    entry = service.state.directory_state.directory.entries[second.name]
+    assert_that(entry.report.state, Equals(UpstreamState.READY))
+
+
+# Both replicas are lost, so that no write is confirmed and gateways report it. The primary is told to
+# step down, and no replica answers: it is never told to lead again, although it is there.
+def test_a_primary_that_lost_its_replicas_goes_on_to_lead(service):
+    primary, second, third = instances(service)
+    service.run(8_000)
+    service.crash(second)
+    service.crash(third)
+    service.run(60_000)
+    assert_that(primary.leads, Equals(True))
+
+
+# The same in a planned change, where the leader is cut off from both replicas once it has begun.
+def test_a_draining_primary_leads_again_if_no_replica_answers(service):
+    primary, second, third = instances(service)
+    service.leave(primary)
+    service.run_until(lambda: not primary.leads, CRASH_LIMIT_MS)
+    service.cut_from_control(second)
+    service.cut_from_control(third)
+    service.break_connections(second.name)
+    service.break_connections(third.name)
+    service.run(LOSS_LIMIT_MS)
+    assert_that(service.primary(), Not(Is(None)))
