--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -5,7 +5,7 @@
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
 from endivewick_core.directory import UpstreamState
-from endivewick_core.messages import DirectoryShare
+from endivewick_core.messages import DirectoryShare, PrimaryHealth
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
 from replicated_service import GATEWAYS, OrderCourse, running_service
@@ -297,3 +297,51 @@
     service.break_connections(third.name)
     service.run(LOSS_LIMIT_MS)
     assert_that(service.primary(), Not(Is(None)))
+
+
+def let_others_reach(service, primary):
+    """Let the other control processes say that a primary answers them."""
+
+    def share():
+        for address in ADDRESSES[1:]:
+            health = [PrimaryHealth(SERVICE, primary.name, 0, 0)]
+            message = DirectoryShare(peer(address), 0, [], health, 0, [], {})
+            service.handle(ce.MessageReceived(service.now_ms, message))
+
+    service.share = share
+
+
+# After a restart the leader alone can't reach the primary, which serves and answers the others. It
+# isn't replaced, but nobody is granted a lease on it either.
+def test_a_primary_that_only_the_new_leader_misses_serves(service):
+    primary, _, _ = instances(service)
+    service.cut_from_control(primary)
+    let_others_reach(service, primary)
+    service.restart_control()
+    service.run(3_000)
+    assert_serves_within(service, CRASH_LIMIT_MS)
+
+
+# The same where its last probe was of the former primary: it goes on to lease that one, since the
+# others don't find it failing.
+def test_a_new_leader_does_not_lease_a_former_primary(service):
+    primary, second, third = instances(service)
+    service.crash(primary)
+    watermark = service.state.watch.watermarks[SERVICE]
+    service.run_until(lambda: service.primary() in (second, third), CRASH_LIMIT_MS)
+    service.run_until(lambda: not service.state.failover.running, CRASH_LIMIT_MS)
+    service.come_back(primary)
+    service.run(2_000)
+    promoted = service.primary()
+    entries = service.state.directory_state.directory
+    service.cut_from_control(promoted)
+    let_others_reach(service, promoted)
+    service._end_control(700)
+    service.state.directory_state.directory = entries
+    service.state.watch.watermarks[SERVICE] = watermark
+    service.share()
+    service.win_election()
+    service.run(3_000)
+    leased = service.state.primary_leases.leases.get(SERVICE)
+    assert_that(leased is not None and leased.upstream == primary.name, Equals(False))
+    assert_serves_within(service, CRASH_LIMIT_MS)
