--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -46,8 +46,8 @@
 
 
 # The next leader can't reach the new primary, and its last probe was of the former one, which is
-# still draining. The end of that one's log, as a replica, is taken for the end of the primary's, and
-# a primary that serves is replaced.
+# still draining. The end of that one's log, as a replica, is taken for the end of the primary's,
+# and a primary that serves is replaced.
 def test_the_end_of_an_upstream_that_was_not_the_primary_proves_nothing(service):
     primary, second, third = instances(service)
     service.leave(primary)
@@ -220,9 +220,7 @@
 # can't retry. Not sent, it could wait for the lease, or be refused with nothing kept.
 def test_a_commit_is_not_sent_while_its_success_could_not_be_acknowledged():
     gateway = ready_gateway(needs_primary_leases=False)
-    gateway.state.settings = gateway.state.settings._replace(
-        commits_need_leases=True
-    )
+    gateway.state.settings = gateway.state.settings._replace(commits_need_leases=True)
     gateway.grant_lease(left_ms=300)
     session = gateway.session(1, "strict")
     gateway.send(session, K.BEGIN)
@@ -275,8 +273,8 @@
     assert_that(entry.report.state, Equals(UpstreamState.READY))
 
 
-# Both replicas are lost, so that no write is confirmed and gateways report it. The primary is told to
-# step down, and no replica answers: it is never told to lead again, although it is there.
+# Both replicas are lost, so that no write is confirmed and gateways report it. The primary is told
+# to step down, and no replica answers: it is never told to lead again, although it is there.
 def test_a_primary_that_lost_its_replicas_goes_on_to_lead(service):
     primary, second, third = instances(service)
     service.run(8_000)
