--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -5,7 +5,7 @@
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
 from endivewick_core.directory import UpstreamState
-from endivewick_core.messages import DirectoryShare, PrimaryHealth
+from endivewick_core.messages import DirectoryShare, HeardReport, PrimaryHealth
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
 from replicated_service import GATEWAYS, OrderCourse, running_service
@@ -27,6 +27,11 @@
     return running_service(request.param)
 
 
+@pytest.fixture
+def fenced_service():
+    return running_service(is_fenced=True)
+
+
 # A former primary that started again under its id holds nothing of before. The end of its empty log
 # is taken for the end of the log that it had, so that any replica seems to have every commit, and
 # the positions of gateways aren't looked at.
@@ -153,16 +158,13 @@
     assert_nothing_lost(service)
 
 
-# Commits follow each other faster than a replica receives them, so that the answer to a commit
-# shows entries that nobody has received. The positions of gateways then exceed those of every
-# replica, and a plain crash with healthy replicas waits 30 s for what was never acknowledged.
-def test_a_plain_crash_under_load_is_not_held_up_by_unacknowledged_commits(service):
-    primary, _, _ = instances(service)
+def receive_late(service):
+    """Let the replicas receive what the primary had 60 ms ago."""
+    primary = service.primary()
     sent = []
     receive = service._replicate
 
     def replicate_later():
-        """Let the replicas receive what the primary had 60 ms ago."""
         sent.append(list(primary.log))
         if service.primary() is not primary:
             receive()
@@ -173,6 +175,14 @@
         primary.log = newest
 
     service._replicate = replicate_later
+
+
+# Commits follow each other faster than a replica receives them, so that the answer to a commit
+# shows entries that nobody has received. The positions of gateways then exceed those of every
+# replica, and a plain crash with healthy replicas waits 30 s for what was never acknowledged.
+def test_a_plain_crash_under_load_is_not_held_up_by_unacknowledged_commits(service):
+    primary, _, _ = instances(service)
+    receive_late(service)
     service.run(2_000)
     service.crash(primary)
     assert_serves_within(service, CRASH_LIMIT_MS)
@@ -298,12 +308,14 @@
 
 
 def let_others_reach(service, primary):
-    """Let the other control processes say that a primary answers them."""
+    """Let the other control processes say that a primary answers them, and pass its reports on."""
+    report = service.state.directory_state.directory.entries[primary.name].report
 
     def share():
+        heard = [HeardReport(report._replace(sequence=service.now_ms), 0)]
         for address in ADDRESSES[1:]:
             health = [PrimaryHealth(SERVICE, primary.name, 0, 0)]
-            message = DirectoryShare(peer(address), 0, [], health, 0, [], {})
+            message = DirectoryShare(peer(address), 0, heard, health, 0, [], {})
             service.handle(ce.MessageReceived(service.now_ms, message))
 
     service.share = share
@@ -343,3 +355,60 @@
     leased = service.state.primary_leases.leases.get(SERVICE)
     assert_that(leased is not None and leased.upstream == primary.name, Equals(False))
     assert_serves_within(service, CRASH_LIMIT_MS)
+
+
+# Gateways held successes of a primary that the leader could not reach after its promotion. It is
+# replaced, which rolls these commits back, and then promoted again: the lease on its second
+# leadership confirms commits of its first one.
+def test_a_lease_on_a_later_leadership_confirms_no_commit_of_an_earlier_one(fenced_service):
+    service = fenced_service
+    primary, second, third = instances(service)
+    answer = service._answer_commits
+
+    def answer_in_time():
+        """A statement times out after 2 s, so that its success is held no longer."""
+        kept = [item for item in service.held if service.now_ms - item.received_ms < 2_000]
+        service.held = kept
+        answer()
+
+    service._answer_commits = answer_in_time
+    service.leave(third)
+    service.courses = [OrderCourse(is_lost=True)]
+    service.run(1_260)
+    service.leave(primary)
+    service.run(1_200)
+    service.cut_from_control(second)
+    service.later(6_000, lambda: service.reconnect_to_control(second))
+    service.run(14_000)
+    assert_nothing_lost(service)
+
+
+# A primary that stepped down, and is unknown as such after a restart of control, counts as a replica:
+# its last commit, which nobody else had, holds the service up for 30 s once it has departed.
+def test_a_commit_that_only_the_former_primary_had_does_not_hold_up_a_service(service):
+    primary, second, _ = instances(service)
+    service.leave(second)
+    service.run(200)
+    service.leave(primary)
+    service.run_until(lambda: not primary.leads, CRASH_LIMIT_MS)
+    service.run(100)
+    service.restart_control()
+    service.run_until(lambda: service.orders, CRASH_LIMIT_MS)
+    service.depart(primary)
+    assert_serves_within(service, CRASH_LIMIT_MS)
+
+
+# The same 20 s after a replica departed, as in any release. It can't hold what was acknowledged
+# since.
+def test_a_replica_that_departed_before_does_not_hold_up_a_crash_under_load(service):
+    primary, second, _ = instances(service)
+    service.start("u-new")
+    service.leave(second)
+    service.run(1_000)
+    service.depart(second)
+    service.run(20_000)
+    receive_late(service)
+    service.run(2_000)
+    service.crash(primary)
+    assert_serves_within(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
