--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -383,7 +383,7 @@
     assert_nothing_lost(service)
 
 
-# A primary that stepped down, and is unknown as such after a restart of control, counts as a replica:
+# A primary that stepped down, and is unknown as such after a restart of control, counts as replica:
 # its last commit, which nobody else had, holds the service up for 30 s once it has departed.
 def test_a_commit_that_only_the_former_primary_had_does_not_hold_up_a_service(service):
     primary, second, _ = instances(service)
