--- a/packages/bench/src/endivewick_bench/soak/database.py
+++ b/packages/bench/src/endivewick_bench/soak/database.py
@@ -28,9 +28,9 @@
     """One upstream's copy of the log.
 
     ``received_ms`` holds when each entry that is not applied yet was received. While
-    ``paused_term`` is above the leader's term, a member receives nothing. ``is_linked`` is unset
-    while it is partitioned from the other members. ``newer_leader_ms`` is since when a former
-    leader that isn't fenced can reach the leader of a newer term.
+    ``paused_term`` or ``is_deaf`` is set, a member receives nothing. ``is_linked`` is unset while
+    it is partitioned from the other members. ``newer_leader_ms`` is since when a former leader
+    that isn't fenced can reach the leader of a newer term.
     """
 
     name: str
@@ -43,6 +43,7 @@
     is_leader: bool = False
     is_up: bool = True
     is_linked: bool = True
+    is_deaf: bool = False
     paused_term: int = 0
     newer_leader_ms: float | None = None
     lag_ms: float = DEFAULT_LAG_MS
@@ -62,12 +63,15 @@
 class Database:
     """A service's members, by name.
 
-    With ``is_fenced``, a promotion ends the former leader's leadership at once.
+    With ``is_fenced``, a promotion ends the former leader's leadership at once. ``newest_term``
+    outlives its leader. ``acknowledged`` is the newest acknowledged entry and its number.
     """
 
     service: str
     members: dict[str, Member] = field(default_factory=dict)
     is_fenced: bool = True
+    newest_term: int = 1
+    acknowledged: tuple[int, Entry] | None = None
 
     def leader(self) -> Member | None:
         """Return the leader of the newest term, even while it is down."""
@@ -105,7 +109,7 @@
         if member.is_leader:
             _notice_newer_leader(member, linked, now_ms)
             continue
-        if leader is not None and linked and member.paused_term <= leader.term:
+        if leader is not None and linked and not member.paused_term and not member.is_deaf:
             _receive_log(member, leader, now_ms)
         while member.received_ms and now_ms - member.received_ms[0] >= member.lag_ms:
             member.received_ms.popleft()
@@ -113,24 +117,52 @@
             member.applied += 1
 
 
+def record_acknowledged(database: Database, number: int, entry: Entry) -> None:
+    """Record that a commit was acknowledged."""
+    known = database.acknowledged
+    if known is None or (entry.term, number) > (known[1].term, known[0]):
+        database.acknowledged = (number, entry)
+
+
+def has_acknowledged(database: Database, member: Member) -> bool:
+    """Return whether a member has every acknowledged commit."""
+    if database.acknowledged is None:
+        return True
+    number, entry = database.acknowledged
+    return len(member.log) >= number and member.log[number - 1] is entry
+
+
 def promote(database: Database, name: str) -> Member:
     """Make a member the leader of the next term, with only the entries it has received."""
-    term = max(item.term for item in database.members.values()) + 1
+    database.newest_term += 1
     target = database.members[name]
     for member in database.members.values():
-        member.is_leader = member is target or (member.is_leader and not database.is_fenced)
-    target.term = term
-    target.paused_term = 0
+        goes_on = member.is_leader and member.is_up and not database.is_fenced
+        member.is_leader = member is target or goes_on
+        member.paused_term = 0
+    target.term = database.newest_term
     _apply_all(target)
     return target
 
 
+def pause(database: Database, member: Member, term: int) -> None:
+    """Stop a member from receiving, provided that ``term`` is above the newest one."""
+    if term > database.newest_term:
+        member.paused_term = term
+
+
 def step_down(member: Member, term: int) -> None:
     """Make the leader of a term below ``term`` a replica."""
     if member.term < term:
         member.is_leader = False
 
 
+def restart(member: Member) -> None:
+    """Let a crashed member run again, with its log; it receives even if it was paused."""
+    member.is_up = True
+    member.paused_term = 0
+
+
 def replace_member(database: Database, name: str, successor: str) -> Member:
     """Replace a member by a replica of another name with the same log."""
     old = database.members.pop(name)
--- a/packages/bench/src/endivewick_bench/soak/execution.py
+++ b/packages/bench/src/endivewick_bench/soak/execution.py
@@ -106,8 +106,10 @@
         term = int(statement.argument or 0)
         if kind is K.STEP_DOWN:
             db.step_down(member, term)
+        elif kind is K.PAUSE:
+            db.pause(execution.database, member, term)
         else:
-            member.paused_term = term
+            member.paused_term = 0
         role = "primary" if member.is_leader else "replica"
         received = f"{member.received.term}.{member.received.offset}"
         return Result((f"{role} {member.term} {received} {member.paused_term} 0 0 0",))
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -125,8 +125,7 @@
 
     def restart(self, upstream: Upstream) -> None:
         """Restart a crashed upstream."""
-        upstream.member.is_up = True
-        upstream.member.paused_term = 0
+        db.restart(upstream.member)
         upstream.born_ms = int(time.time() * 1000)
         upstream.sequence = 0
         upstream.report_address = ""
@@ -242,10 +241,9 @@
             result = await self._run(upstream, limiter, connection, message)
         except LostAnswer:
             return self.random.random() < 0.5
-        member = upstream.member
-        answer_position = member.received if member.is_leader else member.position
+        position = upstream.member.position
         answer = AnswerStatement(
-            0, result.rows, result.proof, result.error, connection.state, answer_position
+            0, result.rows, result.proof, result.error, connection.state, position
         )
         await stream.send_all(statements.encode_answer(answer))
         return True
@@ -294,5 +292,6 @@
             if replicated is None:
                 raise LostAnswer
             if replicated:
+                db.record_acknowledged(self.database, result.commit.number, result.commit.entry)
                 return
             await trio.sleep(REPLICATION_INTERVAL_S)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,7 +1,14 @@
-"""Each check of the soak fails on a history that is wrong in its way, and only there."""
+"""Each check of the soak fails on a history that is wrong in its way, and only there.
+
+Its database model behaves as the platform's pages say.
+"""
+
+from itertools import count
 
 import pytest
+from endivewick_bench.soak import database as db
 from endivewick_bench.soak.checks import CHECKS, Recorder
+from endivewick_bench.soak.execution import CallerConnection, Execution, run_without_slot
 from endivewick_bench.soak.history import (
     Answered,
     Committed,
@@ -16,7 +23,9 @@
     Ran,
     StopPlanned,
 )
+from endivewick_core.positions import Position
 from endivewick_core.routes import Freshness
+from endivewick_core.statements import RESUME, StatementKind, UpstreamStatement, internal_statement
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -43,12 +52,12 @@
     return Answered(at_ms, request_id, "ok", False, ("x",), f"p-{request_id}")._replace(**changes)
 
 
-def write(request_id, number, at_ms=0.0, **changes):
+def write(request_id, number, at_ms=0.0, upstream="u1", **changes):
     """Return the history of one acknowledged write."""
     return [
         invoked(request_id, at_ms, kind="write", text="PUT a x", **changes),
         ran(request_id, at_ms + 1, kind="write", text="PUT a x", rows=()),
-        Committed(at_ms + 1, "orders", "u1", number, (request_id,)),
+        Committed(at_ms + 1, "orders", upstream, number, (request_id,)),
         answered(request_id, at_ms + 2, rows=()),
     ]
 
@@ -201,3 +210,134 @@
 def test_a_fault_around_a_planned_stop_excuses_it():
     history = [Disturbed(FAR_MS, "gateway killed"), *BAD["planned_stop"]]
     assert_that(promises_broken(history), Equals(set()))
+
+
+def make_database(fenced=True):
+    """Return the model of a service that u1 leads, with replicas u2 and u3."""
+    members = {name: db.Member(name, "dc", is_leader=name == "u1") for name in ("u1", "u2", "u3")}
+    return db.Database("orders", members, fenced)
+
+
+def commit(database, now_ms=0.0):
+    leader = database.leader()
+    number = db.append(leader, (f"w{len(leader.log)}",), ())
+    db.replicate(database, now_ms)
+    return number
+
+
+def order(database, name, kind, term=0):
+    """Send a member a statement of control's; return the fields of the row that answers it."""
+    statement = RESUME if kind is StatementKind.RESUME else internal_statement(kind, "", str(term))
+    execution = Execution(database, Recorder(), count(1))
+    message = UpstreamStatement(statement)
+    result = run_without_slot(execution, database.members[name], CallerConnection(1), message)
+    return result.rows[0].split(" ")
+
+
+def received(database, name):
+    return len(database.members[name].log)
+
+
+@pytest.mark.parametrize("term", [1, 2])
+def test_a_pause_needs_a_term_above_the_newest(term):
+    """A replica that has not heard of the newest term is no exception."""
+    database = make_database()
+    database.members["u2"].is_linked = False
+    db.promote(database, "u3")
+    database.members["u2"].is_linked = True
+    row = order(database, "u2", StatementKind.PAUSE, term)
+    commit(database)
+    assert_that((row[3], received(database, "u2")), Equals(("0", 1)))
+
+
+def test_a_pause_without_effect_leaves_an_earlier_one_in_force():
+    database = make_database()
+    order(database, "u2", StatementKind.PAUSE, 2)
+    row = order(database, "u2", StatementKind.PAUSE, 1)
+    commit(database)
+    assert_that((row[3], received(database, "u2")), Equals(("2", 0)))
+
+
+def test_a_paused_replica_receives_after_resume():
+    database = make_database()
+    order(database, "u2", StatementKind.PAUSE, 9)
+    commit(database)
+    before = received(database, "u2")
+    order(database, "u2", StatementKind.RESUME)
+    commit(database)
+    assert_that((before, received(database, "u2")), Equals((0, 2)))
+
+
+def test_a_promote_ends_every_pause():
+    database = make_database()
+    order(database, "u2", StatementKind.PAUSE, 9)
+    order(database, "u3", StatementKind.PAUSE, 9)
+    db.promote(database, "u3")
+    commit(database)
+    assert_that(received(database, "u2"), Equals(1))
+
+
+def test_a_restart_ends_a_pause():
+    database = make_database()
+    order(database, "u2", StatementKind.PAUSE, 9)
+    database.members["u2"].is_up = False
+    db.restart(database.members["u2"])
+    commit(database)
+    assert_that(received(database, "u2"), Equals(1))
+
+
+@pytest.mark.parametrize(("term", "role"), [(1, "primary"), (2, "replica")])
+def test_a_step_down_makes_a_primary_of_a_lower_term_a_replica(term, role):
+    database = make_database()
+    row = order(database, "u1", StatementKind.STEP_DOWN, term)
+    assert_that(row[0], Equals(role))
+
+
+def test_a_row_carries_the_received_position_and_ready_the_applied_one():
+    database = make_database()
+    commit(database)
+    row = order(database, "u2", StatementKind.RESUME)
+    found = (row[2], database.members["u2"].position)
+    assert_that(found, Equals(("1.1", Position(1, 0))))
+
+
+def test_a_promoted_member_leads_with_what_it_had_received():
+    database = make_database()
+    order(database, "u2", StatementKind.PAUSE, 2)
+    commit(database)
+    db.promote(database, "u2")
+    db.replicate(database, 0.0)
+    assert_that([received(database, name) for name in ("u1", "u2", "u3")], Equals([0, 0, 0]))
+
+
+def test_the_newest_term_outlives_the_primary_that_led_it():
+    database = make_database()
+    db.promote(database, "u2")
+    del database.members["u2"]
+    assert_that(db.promote(database, "u3").term, Equals(3))
+
+
+@pytest.mark.parametrize("fenced", [True, False])
+def test_a_crashed_primary_comes_back_as_a_replica_if_another_was_promoted(fenced):
+    database = make_database(fenced)
+    database.members["u1"].is_up = False
+    db.promote(database, "u2")
+    db.restart(database.members["u1"])
+    assert_that(database.members["u1"].is_leader, Equals(False))
+
+
+def test_a_deaf_replica_receives_nothing():
+    database = make_database()
+    database.members["u2"].is_deaf = True
+    number = commit(database)
+    assert_that(received(database, "u2"), Equals(0))
+    assert_that(db.is_replicated(database, database.leader(), number), Equals(True))
+
+
+def test_a_member_has_what_was_acknowledged_only_with_the_newest_entry():
+    database = make_database()
+    database.members["u2"].is_deaf = True
+    number = commit(database)
+    db.record_acknowledged(database, number, database.leader().log[number - 1])
+    found = [db.has_acknowledged(database, member) for member in database.members.values()]
+    assert_that(found, Equals([True, False, True]))
