--- a/packages/bench/src/endivewick_bench/cluster.py
+++ b/packages/bench/src/endivewick_bench/cluster.py
@@ -12,8 +12,9 @@
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from glob import glob
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -83,6 +84,24 @@
         if self.popen is not None and self.popen.poll() is None:
             self.popen.send_signal(number)
 
+    def has_connection_from(self, port: int) -> bool:
+        """Return whether the process has a connection from this local port.
+
+        All connections on loopback come from one address, so that only the port tells them apart.
+        """
+        if self.popen is None:
+            return False
+        sockets = set()
+        for path in glob(f"/proc/{self.popen.pid}/fd/*"):
+            with suppress(OSError):
+                sockets.add(os.readlink(path))
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            is_port = int(fields[1].partition(":")[2], 16) == port
+            if is_port and f"socket:[{fields[9]}]" in sockets:
+                return True
+        return False
+
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
         if self.popen is not None:
--- a/packages/bench/src/endivewick_bench/relay.py
+++ b/packages/bench/src/endivewick_bench/relay.py
@@ -7,6 +7,7 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -34,12 +35,16 @@
 
 @dataclass(slots=True)
 class Relay:
-    """One relayed address."""
+    """One relayed address.
+
+    ``is_cut_caller`` returns whether the caller with a local port is cut off.
+    """
 
     listen_address: str
     target_address: str
     cut_to_target: bool = False
     cut_from_target: bool = False
+    is_cut_caller: Callable[[int], bool] | None = None
     delay_ms: float = 0.0
     connections: list[RelayedConnection] = field(default_factory=list)
 
@@ -67,6 +72,20 @@
             connection.close()
         self.connections.clear()
 
+    def cut_callers(self, is_cut_caller: Callable[[int], bool]) -> None:
+        """Cut off the callers whose local ports the function finds, also later ones."""
+        self.is_cut_caller = is_cut_caller
+        for connection in self.connections:
+            if is_cut_caller(_caller_port(connection)):
+                connection.is_silent = True
+
+    def heal_callers(self) -> None:
+        """Let every caller's bytes pass again; connections that lost bytes are closed."""
+        self.is_cut_caller = None
+        for connection in self.connections:
+            if connection.is_silent:
+                connection.close()
+
     def silence(self, share: float, random: Random) -> None:
         """Let a share of the open connections go silent for good."""
         for connection in self.connections:
@@ -89,6 +108,8 @@
             await caller.aclose()
             return
         connection = RelayedConnection(caller, target)
+        if self.is_cut_caller is not None:
+            connection.is_silent = self.is_cut_caller(_caller_port(connection))
         self.connections.append(connection)
         try:
             async with caller, target, trio.open_nursery() as nursery:
@@ -115,3 +136,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         scope.cancel()
+
+
+def _caller_port(connection: RelayedConnection) -> int:
+    """Return the caller's port, or 0 for a connection that the caller has closed."""
+    try:
+        return int(connection.caller.socket.getpeername()[1])
+    except OSError:
+        return 0
--- a/packages/bench/src/endivewick_bench/soak/checks.py
+++ b/packages/bench/src/endivewick_bench/soak/checks.py
@@ -22,6 +22,7 @@
     EndedByItself,
     Event,
     Invoked,
+    Joined,
     Leaving,
     Ordered,
     Promoted,
@@ -264,6 +265,8 @@
 
     def check(event: Event) -> list[Violation]:
         context.update(event)
+        if isinstance(event, Joined):
+            leaving_ms.pop(event.upstream, None)
         if isinstance(event, Leaving):
             leaving_ms.setdefault(event.upstream, event.at_ms)
         if not isinstance(event, Ran) or event.upstream not in leaving_ms:
--- a/packages/bench/src/endivewick_bench/soak/history.py
+++ b/packages/bench/src/endivewick_bench/soak/history.py
@@ -98,6 +98,14 @@
     token: int
 
 
+class Joined(NamedTuple):
+    """A new upstream started; it may have the name of one that left."""
+
+    at_ms: float
+    service: str
+    upstream: str
+
+
 class Leaving(NamedTuple):
     """A control process acknowledged the planned removal of an upstream."""
 
@@ -152,6 +160,7 @@
     | Committed
     | Promoted
     | Ordered
+    | Joined
     | Leaving
     | ConfigurationAcknowledged
     | ConfigurationRead
--- a/packages/bench/src/endivewick_bench/soak/run.py
+++ b/packages/bench/src/endivewick_bench/soak/run.py
@@ -23,6 +23,7 @@
 from .checks import CHECKS, TIMED_CHECKS, Recorder, Violation
 from .clients import Client
 from .faults import FAULTS, Fault
+from .gaps import longest_gaps
 from .history import Answered, Committed, Promoted
 from .system import (
     System,
@@ -246,6 +247,7 @@
         "acknowledged_writes": acknowledged,
         "outcomes": dict(outcomes),
         "promotions": sum(isinstance(item, Promoted) for item in events),
+        "longest_gap_ms": longest_gaps(events),
         "faults": dict(Counter(name for _, name in injected)),
         "violations": [f"{item.promise}: {item.text}" for item in system.recorder.violations],
         "folder": folder,
@@ -266,6 +268,7 @@
         "acknowledged_writes": sum(result["acknowledged_writes"] for result in results),
         "unknown_outcomes": sum(outcomes[name] for name in unknown),
         "promotions": sum(result["promotions"] for result in results),
+        "longest_gap_ms": {result["seed"]: result["longest_gap_ms"] for result in results},
         "outcomes": dict(outcomes),
         "faults": dict(faults),
         "violations": sum(len(result["violations"]) for result in results),
--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -1,6 +1,7 @@
 """The system under test: its settings, processes, relays and stand-ins for the platform."""
 
 import signal
+import time
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -8,6 +9,7 @@
 from typing import Any, NamedTuple
 
 import trio
+from endivewick_core.directory import UpstreamState
 from endivewick_core.routes import Configuration, Freshness, Route, Service
 from endivewick_node.http_server import Connection, HttpServer, Request, Response
 from endivewick_node.sockets import Poller
@@ -27,14 +29,20 @@
     Ordered,
     Promoted,
 )
-from .upstreams import CONNECTION_LIMIT, PROMOTION_S, ServiceStandIn, Upstream
-from .wire import ProcessPlan, SoakWire
+from .upstreams import (
+    CONNECTION_LIMIT,
+    PROMOTION_S,
+    UPSTREAMS_PER_SERVICE,
+    ServiceStandIn,
+    Upstream,
+)
+from .wire import FailoverOrder, ProcessPlan, SoakWire
 
 DATA_CENTRES = {"north-a": "north", "south-a": "south", "west-a": "west"}
 GRACE_S = 6
 LOST_DISKS = 1
 CONTROL_COUNT = 3
-UPSTREAMS_PER_SERVICE = 3
+ADDRESSES_PER_SERVICE = 5  # a new upstream may get that of one that left
 RELAYED_CONTROL = "control-1"
 MESSAGE_PORT = 7440  # the first port that the settings reserve for messages between processes
 OPERATOR_TIMEOUT_S = 1.0
@@ -63,8 +71,9 @@
 
     ``fences_primaries`` is whether a promotion ends the former primary's leadership at once.
 
-    ``unanswered_order_share`` is the share of failover orders that are carried out late and get no
-    answer. ``control_disrupted_ms`` is when a fault on control last began or ended.
+    ``late_order_share`` is the share of failover orders that are carried out late without an
+    answer, or at once with a late answer. ``control_disrupted_ms`` is when a fault on control last
+    began or ended.
     """
 
     wire: SoakWire
@@ -80,7 +89,7 @@
     message_relays: list[Relay] = field(default_factory=list)
     ready: set[str] = field(default_factory=set)
     stopped: set[str] = field(default_factory=set)
-    unanswered_order_share: float = 0.0
+    late_order_share: float = 0.0
     newest_tokens: dict[str, int] = field(default_factory=dict)
     configuration: Configuration = Configuration(0, {}, {}, 3_000)
     newest_version: int = 0
@@ -316,15 +325,17 @@
     database = db.Database(service, is_fenced=system.fences_primaries)
     execution = Execution(database, system.recorder, count(1))
     stand_in = ServiceStandIn(execution, {}, system.wire, system.random, system.operator_addresses)
+    for index in range(ADDRESSES_PER_SERVICE):
+        ip = f"{system.net}.{150 + 10 * number + index}"
+        relay = Relay(f"{ip}:9001", f"{ip}:9000")
+        system.upstream_relays[relay.listen_address] = relay
+        stand_in.free_addresses.append((relay.target_address, relay.listen_address))
     for index, centre in enumerate(list(DATA_CENTRES)[:UPSTREAMS_PER_SERVICE]):
         name = f"{service}-{index + 1}"
         member = db.Member(name, centre, is_leader=index == number % UPSTREAMS_PER_SERVICE)
         database.members[name] = member
-        address = f"{system.net}.{150 + 10 * number + index}:9000"
-        relay = Relay(f"{system.net}.{150 + 10 * number + index}:9001", address)
-        system.upstream_relays[relay.listen_address] = relay
-        upstream = Upstream(member, address, relay.listen_address, int(clock_ms()) + index)
-        stand_in.upstreams[name] = upstream
+        address = stand_in.free_addresses.pop(0)
+        stand_in.upstreams[name] = Upstream(member, *address, int(time.time() * 1000) + index)
     system.services[service] = stand_in
 
 
@@ -338,9 +349,12 @@
     if order is None:
         connection.respond(Response(404, {}))
         return
-    is_answered = system.random.random() >= system.unanswered_order_share
+    late_s = 0.0
+    if system.random.random() < system.late_order_share:
+        late_s = system.random.uniform(0.5, 4.0)
+    is_answered = not late_s or system.random.random() < 0.5
     if not is_answered:
-        await trio.sleep(system.random.uniform(0.5, 4.0))
+        await trio.sleep(late_s)
     if system.fences_primaries and order.token < system.newest_tokens.get(order.service, 0):
         connection.respond(Response(409, {}))
         return
@@ -352,14 +366,24 @@
         return
     event = Ordered(clock_ms(), order.service, order.upstream, order.holder, order.token)
     system.recorder.add(event)
-    if is_answered:
-        connection.respond(Response(200, {}))
-    if upstream.member.is_leader:
-        return
-    await trio.sleep(PROMOTION_S)
-    if order.token < system.newest_tokens[order.service] or not upstream.member.is_up:
+    async with trio.open_nursery() as nursery:
+        if is_answered:
+            nursery.start_soon(_respond_late, connection, late_s)
+        if upstream.member is not stand_in.database.leader():
+            nursery.start_soon(_promote_soon, system, order, upstream)
+
+
+async def _respond_late(connection: Connection, late_s: float) -> None:
+    await trio.sleep(late_s)
+    connection.respond(Response(200, {}))
+
+
+async def _promote_soon(system: System, order: FailoverOrder, upstream: Upstream) -> None:
+    await trio.sleep(system.random.uniform(*PROMOTION_S))
+    is_gone = upstream.state is UpstreamState.GONE or not upstream.member.is_up
+    if order.token < system.newest_tokens[order.service] or is_gone:
         return
-    member = db.promote(stand_in.database, order.upstream)
+    member = db.promote(system.services[order.service].database, order.upstream)
     log = frozenset(item for entry in member.log for item in entry.request_ids)
     system.recorder.add(Promoted(clock_ms(), order.service, order.upstream, member.term, log))
 
--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -24,14 +24,17 @@
     run_without_slot,
     run_work,
 )
-from .history import Leaving
+from .history import Joined, Leaving
 from .wire import Greeting, SoakWire
 
 REPORT_INTERVAL_S = 0.6
 REPORT_TIMEOUT_S = 1.0
 REPLICATION_INTERVAL_S = 0.005
-PROMOTION_S = 0.3
+PROMOTION_S = (0.3, 1.0)
 DRAIN_S = 7.0
+LINGER_S = (0.0, 3.0)  # that a leaving upstream serves after its drain time
+FORMER_NAME_SHARE = 0.5  # of the new upstreams that have the name of one that left
+UPSTREAMS_PER_SERVICE = 3
 MEAN_WORK_MS = 4.0  # of a statement
 OPEN_DELAY_S = 0.005
 SLOTS = 3
@@ -57,7 +60,8 @@
 class Upstream:
     """One upstream: its database member, its addresses, its reports and its connections.
 
-    It listens on ``address`` and reports ``announced_address``, that of the relay before it.
+    It listens on ``address`` and reports ``announced_address``, that of the relay before it. Its
+    first report goes to ``report_address``, if set; its reports stop with ``reports_are_cut``.
     """
 
     member: db.Member
@@ -67,6 +71,7 @@
     state: UpstreamState = UpstreamState.READY
     sequence: int = 0
     report_address: str = ""
+    reports_are_cut: bool = False
     leaving_acknowledged: bool = False
     connections: int = 0
     waiting: int = 0
@@ -76,13 +81,19 @@
 
 @dataclass(slots=True)
 class ServiceStandIn:
-    """A replicated service whose upstreams run inside this process."""
+    """A replicated service whose upstreams run inside this process.
+
+    ``free_addresses`` are pairs of an address and that of the relay before it; ``former_names`` are
+    those of upstreams that left.
+    """
 
     execution: Execution
     upstreams: dict[str, Upstream]
     wire: SoakWire
     random: Random
     control_addresses: list[str]
+    free_addresses: list[tuple[str, str]] = field(default_factory=list)
+    former_names: list[str] = field(default_factory=list)
 
     @property
     def database(self) -> db.Database:
@@ -101,8 +112,9 @@
     async def run_upstream(self, upstream: Upstream) -> None:
         """Serve one upstream until it is removed; a crash cancels ``process_scope``."""
         while upstream.state is not UpstreamState.GONE:
-            while not upstream.member.is_up:
+            if not upstream.member.is_up:
                 await trio.sleep(REPLICATION_INTERVAL_S)
+                continue
             host, port = split_address(upstream.address)
             upstream.connections = upstream.waiting = 0
             with trio.CancelScope() as upstream.process_scope:
@@ -130,13 +142,61 @@
         upstream.sequence = 0
         upstream.report_address = ""
 
+    def is_changing(self) -> bool:
+        """Return whether an upstream joins or leaves for good, or the primary is missing."""
+        leader = self.database.leader()
+        ready = [item for item in self.upstreams.values() if item.state is UpstreamState.READY]
+        return leader is None or not len(ready) == len(self.upstreams) == UPSTREAMS_PER_SERVICE
+
+    def add_upstream(self, data_centre: str, report_address: str = "") -> Upstream:
+        """Return a new upstream, with an empty log, that receives from the primary at once.
+
+        It may have the name and the address of one that left.
+        """
+        address = self.free_addresses.pop(self.random.randrange(len(self.free_addresses)))
+        name = f"{self.database.service}-{next(self.execution.numbers)}"
+        if self.former_names and self.random.random() < FORMER_NAME_SHARE:
+            name = self.former_names.pop()
+        member = db.Member(name, data_centre)
+        born_ms = int(time.time() * 1000)
+        upstream = Upstream(member, *address, born_ms, report_address=report_address)
+        self.database.members[name] = member
+        self.upstreams[name] = upstream
+        self.execution.recorder.add(Joined(clock_ms(), self.database.service, name))
+        return upstream
+
+    async def remove_upstream(self, upstream: Upstream) -> None:
+        """Let an upstream drain and end as planned; its log is gone."""
+        await self._drain(upstream)
+        await trio.sleep(self.random.uniform(*LINGER_S))
+        # Without the promise that is checked nothing could keep what only this one has.
+        while not self.other_holders(upstream):
+            await trio.sleep(REPLICATION_INTERVAL_S)
+        await self._deregister(upstream)
+        self.lose_upstream(upstream)
+
+    def other_holders(self, upstream: Upstream) -> list[Upstream]:
+        """Return the other upstreams that don't leave and have every acknowledged commit."""
+        return [
+            item
+            for item in self.upstreams.values()
+            if item is not upstream
+            and item.state is UpstreamState.READY
+            and db.has_acknowledged(self.database, item.member)
+        ]
+
+    def lose_upstream(self, upstream: Upstream) -> None:
+        """End an upstream for good; its log is gone, and its name and address are free again."""
+        upstream.state = UpstreamState.GONE
+        self.crash(upstream)
+        del self.upstreams[upstream.member.name]
+        del self.database.members[upstream.member.name]
+        self.former_names.append(upstream.member.name)
+        self.free_addresses.append((upstream.address, upstream.announced_address))
+
     async def replace(self, upstream: Upstream) -> None:
         """Remove an upstream as planned; a new one takes over its log and its address."""
-        upstream.state = UpstreamState.LEAVING
-        with trio.move_on_after(DRAIN_S):
-            while not upstream.leaving_acknowledged:
-                await trio.sleep(REPLICATION_INTERVAL_S)
-        await trio.sleep(DRAIN_S)
+        await self._drain(upstream)
         await self._deregister(upstream)
         upstream.state = UpstreamState.GONE
         self.crash(upstream)
@@ -149,6 +209,13 @@
         self.upstreams[successor.name] = replacement
         await self.run_upstream(replacement)
 
+    async def _drain(self, upstream: Upstream) -> None:
+        upstream.state = UpstreamState.LEAVING
+        with trio.move_on_after(DRAIN_S):
+            while not upstream.leaving_acknowledged:
+                await trio.sleep(REPLICATION_INTERVAL_S)
+        await trio.sleep(DRAIN_S)
+
     async def _deregister(self, upstream: Upstream) -> None:
         path = self.wire.report_path(upstream.member.name)
         for address in self.control_addresses:
@@ -159,36 +226,42 @@
     async def _report(self, upstream: Upstream) -> None:
         while True:
             sent = (upstream.state, upstream.member.is_leader)
-            if not upstream.impairments.is_unresponsive:
+            if not upstream.impairments.is_unresponsive and not upstream.reports_are_cut:
                 await self._send_report(upstream)
             with trio.move_on_after(REPORT_INTERVAL_S):
                 while sent == (upstream.state, upstream.member.is_leader):
                     await trio.sleep(REPLICATION_INTERVAL_S)
 
     async def _send_report(self, upstream: Upstream) -> None:
-        upstream.sequence += 1
-        report = UpstreamReport(
-            upstream.member.name,
-            self.database.service,
-            upstream.announced_address,
-            upstream.member.data_centre,
-            SLOTS,
-            upstream.state,
-            upstream.member.is_leader,
-            0,
-            upstream.born_ms,
-            upstream.sequence,
-        )
-        path, body = self.wire.encode_report(report)
-        address = upstream.report_address or self.random.choice(self.control_addresses)
-        reply = await call(address, "PUT", path, body, timeout_s=REPORT_TIMEOUT_S)
-        if reply is None or reply.status != 200:
-            upstream.report_address = ""
+        """Report to one control process after the other, until one acknowledges it in time."""
+        addresses = self.random.sample(self.control_addresses, len(self.control_addresses))
+        addresses.sort(key=lambda item: item != upstream.report_address)
+        upstream.report_address = ""
+        for address in addresses:
+            if upstream.state is UpstreamState.GONE:
+                return
+            upstream.sequence += 1
+            report = UpstreamReport(
+                upstream.member.name,
+                self.database.service,
+                upstream.announced_address,
+                upstream.member.data_centre,
+                SLOTS,
+                upstream.state,
+                upstream.member.is_leader,
+                0,
+                upstream.born_ms,
+                upstream.sequence,
+            )
+            path, body = self.wire.encode_report(report)
+            reply = await call(address, "PUT", path, body, timeout_s=REPORT_TIMEOUT_S)
+            if reply is None or reply.status != 200:
+                continue
+            if report.state is UpstreamState.LEAVING and not upstream.leaving_acknowledged:
+                upstream.leaving_acknowledged = True
+                name = upstream.member.name
+                self.execution.recorder.add(Leaving(clock_ms(), self.database.service, name))
             return
-        if report.state is UpstreamState.LEAVING and not upstream.leaving_acknowledged:
-            upstream.leaving_acknowledged = True
-            name = upstream.member.name
-            self.execution.recorder.add(Leaving(clock_ms(), self.database.service, name))
 
     async def _serve(
         self, upstream: Upstream, limiter: trio.CapacityLimiter, stream: trio.SocketStream
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,14 +1,22 @@
 """Each check of the soak fails on a history that is wrong in its way, and only there.
 
-Its database model behaves as the platform's pages say.
+Its database model and stand-ins behave as the platform's pages say.
 """
 
+import sys
 from itertools import count
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
 
 import pytest
+import trio
 from endivewick_bench.soak import database as db
+from endivewick_bench.soak import system as soak_system
+from endivewick_bench.soak import upstreams as stand_ins
 from endivewick_bench.soak.checks import CHECKS, Recorder
 from endivewick_bench.soak.execution import CallerConnection, Execution, run_without_slot
+from endivewick_bench.soak.gaps import longest_gaps
 from endivewick_bench.soak.history import (
     Answered,
     Committed,
@@ -17,17 +25,26 @@
     Disturbed,
     EndedByItself,
     Invoked,
+    Joined,
     Leaving,
     Ordered,
     Promoted,
     Ran,
     StopPlanned,
 )
+from endivewick_bench.soak.wire import FailoverOrder
+from endivewick_core.directory import UpstreamState
 from endivewick_core.positions import Position
 from endivewick_core.routes import Freshness
 from endivewick_core.statements import RESUME, StatementKind, UpstreamStatement, internal_statement
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
+from trio.testing import MockClock, memory_stream_pair
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "platform"))
+
+from endivewick_platform.standin_codec import SOAK_WIRE  # noqa: E402
 
 FAR_MS = 20_000.0  # after every limit
 
@@ -91,6 +108,12 @@
         invoked("r", FAR_MS + 9),
         answered("r", FAR_MS + 10, outcome="cut"),
     ],
+    "work at an upstream that came back under its name": [
+        Leaving(0.0, "orders", "u1"),
+        Joined(FAR_MS - 1, "orders", "u1"),
+        invoked("r", FAR_MS),
+        ran("r", FAR_MS),
+    ],
     "work at a leaving upstream in time": [
         Leaving(0.0, "orders", "u1"),
         invoked("r", 6_900.0),
@@ -161,6 +184,15 @@
             ran("r", 1_006.0),
         ],
     ),
+    (
+        "leaving",
+        [
+            Joined(0.0, "orders", "u1"),
+            Leaving(1.0, "orders", "u1"),
+            invoked("r", FAR_MS),
+            ran("r", FAR_MS),
+        ],
+    ),
     ("configuration", [acknowledged(2, is_valid=False)]),
     (
         "in_force",
@@ -341,3 +373,122 @@
     db.record_acknowledged(database, number, database.leader().log[number - 1])
     found = [db.has_acknowledged(database, member) for member in database.members.values()]
     assert_that(found, Equals([True, False, True]))
+
+
+def make_stand_in(database, addresses=()):
+    execution = Execution(database, Recorder(), count(1))
+    members = database.members.items()
+    upstreams = {
+        name: stand_ins.Upstream(item, f"{name}:1", f"{name}:2", 1) for name, item in members
+    }
+    return stand_ins.ServiceStandIn(execution, upstreams, SOAK_WIRE, Random(1), list(addresses))
+
+
+def test_an_upstream_is_ready_with_the_applied_position():
+    database = make_database()
+    commit(database)
+    stand_in = make_stand_in(database)
+
+    async def ask():
+        caller, callee = memory_stream_pair()
+        limiter = trio.CapacityLimiter(1)
+        data = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stand_in._serve, stand_in.upstreams["u2"], limiter, callee)
+            await caller.send_all(b"STARTUP orders test u2\r\nQUERY - RESUME\r\n")
+            while data.count(b"READY") < 2:
+                data += await caller.receive_some()
+            nursery.cancel_scope.cancel()
+        return data.decode()
+
+    assert_that(trio.run(ask), Contains("ROW replica 1 1.1 0 0 0 0\r\nDONE -\r\nREADY I 1.0\r\n"))
+
+
+def test_a_leaving_upstream_counts_until_it_ends_and_its_log_is_gone():
+    database = make_database()
+    stand_in = make_stand_in(database)
+    leaving, primary = stand_in.upstreams["u2"], stand_in.upstreams["u1"]
+    leaving.state = UpstreamState.LEAVING
+    database.members["u3"].is_deaf = True
+    number = commit(database)
+    before = db.is_replicated(database, primary.member, number)
+    db.record_acknowledged(database, number, primary.member.log[-1])
+    holders = stand_in.other_holders(leaving)
+    stand_in.lose_upstream(leaving)
+    after = db.is_replicated(database, primary.member, number)
+    assert_that((before, holders, after), Equals((True, [primary], False)))
+
+
+def test_a_new_upstream_receives_and_counts_before_its_first_report():
+    database = make_database()
+    stand_in = make_stand_in(database)
+    stand_in.lose_upstream(stand_in.upstreams["u2"])
+    commit(database)
+    added = stand_in.add_upstream("dc")
+    database.members["u3"].is_deaf = True
+    number = commit(database)
+    is_replicated = db.is_replicated(database, database.leader(), number)
+    assert_that((added.sequence, is_replicated), Equals((0, True)))
+    assert_that((added.address, added.member.position.offset), Equals(("u2:1", 0)))
+
+
+def test_a_first_report_goes_elsewhere_once_it_is_not_answered(monkeypatch):
+    database = make_database()
+    stand_in = make_stand_in(database, ["a", "b", "c"])
+    upstream = stand_in.upstreams["u2"]
+    upstream.report_address = "b"
+    called = []
+
+    async def call(address, method, path, body, timeout_s):
+        called.append((address, body["seq"], timeout_s))
+        return None if address == "b" else SimpleNamespace(status=200)
+
+    monkeypatch.setattr(stand_ins, "call", call)
+    trio.run(stand_in._send_report, upstream)
+    assert_that(called[0], Equals(("b", 1, 1.0)))
+    assert_that([item[1] for item in called], Equals([1, 2]))
+
+
+@pytest.mark.parametrize(("newest", "status", "leader"), [(5, None, "u2"), (6, 409, "u1")])
+def test_the_fence_of_a_late_order_is_checked_when_it_is_carried_out(newest, status, leader):
+    database = make_database()
+    stand_in = make_stand_in(database)
+    answers = []
+    connection = SimpleNamespace(respond=lambda response: answers.append(response.status))
+    system = SimpleNamespace(
+        wire=SimpleNamespace(read_order=lambda request: FailoverOrder("orders", "u2", "c1", 5)),
+        # Late, and without an answer: both shares are above it.
+        random=SimpleNamespace(random=lambda: 0.6, uniform=lambda low, high: high),
+        late_order_share=0.7,
+        fences_primaries=True,
+        newest_tokens={},
+        services={"orders": stand_in},
+        recorder=Recorder(),
+    )
+
+    async def run_late():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(soak_system._handle_failover_order, system, None, connection)
+            await trio.sleep(1)
+            system.newest_tokens["orders"] = newest
+
+    trio.run(run_late, clock=MockClock(autojump_threshold=0))
+    assert_that(answers, Equals([status] if status else []))
+    assert_that(database.leader().name, Equals(leader))
+
+
+def test_gaps_between_acknowledged_writes_are_told_by_cause():
+    history = [
+        *write("a", 1, 0.0),
+        *write("b", 2, 100.0),
+        Leaving(150.0, "orders", "u1"),
+        Promoted(300.0, "orders", "u2", 2, frozenset()),
+        *write("c", 3, 600.0, upstream="u2"),
+        Promoted(700.0, "orders", "u3", 3, frozenset()),
+        *write("d", 4, 900.0, upstream="u3"),
+        *write("e", 5, 1_650.0, upstream="u3"),
+        *write("f", 6, 3_000.0, upstream="u3"),
+        answered("g", 9_002.0),
+    ]
+    found = longest_gaps(history)
+    assert_that(found, Equals({"no change": 6_000, "planned": 500, "unplanned": 1_350}))
