--- a/packages/bench/src/endivewick_bench/soak/upstreams.py
+++ b/packages/bench/src/endivewick_bench/soak/upstreams.py
@@ -140,13 +140,12 @@
         db.restart(upstream.member)
         upstream.born_ms = int(time.time() * 1000)
         upstream.sequence = 0
-        upstream.report_address = ""
 
     def is_changing(self) -> bool:
         """Return whether an upstream joins or leaves for good, or the primary is missing."""
-        leader = self.database.leader()
         ready = [item for item in self.upstreams.values() if item.state is UpstreamState.READY]
-        return leader is None or not len(ready) == len(self.upstreams) == UPSTREAMS_PER_SERVICE
+        is_complete = len(ready) == len(self.upstreams) == UPSTREAMS_PER_SERVICE
+        return self.database.leader() is None or not is_complete
 
     def add_upstream(self, data_centre: str, report_address: str = "") -> Upstream:
         """Return a new upstream, with an empty log, that receives from the primary at once.
@@ -169,7 +168,7 @@
         """Let an upstream drain and end as planned; its log is gone."""
         await self._drain(upstream)
         await trio.sleep(self.random.uniform(*LINGER_S))
-        # Without the promise that is checked nothing could keep what only this one has.
+        # Otherwise control could not keep the promise that the check ``lost`` is about.
         while not self.other_holders(upstream):
             await trio.sleep(REPLICATION_INTERVAL_S)
         await self._deregister(upstream)
