--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -1,9 +1,14 @@
 """Failover of a service's primary, decided by the leader of control.
 
 Where commits wait for one replica, each acknowledged commit is on at least one replica, but it is
-not known which. The leader therefore pauses every replica first: from then on no further commit is
-acknowledged, and the replica with the highest received position holds every acknowledged commit.
-Only then does the leader order the platform to promote that replica.
+not known which, and control may not know of every replica. The leader therefore first makes sure
+that no further commit is acknowledged: the primary has become a replica, or every lease on it has
+ended. Until then the replicas go on to receive, so that none gets ahead of those that are known.
+Then the leader pauses them, reads their positions, and orders the platform to promote one that has
+every commit that may have been acknowledged; see ``commit_coverage``.
+
+If there is none, the leader waits for the former primary, or for a replica that has them. If they
+don't come, it promotes the most advanced replica.
 
 The fencing token of an attempt is the index of its log entry, which is unique. If an earlier leader
 left an attempt open, the new leader orders the primary again with a newer token, so that the
@@ -13,9 +18,10 @@
 from ..commands import BeginFailover, EndFailover
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import StatementKind, UpstreamReply
-from . import directory, primary_leases, probes, replica_pauses, replication
-from .effects import Effect, LogEvent, OrderFailover
+from . import commit_coverage, directory, primary_leases, probes, replica_pauses, replication
+from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
+from .failover_log import failover_event
 from .service_state import Failover, ProbeKind, Stage
 from .state import ControlState, Role
 
@@ -24,6 +30,14 @@
 ORDER_RETRY_MS = 400  # an order without a response is repeated with the same token
 TARGET_PROBE_INTERVAL_MS = 100  # clients wait for the new primary to be noticed
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
+# Longer than the platform takes to promote an upstream after it has accepted the order.
+PROMOTION_SETTLING_MS = 1_200
+UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
+# For an upstream that has the missing commits to return, before they are given up.
+MISSING_COMMITS_TIMEOUT_MS = 30_000
+# Before a primary that has stepped down leads again, since no replica has all of its commits.
+RETURN_TO_PRIMARY_MS = 700
+KEPT_PRIMARY_RETRY_MS = 1_000  # before a primary that was kept is replaced as planned again
 RESUME_TIMEOUT_MS = 3_000  # then the failover ends, and unreachable replicas are resumed later
 # Write failures are ignored for this long after a failover, so that the writes that waited for it
 # can complete first.
@@ -34,6 +48,7 @@
     """Start, advance and end failovers; only a leader that has applied its log does so."""
     if state.role is not Role.LEADER or state.leader_state is None:
         state.failover.running.clear()
+        state.failover.receiving.clear()
         return []
     if state.commit_index < state.leader_state.start_index:
         return []
@@ -44,6 +59,7 @@
             effects += _start_if_needed(state, now_ms, service)
             continue
         effects += _advance(state, now_ms, attempt)
+    replica_pauses.find_paused(state)
     return effects + replica_pauses.resume(state, now_ms)
 
 
@@ -59,8 +75,11 @@
     attempt = state.failover.running.get(entry.report.service)
     if attempt is None or attempt.previous != upstream:
         return []
+    if attempt.stepped_down_born_ms != entry.report.born_ms:
+        attempt.stepped_down_ms = now_ms
     attempt.stepped_down_born_ms = entry.report.born_ms
-    return [_log_event("info", "primary_stepped_down", attempt, now_ms)]
+    attempt.primary_end = reply.status.received
+    return [failover_event(state, now_ms, attempt, "info", "primary_stepped_down")]
 
 
 def handle_primary_confirmed(
@@ -70,9 +89,11 @@
     attempt = state.failover.running.get(service)
     if attempt is None or state.leader_state is None:
         return []
-    if attempt.stage in (Stage.ORDERED, Stage.PROMOTING) and upstream == attempt.target:
-        return _start_to_resume(state, now_ms, attempt, upstream)
-    return []
+    if attempt.stage not in (Stage.ORDERED, Stage.PROMOTING) or upstream != attempt.target:
+        return []
+    if attempt.has_earlier_orders and not _is_settled(attempt, now_ms):
+        return []
+    return _start_to_resume(state, now_ms, attempt, upstream)
 
 
 def handle_order_answered(state: ControlState, event: FailoverAnswered) -> list[Effect]:
@@ -84,11 +105,14 @@
     if event.outcome is FailoverOutcome.ACCEPTED:
         if attempt.stage is Stage.ORDERED:
             attempt.stage = Stage.PROMOTING
-        return [_log_event("info", "failover_accepted", attempt, event.now_ms)]
+            attempt.accepted_ms = event.now_ms
+        return [failover_event(state, event.now_ms, attempt, "info", "failover_accepted")]
     if event.outcome is FailoverOutcome.REFUSED:
-        effects: list[Effect] = [_log_event("warning", "failover_refused", attempt, event.now_ms)]
+        effects: list[Effect] = [
+            failover_event(state, event.now_ms, attempt, "warning", "failover_refused")
+        ]
         return effects + _restart(state, event.now_ms, attempt, "the order was refused")
-    return [_log_event("warning", "failover_unanswered", attempt, event.now_ms)]
+    return [failover_event(state, event.now_ms, attempt, "warning", "failover_unanswered")]
 
 
 def handle_failover_started(
@@ -102,7 +126,7 @@
         return []
     attempt.token = index
     attempt.stage = Stage.PAUSING
-    return [_log_event("info", "failover_begun", attempt, now_ms)]
+    return [failover_event(state, now_ms, attempt, "info", "failover_begun")]
 
 
 def handle_failover_ended(state: ControlState, command: EndFailover) -> None:
@@ -113,18 +137,29 @@
 
 
 def _start_if_needed(state: ControlState, now_ms: int, service: str) -> list[Effect]:
-    watermark = state.watch.watermarks.get(service)
-    previous = watermark.upstream if watermark else ""
+    previous = _last_primary(state, service)
     reason, may_keep_primary = _failover_reason(state, now_ms, service, previous)
     if not reason:
         return []
     attempt = Failover(service, previous, reason, may_keep_primary, now_ms)
     record = state.replicated_state.failovers.get(service)
     attempt.is_takeover = record is not None and record.is_open
+    attempt.has_earlier_orders = attempt.is_takeover
     state.failover.running[service] = attempt
     return _propose(state, now_ms, attempt)
 
 
+def _last_primary(state: ControlState, service: str) -> str:
+    """Return the upstream that was last confirmed as primary, else the one that reports to be."""
+    watermark = state.watch.watermarks.get(service)
+    if watermark is not None:
+        return watermark.upstream
+    for entry in probes.upstreams_of(state, service):
+        if entry.report.is_primary:
+            return entry.report.upstream
+    return ""
+
+
 def _failover_reason(
     state: ControlState, now_ms: int, service: str, previous: str
 ) -> tuple[str, bool]:
@@ -132,12 +167,14 @@
     record = state.replicated_state.failovers.get(service)
     if record is not None and record.is_open:
         # Without fencing, a late order of the earlier leader may still replace the primary.
-        may_keep_primary = not primary_leases.are_needed(state)
+        may_keep_primary = not primary_leases.prove_leadership(state)
         return "an earlier leader left a failover open", may_keep_primary
     entry = state.directory_state.directory.entries.get(previous)
-    if entry is None:
-        return "", False
+    if entry is None or service not in state.watch.watermarks:
+        return _missing_primary_reason(state, now_ms, service)
     if not _is_ready(entry):
+        if now_ms - state.failover.kept_ms.get(service, 0) < KEPT_PRIMARY_RETRY_MS:
+            return "", False
         others = [
             item for item in replica_pauses.replicas(state, service, previous) if _is_ready(item)
         ]
@@ -153,6 +190,19 @@
     return "", False
 
 
+def _missing_primary_reason(state: ControlState, now_ms: int, service: str) -> tuple[str, bool]:
+    """Return the reason for a failover of a service whose primary isn't known.
+
+    It may have been lost while control restarted. A primary that is there answers a probe, and the
+    other upstreams report, before the leases of an earlier leader have ended.
+    """
+    if not primary_leases.have_earlier_ended(state, now_ms):
+        return "", False
+    if not probes.majority_knows_no_primary(state, now_ms, service):
+        return "", False
+    return "no upstream is known to be the primary", True
+
+
 def _most_gateways_fail(state: ControlState, now_ms: int, service: str) -> bool:
     """Return whether a majority of gateways, and at least two, get no responses to writes.
 
@@ -173,7 +223,7 @@
     ):
         return []
     if attempt.stage is Stage.PAUSING:
-        return _pause_replicas(state, now_ms, attempt)
+        return _choose_primary(state, now_ms, attempt)
     if attempt.stage is Stage.RESUMING:
         paused = attempt.service in state.failover.to_resume.values()
         if paused and now_ms - attempt.ordered_ms < RESUME_TIMEOUT_MS:
@@ -182,8 +232,10 @@
     if now_ms - attempt.ordered_ms >= PROMOTION_TIMEOUT_MS:
         return _restart(state, now_ms, attempt, "the promotion took too long")
     target = state.directory_state.directory.entries.get(attempt.target)
-    if target is None:
-        return _restart(state, now_ms, attempt, "the target has left the directory")
+    if target is None or target.report.state is UpstreamState.GONE:
+        return _restart(state, now_ms, attempt, "the target has departed")
+    if target.report.born_ms != attempt.target_born_ms:
+        return _restart(state, now_ms, attempt, "the target has started again")
     effects: list[Effect] = []
     if not attempt.keeps_primary:
         effects += replica_pauses.pause(state, now_ms, attempt) + _step_down(state, now_ms, attempt)
@@ -193,22 +245,62 @@
     return effects + probes.probe_position(state, now_ms, target, TARGET_PROBE_INTERVAL_MS)
 
 
-def _pause_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    """Pause every replica; order the promotion of the most advanced one once all have responded.
+def _choose_primary(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Order the promotion of an upstream once it is sure to have every acknowledged commit.
 
     Where the attempt may keep the primary and it has responded meanwhile, it is ordered instead.
     """
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
         return _keep_primary(state, now_ms, attempt, primary)
+    if not primary_leases.may_replace_primary(state, now_ms, attempt):
+        # A primary that may be kept goes on to serve until the leases on it have ended.
+        return [] if attempt.may_keep_primary else _step_down(state, now_ms, attempt)
     effects = replica_pauses.pause(state, now_ms, attempt)
+    if attempt.pausing_since_ms is None:
+        attempt.pausing_since_ms = now_ms
+    replicas = _answered_replicas(state, now_ms, attempt)
+    if not replicas:
+        return effects
+    target, is_complete = commit_coverage.choose_target(state, now_ms, attempt, replicas)
+    if is_complete or _has_waited(attempt, now_ms):
+        attempt.target = target
+        return effects + _send_order(state, now_ms, attempt)
+    if attempt.incomplete_since_ms is None:
+        attempt.incomplete_since_ms = now_ms
+        effects.append(failover_event(state, now_ms, attempt, "warning", "commits_missing"))
+    return effects + _return_to_primary(state, now_ms, attempt, primary)
+
+
+def _answered_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[DirectoryEntry]:
+    """Return the replicas that confirmed their pause, or none while one should be waited for."""
+    unpaused = replica_pauses.unpaused_replicas(state, attempt)
+    pausing_since_ms = attempt.pausing_since_ms or now_ms
+    if unpaused and now_ms - pausing_since_ms < UNREACHABLE_REPLICA_MS:
+        return []
     replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    if not replicas or replica_pauses.unpaused_replicas(state, attempt):
+    return [entry for entry in replicas if entry not in unpaused]
+
+
+def _has_waited(attempt: Failover, now_ms: int) -> bool:
+    """Return whether an attempt has waited long enough for an upstream with every commit."""
+    since_ms = attempt.incomplete_since_ms
+    return since_ms is not None and now_ms - since_ms >= MISSING_COMMITS_TIMEOUT_MS
+
+
+def _return_to_primary(
+    state: ControlState, now_ms: int, attempt: Failover, primary: str
+) -> list[Effect]:
+    """Let the former primary lead again if it has commits that no known replica has."""
+    if primary and primary_leases.may_keep_primary(state, attempt):
+        return _keep_primary(state, now_ms, attempt, primary)
+    effects = _step_down(state, now_ms, attempt)
+    assert attempt.incomplete_since_ms is not None
+    waited_ms = now_ms - attempt.incomplete_since_ms
+    if waited_ms < RETURN_TO_PRIMARY_MS or not primary_leases.has_stepped_down(state, attempt):
         return effects
-    if not primary_leases.may_replace_primary(state, now_ms, attempt):
-        return effects + _step_down(state, now_ms, attempt)
-    attempt.target = _choose_target(replicas, attempt)
-    return effects + _send_order(state, now_ms, attempt)
+    attempt.target = attempt.previous
+    return _send_order(state, now_ms, attempt)
 
 
 def _keep_primary(
@@ -218,7 +310,7 @@
 
     Where the platform checks no tokens nothing was ordered, and the attempt ends.
     """
-    if primary_leases.are_needed(state):
+    if primary_leases.prove_leadership(state):
         return _start_to_resume(state, now_ms, attempt, primary)
     attempt.target = primary
     attempt.keeps_primary = True
@@ -233,13 +325,15 @@
     attempt.ordered_ms = now_ms
     for entry in replica_pauses.replicas(state, attempt.service, primary):
         state.failover.to_resume[entry.report.upstream] = attempt.service
-    return [_log_event("info", "failover_promoted", attempt, now_ms)]
+    return [failover_event(state, now_ms, attempt, "info", "failover_promoted")]
 
 
 def _step_down(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Tell the previous primary, where it can be reached, to become a replica."""
     entry = state.directory_state.directory.entries.get(attempt.previous)
-    if entry is None or attempt.stepped_down_born_ms == entry.report.born_ms:
+    if entry is None or attempt.target == attempt.previous:
+        return []
+    if attempt.stepped_down_born_ms == entry.report.born_ms:
         return []
     statement = probes.next_term_statement(state, attempt.service, StatementKind.STEP_DOWN)
     return probes.send_probe(state, now_ms, entry, statement, ProbeKind.STEP_DOWN)
@@ -250,60 +344,67 @@
 
     A replica that registered after the order may have received commits that the target lacks.
     """
-    if attempt.keeps_primary:
+    if attempt.target == attempt.previous:
         return _send_order(state, now_ms, attempt)
-    if replica_pauses.unpaused_replicas(state, attempt):
+    replicas = _answered_replicas(state, now_ms, attempt)
+    if attempt.target not in [entry.report.upstream for entry in replicas]:
         return []
-    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    if replicas:
-        best = _choose_target(replicas, attempt)
-        if attempt.paused[best].received > attempt.paused[attempt.target].received:
-            return _restart(state, now_ms, attempt, f"{best} has received more than the target")
+    for entry in replicas:
+        upstream = entry.report.upstream
+        if attempt.paused[upstream].received > attempt.paused[attempt.target].received:
+            reason = f"{upstream} has received more than the target"
+            return _restart(state, now_ms, attempt, reason)
     return _send_order(state, now_ms, attempt)
 
 
+def _is_settled(attempt: Failover, now_ms: int) -> bool:
+    """Return whether no order of an earlier attempt can be executed any more.
+
+    The platform has seen the newer token of this attempt, and a promotion that it had accepted
+    before has taken effect.
+    """
+    if attempt.accepted_ms is None:
+        return False
+    return now_ms - attempt.accepted_ms >= PROMOTION_SETTLING_MS
+
+
 def _confirmed_primary(state: ControlState, now_ms: int, attempt: Failover) -> str:
     """Return the primary if it has responded since the failover began, else an empty text."""
     watermark = state.watch.watermarks.get(attempt.service)
     if watermark is None or watermark.probed_ms < attempt.started_ms:
         return ""
-    return watermark.upstream
-
-
-def _choose_target(replicas: list[DirectoryEntry], attempt: Failover) -> str:
-    """Return the replica with the highest received position; of equals, prefer a ready one."""
-    best = max(
-        replicas,
-        key=lambda item: (
-            attempt.paused[item.report.upstream].received,
-            _is_ready(item),
-            item.report.upstream,
-        ),
-    )
-    return best.report.upstream
+    known = state.directory_state.directory.entries
+    return watermark.upstream if watermark.upstream in known else ""
 
 
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ORDERED
+    attempt.target_born_ms = state.directory_state.directory.entries[attempt.target].report.born_ms
     attempt.ordered_ms = now_ms
     attempt.order_in_flight = True
     order = OrderFailover(attempt.service, attempt.target, state.me.name, attempt.token)
-    return [order, _log_event("info", "failover_ordered", attempt, now_ms)]
+    return [order, failover_event(state, now_ms, attempt, "info", "failover_ordered")]
 
 
 def _restart(state: ControlState, now_ms: int, attempt: Failover, reason: str) -> list[Effect]:
     """Restart the failover with a newer token."""
     # Without fencing, the order of the attempt may still be carried out.
-    may_keep_primary = attempt.may_keep_primary and not primary_leases.are_needed(state)
+    may_keep_primary = attempt.may_keep_primary and not primary_leases.prove_leadership(state)
     fresh = Failover(attempt.service, attempt.previous, reason, may_keep_primary, now_ms)
     fresh.stepped_down_born_ms = attempt.stepped_down_born_ms
     fresh.is_takeover = attempt.is_takeover
+    fresh.has_earlier_orders = attempt.has_earlier_orders or bool(attempt.ordered_ms)
+    fresh.primary_end = attempt.primary_end
+    fresh.stepped_down_ms = attempt.stepped_down_ms
+    fresh.received = attempt.received
+    fresh.incomplete_since_ms = attempt.incomplete_since_ms
+    fresh.pausing_since_ms = attempt.pausing_since_ms
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
 
 def _propose(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    log_event = _log_event("warning", "failover_needed", attempt, now_ms)
+    log_event = failover_event(state, now_ms, attempt, "warning", "failover_needed")
     command = BeginFailover(attempt.service, state.me.member_id)
     return [log_event, *replication.propose_now(state, now_ms, command)]
 
@@ -311,7 +412,9 @@
 def _finish(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     attempt.stage = Stage.ENDING
     state.failover.ended_ms[attempt.service] = now_ms
-    log_event = _log_event("info", "failover_done", attempt, now_ms)
+    if attempt.target == attempt.previous:
+        state.failover.kept_ms[attempt.service] = now_ms
+    log_event = failover_event(state, now_ms, attempt, "info", "failover_done")
     entry = state.directory_state.directory.entries.get(attempt.target)
     address = entry.report.address if entry is not None else ""
     command = EndFailover(attempt.service, attempt.token, attempt.target, address)
@@ -320,16 +423,3 @@
 
 def _is_ready(entry: DirectoryEntry) -> bool:
     return entry.report.state is UpstreamState.READY
-
-
-def _log_event(level: str, name: str, attempt: Failover, now_ms: int) -> LogEvent:
-    received = {
-        name: f"{item.received.term}.{item.received.offset}"
-        for name, item in attempt.paused.items()
-    }
-    text = (
-        f"{attempt.service}: {attempt.reason}; stage {attempt.stage.value}, token {attempt.token}, "
-        f"from {attempt.previous or 'unknown'} to {attempt.target or 'undecided'}, received "
-        f"{received}, {now_ms - attempt.started_ms} ms after its start"
-    )
-    return LogEvent(level, name, text)
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -5,7 +5,7 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..statements import RESUME, StatementKind, UpstreamReply
-from . import probes
+from . import failover_log, probes
 from .effects import Effect
 from .service_state import Failover, PausedReplica, ProbeKind, Stage
 from .state import ControlState
@@ -30,25 +30,56 @@
         return []
     attempt = state.failover.running.get(entry.report.service)
     if attempt is not None and attempt.stage in PAUSED_STAGES:
-        attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received)
+        attempt.paused[upstream] = PausedReplica(
+            entry.report.born_ms, reply.status.received, now_ms
+        )
+        attempt.received = max(attempt.received, reply.status.received)
+        return [failover_log.replica_paused(state, now_ms, attempt, entry)]
     return []
 
 
+def handle_connection_ended(state: ControlState, service: str, upstream: str) -> None:
+    """Have a replica paused again whose connection has ended: it may have restarted."""
+    attempt = state.failover.running.get(service)
+    if attempt is not None and upstream in attempt.paused:
+        attempt.paused[upstream] = attempt.paused[upstream]._replace(born_ms=None)
+
+
 def handle_resumed(
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
     """Remove a replica that has resumed replication from those to resume."""
+    entry = state.directory_state.directory.entries.get(upstream)
     if reply.error is None:
         state.failover.to_resume.pop(upstream, None)
+        if entry is not None:
+            state.failover.receiving[upstream] = entry.report.born_ms
     return []
 
 
+def find_paused(state: ControlState) -> None:
+    """Have the replicas resumed that an earlier leader may have left paused."""
+    for entry in state.directory_state.directory.entries.values():
+        service, upstream = entry.report.service, entry.report.upstream
+        if state.failover.receiving.get(upstream) == entry.report.born_ms:
+            continue
+        if entry.report.state is UpstreamState.GONE:
+            continue
+        record = state.replicated_state.failovers.get(service)
+        if record is None or record.is_open or service in state.failover.running:
+            continue
+        watermark = state.watch.watermarks.get(service)
+        if watermark is not None and watermark.upstream != upstream:
+            state.failover.to_resume[upstream] = service
+
+
 def pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
     statement = probes.next_term_statement(state, attempt.service, StatementKind.PAUSE)
     effects: list[Effect] = []
     for entry in unpaused_replicas(state, attempt):
         state.failover.to_resume[entry.report.upstream] = attempt.service
+        state.failover.receiving.pop(entry.report.upstream, None)
         effects += probes.send_probe(state, now_ms, entry, statement, ProbeKind.PAUSE)
     return effects
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -52,6 +52,8 @@
     connection_limit_backoff_ms: int = 150
     # Queued statements of one gateway; keeps the queue's memory below a megabyte.
     queue_limit: int = 500
+    # Whether a commit is acknowledged only under a lease on its primary.
+    commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
 
@@ -282,8 +284,9 @@
     By service, ``primary_confirmed_ms`` is when the upstream in ``primaries`` was last known to be
     the primary, ``unanswered_write_since_ms`` is when the first write was sent after the last one
     that the primary answered, and ``unreachable_since_ms`` is since when the primary can't be
-    connected to. ``primary_leases`` are empty where the platform fences former primaries.
+    connected to. ``primary_leases`` are empty where none are needed.
     ``unconfirmed_commits`` are answered once a lease covers the time of their success.
+    ``acknowledged`` is the highest position at which a commit was acknowledged, by service.
     """
 
     settings: GatewaySettings
@@ -295,6 +298,7 @@
     primary_confirmed_ms: dict[str, int] = field(default_factory=dict)
     primary_leases: PrimaryLeases = field(default_factory=dict)
     unconfirmed_commits: list[UnconfirmedCommit] = field(default_factory=list)
+    acknowledged: dict[str, Position] = field(default_factory=dict)
     unanswered_write_since_ms: dict[str, int] = field(default_factory=dict)
     unreachable_since_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
