Soak: an accepted order is carried out, whatever is accepted after it

The stand-in gave it up once a newer token was accepted, also that of an order for the present primary, which changes nothing: it hid a promotion on the position of an attempt that control had left. An order repeated before it took effect promoted its target twice.

Both tests fail on the stand-in as it was.

--- a/packages/bench/src/endivewick_bench/soak/system.py
+++ b/packages/bench/src/endivewick_bench/soak/system.py
@@ -379,11 +379,13 @@
 
 
 async def _promote_soon(system: System, order: FailoverOrder, upstream: Upstream) -> None:
+    """Carry out an accepted order, even if another one was accepted meanwhile."""
     await trio.sleep(system.random.uniform(*PROMOTION_S))
+    database = system.services[order.service].database
     is_gone = upstream.state is UpstreamState.GONE or not upstream.member.is_up
-    if order.token < system.newest_tokens[order.service] or is_gone:
+    if is_gone or upstream.member is database.leader():
         return
-    member = db.promote(system.services[order.service].database, order.upstream)
+    member = db.promote(database, order.upstream)
     log = frozenset(item for entry in member.log for item in entry.request_ids)
     system.recorder.add(Promoted(clock_ms(), order.service, order.upstream, member.term, log))
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -449,26 +449,35 @@
     assert_that([item[1] for item in called], Equals([1, 2]))
 
 
-@pytest.mark.parametrize(("newest", "status", "leader"), [(5, None, "u2"), (6, 409, "u1")])
-def test_the_fence_of_a_late_order_is_checked_when_it_is_carried_out(newest, status, leader):
-    database = make_database()
-    stand_in = make_stand_in(database)
-    answers = []
-    connection = SimpleNamespace(respond=lambda response: answers.append(response.status))
-    system = SimpleNamespace(
-        wire=SimpleNamespace(read_order=lambda request: FailoverOrder("orders", "u2", "c1", 5)),
-        # Late, and without an answer: both shares are above it.
+def make_platform(stand_in, late_order_share=0.0):
+    """Return what the stand-in of the platform needs; it draws 0.6, and the highest times."""
+    return SimpleNamespace(
+        wire=SimpleNamespace(read_order=lambda request: request),
         random=SimpleNamespace(random=lambda: 0.6, uniform=lambda low, high: high),
-        late_order_share=0.7,
+        late_order_share=late_order_share,
         fences_primaries=True,
         newest_tokens={},
         services={"orders": stand_in},
         recorder=Recorder(),
     )
 
+
+async def give_order(system, upstream, token, answers):
+    connection = SimpleNamespace(respond=lambda response: answers.append(response.status))
+    sent = FailoverOrder("orders", upstream, "c1", token)
+    await soak_system._handle_failover_order(system, sent, connection)
+
+
+@pytest.mark.parametrize(("newest", "status", "leader"), [(5, None, "u2"), (6, 409, "u1")])
+def test_the_fence_of_a_late_order_is_checked_when_it_is_carried_out(newest, status, leader):
+    database = make_database()
+    # Late, and without an answer.
+    system = make_platform(make_stand_in(database), late_order_share=0.7)
+    answers = []
+
     async def run_late():
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(soak_system._handle_failover_order, system, None, connection)
+            nursery.start_soon(give_order, system, "u2", 5, answers)
             await trio.sleep(1)
             system.newest_tokens["orders"] = newest
 
@@ -477,6 +486,35 @@
     assert_that(database.leader().name, Equals(leader))
 
 
+def test_an_accepted_order_is_carried_out_though_the_primary_is_ordered_meanwhile():
+    database = make_database()
+    system = make_platform(make_stand_in(database))
+    answers = []
+
+    async def order_both():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_order, system, "u2", 5, answers)
+            await trio.sleep(0.1)
+            nursery.start_soon(give_order, system, "u1", 6, answers)
+
+    trio.run(order_both, clock=MockClock(autojump_threshold=0))
+    assert_that((answers, database.leader().name), Equals(([200, 200], "u2")))
+
+
+def test_an_order_that_is_repeated_promotes_once():
+    database = make_database()
+    system = make_platform(make_stand_in(database))
+
+    async def order_twice():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(give_order, system, "u2", 5, [])
+            await trio.sleep(0.1)
+            nursery.start_soon(give_order, system, "u2", 5, [])
+
+    trio.run(order_twice, clock=MockClock(autojump_threshold=0))
+    assert_that((database.leader().name, database.newest_term), Equals(("u2", 2)))
+
+
 def test_gaps_between_acknowledged_writes_are_told_by_cause():
     history = [
         *write("a", 1, 0.0),
