Log commits_missing only where a replica that answered lacks commits

On-call engineers would have found the warning in each failover: it was logged while the replicas were only being asked. It is now logged once, when one has answered and lacks commits. No decision changes. Failed before, passes now: test_missing_commits_are_logged_only_where_a_replica_that_answered_lacks_them.

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -304,6 +304,8 @@
         return effects + _send_order(state, now_ms, attempt)
     if attempt.incomplete_since_ms is None:
         attempt.incomplete_since_ms = now_ms
+    if not attempt.is_gap_logged and _answered_replicas(state, now_ms, attempt):
+        attempt.is_gap_logged = True
         effects.append(failover_event(state, now_ms, attempt, "warning", "commits_missing"))
     return effects + _return_to_primary(state, now_ms, attempt, primary)
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -114,7 +114,8 @@
     ``incomplete_since_ms`` since when no replica is known to have every commit that may have been
     acknowledged. ``target_born_ms`` identifies the start of the target whose log was chosen.
     ``step_down_sent_ms`` is when the previous primary was last told to step down, and
-    ``order_due_ms`` the time before which nothing is ordered.
+    ``order_due_ms`` the time before which nothing is ordered. ``is_gap_logged`` is set once it was
+    logged that no replica which answered has every commit.
     """
 
     service: str
@@ -140,6 +141,7 @@
     target_born_ms: int = 0
     step_down_sent_ms: int | None = None
     order_due_ms: int = 0
+    is_gap_logged: bool = False
     paused: dict[str, PausedReplica] = field(default_factory=dict)
 
 
--- a/tests/test_failover_pauses.py
+++ b/tests/test_failover_pauses.py
@@ -133,3 +133,18 @@
     assert_that(len(without_reports), LessThan(7))
     assert_that(len(without_reports), GreaterThan(2))
     assert_that(without_reports[-1].acknowledged[SERVICE] > Position(1, 40), Equals(True))
+
+
+def test_missing_commits_are_logged_only_where_a_replica_that_answered_lacks_them(control):
+    """Guards against a warning in each failover, while the replicas are only being asked."""
+    order_failover(control)
+    assert_that("commits_missing" in control.log_event_names, Equals(False))
+
+
+def test_missing_commits_are_logged_once(control):
+    control.state.directory_state.acknowledged[SERVICE] = Position(1, 50)
+    control.upstreams["u-primary"].reachable = False
+    control.break_connections("u-primary")
+    control.run(4_000)
+    assert_that(control.log_event_names.count("commits_missing"), Equals(1))
+    assert_that(control.orders, Equals([]))
