One fixture of the replicated service, one function for positions in logs

The tests of promotions and those of the review had the same two fixtures; they are in conftest.py now. failover_log.py and watch.py each formatted positions; both call positions.format_position. The head of replica_pauses.py said that a pause ends acknowledgements, which the leases do now. No change of behaviour, tests keep their assertions.

--- a/packages/core/src/endivewick_core/control/failover_log.py
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -1,7 +1,7 @@
 """Log events of failovers, with everything that control knew at each decision."""
 
 from ..directory import DirectoryEntry, UpstreamState
-from ..positions import Position
+from ..positions import format_position
 from .effects import LogEvent
 from .service_state import Failover
 from .state import ControlState
@@ -11,9 +11,7 @@
     state: ControlState, now_ms: int, attempt: Failover, level: str, name: str
 ) -> LogEvent:
     """Return the log event of a decision of a failover."""
-    received = {
-        name: _format_position(replica.received) for name, replica in attempt.paused.items()
-    }
+    received = {name: format_position(replica.received) for name, replica in attempt.paused.items()}
     text = (
         f"{attempt.service}: {attempt.reason}; stage {attempt.stage.value}, token {attempt.token}, "
         f"from {attempt.previous or 'unknown'} to {attempt.target or 'undecided'}, received "
@@ -54,10 +52,10 @@
         "led_ms": now_ms - leader_state.since_ms if leader_state is not None else None,
         "newest_term": state.watch.terms.get(attempt.service, 0),
         "primary": watermark.upstream if watermark is not None else "",
-        "primary_position": _format_position(watermark.position if watermark else None),
-        "acknowledged": _format_position(state.directory_state.acknowledged.get(attempt.service)),
-        "primary_end": _format_position(attempt.primary_end),
-        "received": _format_position(attempt.received),
+        "primary_position": format_position(watermark.position if watermark else None),
+        "acknowledged": format_position(state.directory_state.acknowledged.get(attempt.service)),
+        "primary_end": format_position(attempt.primary_end),
+        "received": format_position(attempt.received),
         "primary_probed_ms_ago": now_ms - watermark.probed_ms if watermark is not None else None,
         "upstreams": {
             name: _describe_upstream(now_ms, attempt, entry)
@@ -67,7 +65,7 @@
     }
     # A replica that departed after its pause may have held commits that no other one received.
     inputs["departed"] = {
-        name: _format_position(replica.received)
+        name: format_position(replica.received)
         for name, replica in attempt.paused.items()
         if name not in known or known[name].report.state is UpstreamState.GONE
     }
@@ -86,12 +84,8 @@
     }
     paused = attempt.paused.get(report.upstream)
     if paused is not None:
-        description["received"] = _format_position(paused.received)
+        description["received"] = format_position(paused.received)
         description["received_ms_ago"] = now_ms - paused.confirmed_ms
         # Its log may be another one since it started again.
         description["restarted_since"] = paused.born_ms != report.born_ms
     return description
-
-
-def _format_position(position: Position | None) -> str:
-    return f"{position.term}.{position.offset}" if position is not None else ""
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -1,6 +1,6 @@
 """The pauses of replicas during a failover.
 
-A paused replica receives nothing, so the former primary can't have a further commit acknowledged.
+A paused replica receives nothing, so its position stands still while a target is chosen.
 """
 
 from ..directory import DirectoryEntry, UpstreamState
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -6,6 +6,7 @@
 """
 
 from ..directory import DirectoryEntry, UpstreamState
+from ..positions import format_position
 from ..statements import Error, Fault, TransactionState, UpstreamReply
 from ..upstream_links import (
     CloseConnection,
@@ -146,12 +147,10 @@
         inputs: dict[str, object] = {
             "service": service,
             "upstream": connection.upstream,
-            "position": f"{reply.position.term}.{reply.position.offset}",
+            "position": format_position(reply.position),
             "probed_ms_ago": now_ms - pending.sent_ms,
             "previous": previous.upstream if previous else "",
-            "previous_position": (
-                f"{previous.position.term}.{previous.position.offset}" if previous else ""
-            ),
+            "previous_position": format_position(previous.position if previous else None),
             "previous_probed_ms_ago": now_ms - previous.probed_ms if previous else None,
         }
         effects.append(LogEvent("info", "primary_believed", text, inputs))
--- a/packages/core/src/endivewick_core/positions.py
+++ b/packages/core/src/endivewick_core/positions.py
@@ -27,6 +27,11 @@
 FORKS_KEPT = 64
 
 
+def format_position(position: Position | None) -> str:
+    """Return a position as ``term.offset`` for log lines, an empty text for None."""
+    return f"{position.term}.{position.offset}" if position is not None else ""
+
+
 def survives(position: Position, forks: Sequence[Fork]) -> bool:
     """Return whether ``position`` is still part of the group's history after ``forks``.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from endivewick_bench.checkers import CHECKERS
 from gateway_driver import ready_gateway
 from known_red import pytest_collection_modifyitems as mark_known_red
+from replicated_service import running_service
 
 
 @pytest.hookimpl(tryfirst=True)
@@ -56,3 +57,15 @@
 def gateway():
     """Return a gateway with a configuration, three upstreams and open connections."""
     return ready_gateway()
+
+
+@pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
+def service(request):
+    """Return a replicated service under a leader of control, on each kind of platform."""
+    return running_service(request.param)
+
+
+@pytest.fixture
+def fenced_service():
+    """Return a replicated service on a platform that fences former primaries."""
+    return running_service(is_fenced=True)
--- a/tests/test_promotions_keep_commits.py
+++ b/tests/test_promotions_keep_commits.py
@@ -6,12 +6,11 @@
 
 from collections import Counter
 
-import pytest
 from control_driver import ADDRESSES, peer
 from endivewick_core.control import events as ce
 from endivewick_core.messages import DirectoryShare, HeardReport
 from endivewick_core.statements import RESUME
-from replicated_service import OrderCourse, running_service
+from replicated_service import OrderCourse
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
@@ -19,16 +18,6 @@
 LOSS_LIMIT_MS = 40_000  # the same where commits are lost with it
 
 
-@pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
-def service(request):
-    return running_service(request.param)
-
-
-@pytest.fixture
-def fenced_service():
-    return running_service(is_fenced=True)
-
-
 def instances(service):
     """Return the primary and the two replicas."""
     return [service.upstreams[name] for name in ("u-primary", "u-second", "u-third")]
--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -1,14 +1,13 @@
 """Faults that the review of issue 28 claims; each test fails while its fault is there."""
 
 import matrix
-import pytest
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
 from endivewick_core.directory import UpstreamState
 from endivewick_core.messages import DirectoryShare, HeardReport, PrimaryHealth
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
-from replicated_service import GATEWAYS, OrderCourse, running_service
+from replicated_service import GATEWAYS, OrderCourse
 from test_promotions_keep_commits import (
     CRASH_LIMIT_MS,
     LOSS_LIMIT_MS,
@@ -22,16 +21,6 @@
 from workload import CONTRACT, Session, ready_driver
 
 
-@pytest.fixture(params=[True, False], ids=["fencing", "without_fencing"])
-def service(request):
-    return running_service(request.param)
-
-
-@pytest.fixture
-def fenced_service():
-    return running_service(is_fenced=True)
-
-
 # A former primary that started again under its id holds nothing of before. The end of its empty log
 # is taken for the end of the log that it had, so that any replica seems to have every commit, and
 # the positions of gateways aren't looked at.
