Tests for five guards of a failover that no test needed

Nothing turned red where one of these was taken out: the target that started again (failover._advance), is_confirmed_leader, the comparison with the last probe in _end_of_primary, majority_finds_failing, and the positions that _restart carries over. Each has a test now, on both kinds of platform.

Each guard stays: without the first a service waits for a promotion that can't come, without the second a leader that hears no quorum orders, without the third and the fifth acknowledged commits are lost, without the fourth a primary that serves callers is replaced.

--- /dev/null
+++ b/tests/test_failover_guards.py
@@ -0,0 +1,142 @@
+"""Guards of a failover that act only where a second thing goes wrong at the same time."""
+
+from control_driver import ADDRESSES, SERVICE, peer
+from endivewick_core.control import events as ce
+from endivewick_core.control.failover import PROMOTION_TIMEOUT_MS
+from endivewick_core.control.primary_leases import ORDER_VALIDITY_MS
+from endivewick_core.control.state import Role
+from endivewick_core.messages import DirectoryShare, PrimaryHealth
+from replicated_service import GATEWAYS, LEASE_MARGIN_MS, PROMOTION_MS, STEP_MS
+from test_promotions_keep_commits import (
+    CRASH_LIMIT_MS,
+    LOSS_LIMIT_MS,
+    assert_nothing_lost,
+    assert_serves_within,
+    instances,
+    run_until_ordered,
+    run_until_promoted,
+)
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+
+def acknowledge_unreported(service, for_ms):
+    """Let the gateways acknowledge commits for a while, and start again before they report them."""
+    poll = service._poll
+    service._poll = lambda gateway: None
+    service.run(for_ms)
+    service._poll = poll
+    for gateway in GATEWAYS:
+        service.positions[gateway], service.leases[gateway] = {}, {}
+
+
+# Guards against a target that has started again and is waited for until the promotion times out:
+# the platform accepted its order, and it was down when the promotion should have taken effect.
+def test_a_target_that_started_again_is_not_waited_for(service):
+    primary, _, _ = instances(service)
+    service.crash(primary)
+    order = run_until_ordered(service)
+    target = service.upstreams[order.upstream]
+    ordered_ms = service.now_ms
+    service.run(PROMOTION_MS // 2)
+    service.crash(target)
+    service.run(PROMOTION_MS)
+    service.come_back(target)
+    run_until_ordered(service)
+    assert_that(service.now_ms - ordered_ms, LessThan(PROMOTION_TIMEOUT_MS))
+    assert_serves_within(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against an order of a leader that hears no quorum any more, when the next leader may
+# already be choosing another target.
+def test_a_leader_that_no_quorum_confirms_orders_nothing(service):
+    primary, _, _ = instances(service)
+    service.crash(primary)
+    service.run_until(lambda: "failover_begun" in service.log_event_names, CRASH_LIMIT_MS)
+    leases_end_ms = service.state.primary_leases.leases[SERVICE].valid_until_ms + LEASE_MARGIN_MS
+    service.run(leases_end_ms - service.now_ms - ORDER_VALIDITY_MS)
+    service.deaf = set(ADDRESSES[1:])
+    service.run(ORDER_VALIDITY_MS + 300)
+    assert_that(service.state.role, Equals(Role.LEADER))
+    assert_that(service.orders, Equals([]))
+    service.deaf = set()
+    assert_serves_within(service, CRASH_LIMIT_MS)
+
+
+# Guards against the end of an empty log being taken for the end of the primary's: any replica
+# seems to have all of it, and one that can't be reached, with the only copies, isn't waited for.
+def test_the_end_of_an_empty_log_does_not_end_the_wait_for_a_replica(service):
+    primary, second, third = instances(service)
+    third.is_deaf = True
+    acknowledge_unreported(service, 200)
+    service.cut_from_control(second)
+    service.break_connections(second.name)
+    service.crash(primary)
+    primary.log, primary.leads = [], False
+    service.run(1_000)
+    service.come_back(primary)
+    service.later(3_500, lambda: service.reconnect_to_control(second))
+    run_until_promoted(service)
+    assert_nothing_lost(service)
+
+
+def share_health(service, primary, failing_ms):
+    """Let the other control processes say how long they find a primary failing."""
+
+    def share():
+        for address in ADDRESSES[1:]:
+            health = [PrimaryHealth(SERVICE, primary.name, failing_ms, 0)]
+            message = DirectoryShare(peer(address), 0, [], health, 0, [], {})
+            service.handle(ce.MessageReceived(service.now_ms, message))
+
+    service.share = share
+    share()
+
+
+# Guards against a leader that replaces a primary which only it can't reach.
+def test_a_primary_that_answers_the_other_control_processes_is_not_replaced(service):
+    primary, _, _ = instances(service)
+    share_health(service, primary, failing_ms=0)
+    service.cut_from_control(primary)
+    service.run(8_000)
+    assert_that(service.orders, Equals([]))
+    assert_that(primary.leads, Equals(True))
+
+
+# Guards against an attempt that begins anew and forgets what its departed target had received.
+# The gateways that acknowledged it have ended, so that nothing else tells.
+def test_a_new_attempt_knows_what_the_departed_target_had(service):
+    primary, second, third = instances(service)
+    service.leave(second)
+    service.run(1_000)
+    third.is_deaf = True
+    acknowledge_unreported(service, 200)
+    service.crash(primary)
+    order = run_until_ordered(service)
+    assert_that(order.upstream, Equals("u-second"))
+    service.run(200)
+    service.depart(second)
+    service.run(7_000)
+    service.come_back(primary)
+    third.is_deaf = False
+    assert_serves_within(service, LOSS_LIMIT_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against an attempt that begins anew and forgets where the log of the primary ended which
+# it told to step down: that primary alone has every commit, and would not be told to lead again.
+def test_a_new_attempt_knows_the_end_of_the_primary_that_stepped_down(service):
+    primary, second, third = instances(service)
+    service.leave(second)
+    service.run(1_000)
+    third.is_deaf = True
+    service.run(1_000)
+    service.leave(primary)
+    order = run_until_ordered(service)
+    assert_that(order.upstream, Equals("u-second"))
+    service.run(STEP_MS)
+    service.depart(second)
+    service.later(3_000, lambda: setattr(third, "is_deaf", False))
+    assert_serves_within(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
