Replace a primary only while a quorum of control is heard

Cause: majority_finds_failing and majority_knows_no_primary count the shares of live control processes. A leader that hears none (no share for 2.5 s, or none yet after its start) counts one vote of one, its own. Its log may reach a quorum meanwhile.

Change: both need a live quorum of the voters. A leader that hears fewer still grants leases: it is the only one that can order, so the primary goes on to serve.

--- a/packages/core/src/endivewick_core/control/probes.py
+++ b/packages/core/src/endivewick_core/control/probes.py
@@ -19,7 +19,7 @@
 from ..upstream_links import OpenConnection, SendStatements
 from .effects import Effect
 from .service_state import Peer, PendingProbe, ProbeKind, WatchedConnection
-from .state import ControlState
+from .state import ControlState, quorum_size
 
 PROBE_INTERVAL_MS = 400  # a quarter of the shortest staleness that contracts commonly allow
 PEER_TIMEOUT_MS = 2_500  # two missed shares of another control process
@@ -77,11 +77,21 @@
     return age_ms - PROBE_INTERVAL_MS if age_ms > PROBE_INTERVAL_MS + OVERDUE_AFTER_MS else 0
 
 
+def hears_quorum(state: ControlState, now_ms: int) -> bool:
+    """Return whether a quorum of the voters, this process included, shares what it observes."""
+    heard = {item.peer.address for item in live_peers(state, now_ms)} | {state.me.address}
+    live = [voter for voter in state.membership.voters if voter.address in heard]
+    return len(live) >= quorum_size(state)
+
+
 def majority_finds_failing(state: ControlState, now_ms: int, service: str, primary: str) -> bool:
     """Return whether most live control processes find the primary's responses overdue.
 
-    Those that know no primary of the service, as after a restart, don't count.
+    Those that know no primary of the service, as after a restart, don't count. Without a quorum
+    of live ones nothing is found: this process alone may be cut off from the primary.
     """
+    if not hears_quorum(state, now_ms):
+        return False
     answered, failing = 1, 1
     for peer in live_peers(state, now_ms):
         for health in peer.primaries:
@@ -111,7 +121,12 @@
 
 
 def majority_knows_no_primary(state: ControlState, now_ms: int, service: str) -> bool:
-    """Return whether most live control processes know no primary of a service that answers."""
+    """Return whether most live control processes know no primary of a service that answers.
+
+    Without a quorum of live ones that isn't known.
+    """
+    if not hears_quorum(state, now_ms):
+        return False
     answered, unknown = 1, 1
     for peer in live_peers(state, now_ms):
         answered += 1
--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -4,6 +4,7 @@
 from endivewick_core.control import events as ce
 from endivewick_core.control.failover import PROMOTION_TIMEOUT_MS
 from endivewick_core.control.primary_leases import ORDER_VALIDITY_MS
+from endivewick_core.control.probes import PEER_TIMEOUT_MS
 from endivewick_core.control.state import Role
 from endivewick_core.messages import DirectoryShare, PrimaryHealth
 from replicated_service import GATEWAYS, LEASE_MARGIN_MS, PROMOTION_MS, STEP_MS
@@ -104,6 +105,29 @@
     assert_that(primary.leads, Equals(True))
 
 
+# Guards against a leader that hears no other control process and takes itself for the majority.
+# Its log still reaches a quorum, so that it could replace a primary which only it can't reach.
+def test_a_leader_that_hears_no_other_does_not_replace_a_primary(service):
+    primary, _, _ = instances(service)
+    service.share = lambda: None
+    service.run(PEER_TIMEOUT_MS)
+    service.cut_from_control(primary)
+    service.run(8_000)
+    assert_that(service.orders, Equals([]))
+    assert_that(primary.leads, Equals(True))
+
+
+# The same after a restart of control, where the leader knows of no primary.
+def test_a_new_leader_that_hears_no_other_does_not_replace_a_primary(service):
+    primary, _, _ = instances(service)
+    service.share = lambda: None
+    service.cut_from_control(primary)
+    service.restart_control()
+    service.run(8_000)
+    assert_that(service.orders, Equals([]))
+    assert_that(primary.leads, Equals(True))
+
+
 # Guards against an attempt that begins anew and forgets what its departed target had received.
 # The gateways that acknowledged it have ended, so that nothing else tells.
 def test_a_new_attempt_knows_what_the_departed_target_had(service):
