Refuse statements at once while a failover waits for commits

Cause: the leader knows that a failover waits for an upstream with every commit, up to 30 s, and tells nobody. Gateways queue what needs the primary for a statement timeout, and each client comes back for the next one.

Change: answers with leases name the services whose failover waits, how long it has waited and for how long it may. Gateways refuse what only the primary can serve at once, also what is queued, and tell the client to return after as long again as the wait has lasted, spread over half of that. Reads that a replica is fresh enough for go on, and so do those at a primary that this gateway still reaches. A plain change of primary is no wait.

Ruled out: refusing from the start of every failover. A plain one is over within 2 to 3 s, and statements that wait for it are served late rather than not at all.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -24,7 +24,6 @@
     DirectoryShare,
     DirectoryShareReceived,
     HeardReport,
-    PrimaryLeaseAnswer,
     WatermarkNote,
 )
 from ..positions import Position
@@ -157,7 +156,7 @@
     effects: list[Effect] = []
     if primary_leases.are_granted(state):
         # Before the answer, so that its watermarks are covered by a lease.
-        leases = PrimaryLeaseAnswer(request.sequence, primary_leases.notes(state, now_ms))
+        leases = primary_leases.make_answer(state, now_ms, request.sequence)
         effects.append(Send(request.gateway, leases))
     return [*effects, Send(request.gateway, answer)]
 
--- a/packages/core/src/endivewick_core/control/primary_leases.py
+++ b/packages/core/src/endivewick_core/control/primary_leases.py
@@ -7,9 +7,9 @@
 """
 
 from ..directory import DirectoryEntry, UpstreamState
-from ..messages import PrimaryLeaseAnswer, PrimaryLeaseNote, PrimaryLeaseQuestion
+from ..messages import PrimaryLeaseAnswer, PrimaryLeaseQuestion
 from ..primary_leases import PrimaryLease, covers, renew, to_notes
-from . import probes, replication
+from . import primary_waits, probes, replication
 from .effects import Effect, Send
 from .service_state import Failover, PrimaryWatermark, Stage
 from .state import ControlState, Role
@@ -78,8 +78,7 @@
     if state.role is not Role.LEADER or not are_granted(state):
         return []
     _grant(state, now_ms)
-    answer = PrimaryLeaseAnswer(question.sequence, notes(state, now_ms))
-    return [Send(question.sender, answer)]
+    return [Send(question.sender, make_answer(state, now_ms, question.sequence))]
 
 
 def handle_answer(state: ControlState, now_ms: int, answer: PrimaryLeaseAnswer) -> list[Effect]:
@@ -88,12 +87,14 @@
     requested_ms = lease_state.requested_ms.pop(answer.sequence, None)
     if requested_ms is not None:
         renew(lease_state.leases, requested_ms, answer.leases)
+        lease_state.waits, lease_state.waits_told_ms = answer.waits, now_ms
     return []
 
 
-def notes(state: ControlState, now_ms: int) -> list[PrimaryLeaseNote]:
-    """Return the leases that have not ended, as they are sent to another process."""
-    return to_notes(state.primary_leases.leases, now_ms)
+def make_answer(state: ControlState, now_ms: int, sequence: int) -> PrimaryLeaseAnswer:
+    """Return what another process is told of the primaries in response to its request."""
+    leases = to_notes(state.primary_leases.leases, now_ms)
+    return PrimaryLeaseAnswer(sequence, leases, primary_waits.notes(state, now_ms))
 
 
 def probe_interval_ms(state: ControlState) -> int:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..directory import Directory
-from ..messages import ControlPeer, PrimaryHealth
+from ..messages import ControlPeer, PrimaryHealth, PrimaryWaitNote
 from ..positions import ZERO, Position
 from ..primary_leases import PrimaryLeases
 
@@ -165,10 +165,13 @@
 class LeaseState:
     """The leases on primaries that this process granted as leader, or obtained from its leader.
 
-    ``requested_ms`` gives the time of each unanswered request by its sequence number.
+    ``requested_ms`` gives the time of each unanswered request by its sequence number. ``waits`` are
+    the failovers that wait for commits, as the leader told at ``waits_told_ms``.
     """
 
     leases: PrimaryLeases = field(default_factory=dict)
+    waits: list[PrimaryWaitNote] = field(default_factory=list)
+    waits_told_ms: int = 0
     sequence: int = 0
     requested_ms: dict[int, int] = field(default_factory=dict)
     request_due_ms: int = 0
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -18,6 +18,7 @@
     maintenance,
     pool,
     primary_leases,
+    primary_waits,
     routing,
     sessions,
 )
@@ -93,9 +94,11 @@
     if requested_ms is None:
         return []
     renew(state.primary_leases, requested_ms, answer.leases)
-    effects = commit_confirmations.resolve(state, now_ms)
-    for note in answer.leases:
-        effects += routing.dispatch_queued(state, now_ms, note.service)
+    effects = primary_waits.apply_notes(state, now_ms, requested_ms, answer.waits)
+    effects += commit_confirmations.resolve(state, now_ms)
+    services = {note.service for note in answer.leases} | {note.service for note in answer.waits}
+    for service in sorted(services):
+        effects += routing.dispatch_queued(state, now_ms, service)
     return effects
 
 
@@ -187,8 +190,8 @@
 
 
 def _waits_for_primary(state: GatewayState, now_ms: int) -> bool:
-    """Return whether statements or commits wait for a lease on a primary."""
-    if state.unconfirmed_commits:
+    """Return whether statements or commits wait for a lease on a primary, or are refused."""
+    if state.unconfirmed_commits or state.primary_waits:
         return True
     for service, queue in state.queues.items():
         if not queue.primary:
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases
+from . import answers, forwarding, holders, pool, primary_leases, primary_waits
 from .effects import Effect, LogEvent
 from .state import (
     GatewayState,
@@ -43,12 +43,14 @@
 class RoutingResult(NamedTuple):
     """The result of an attempt to route a request; ``is_routed`` is False if it has to wait.
 
-    ``needs_lease`` is set if it waits for a lease, which other requests may not need.
+    ``needs_lease`` is set if it waits for a lease, which other requests may not need. ``refusal``
+    is set if waiting is in vain.
     """
 
     is_routed: bool
     effects: list[Effect]
     needs_lease: bool = False
+    refusal: Error | None = None
 
 
 def route_request(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
@@ -60,6 +62,8 @@
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
         return result.effects
+    if result.refusal is not None:
+        return result.effects + answers.fail(state, now_ms, request, result.refusal)
     if primary_leases.is_out_of_reach(state, now_ms, session, request):
         text = "this gateway has no contact with control, which would confirm the primary"
         error = Error(Fault.BUSY, text, OUT_OF_REACH_RETRY_AFTER_MS)
@@ -185,6 +189,9 @@
         effects += result.effects
         if result.is_routed:
             continue
+        if result.refusal is not None:
+            effects += answers.fail(state, now_ms, request, result.refusal)
+            continue
         waiting.append(item)
         if not result.needs_lease:
             break
@@ -212,7 +219,10 @@
     primary = state.primaries.get(request.route.service)
     if primary is None:
         return RoutingResult(False, [])
-    return _try_upstream(state, now_ms, session, request, primary)
+    result = _try_upstream(state, now_ms, session, request, primary)
+    if result.is_routed:
+        return result
+    return result._replace(refusal=primary_waits.refusal(state, now_ms, session, request, primary))
 
 
 def _try_read(
@@ -222,12 +232,16 @@
     service = request.route.service
     best: UpstreamPool | None = None
     best_cost_ms = 0.0
+    has_replica = False
     for item in state.pools.values():
         if item.service != service or item.upstream in request.tried:
             continue
-        if not pool.accepts_work(state, item) or now_ms < item.busy_backoff_until_ms:
+        if not pool.accepts_work(state, item):
             continue
         is_primary = pool.is_primary(state, item)
+        has_replica = has_replica or not is_primary
+        if now_ms < item.busy_backoff_until_ms:
+            continue
         if not is_primary and now_ms < item.lagging_backoff_until_ms:
             continue
         if not item.idle and now_ms < item.connect_backoff_until_ms:
@@ -236,7 +250,9 @@
         if best is None or cost_ms < best_cost_ms:
             best, best_cost_ms = item, cost_ms
     if best is None:
-        return _try_primary(state, now_ms, session, request)
+        result = _try_primary(state, now_ms, session, request)
+        # A replica that is only backed off may serve the read a moment later.
+        return result._replace(refusal=None) if has_replica else result
     if pool.is_primary(state, best) and primary_leases.covers_primary(
         state, service, best.upstream, now_ms
     ):
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -241,6 +241,17 @@
     undelivered_since_ms: dict[str, int] = field(default_factory=dict)
 
 
+class PrimaryWait(NamedTuple):
+    """A failover that waits for commits, since ``since_ms`` and until ``until_ms`` at most.
+
+    Control told of it so lately that it holds until ``told_until_ms``.
+    """
+
+    since_ms: int
+    until_ms: int
+    told_until_ms: int
+
+
 class UnconfirmedCommit(NamedTuple):
     """An upstream's success that is not known to be of the primary, received at ``received_ms``.
 
@@ -291,6 +302,7 @@
     connected to. ``primary_leases`` are empty where none are needed.
     ``unconfirmed_commits`` are answered once a lease covers the time of their success.
     ``acknowledged`` is the highest position at which a commit was acknowledged, by service.
+    ``primary_waits`` are the services whose failover waits for commits.
     """
 
     settings: GatewaySettings
@@ -303,6 +315,7 @@
     primary_leases: PrimaryLeases = field(default_factory=dict)
     unconfirmed_commits: list[UnconfirmedCommit] = field(default_factory=list)
     acknowledged: dict[str, Position] = field(default_factory=dict)
+    primary_waits: dict[str, PrimaryWait] = field(default_factory=dict)
     unanswered_write_since_ms: dict[str, int] = field(default_factory=dict)
     unreachable_since_ms: dict[str, int] = field(default_factory=dict)
     pools: dict[str, UpstreamPool] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -396,14 +396,27 @@
     sequence: int
 
 
+class PrimaryWaitNote(NamedTuple):
+    """A service without a primary whose failover waits for an upstream with every commit.
+
+    It has waited for ``waited_ms``, and after ``left_ms`` more it promotes an upstream without.
+    """
+
+    service: str
+    waited_ms: int
+    left_ms: int
+
+
 class PrimaryLeaseAnswer(NamedTuple):
     """The leases on primaries, in response to the request with this ``sequence``.
 
-    The request is a PrimaryLeaseQuestion, or the DirectoryQuestion of a gateway.
+    The request is a PrimaryLeaseQuestion, or the DirectoryQuestion of a gateway. ``waits`` are the
+    failovers that wait for commits.
     """
 
     sequence: int
     leases: list[PrimaryLeaseNote]
+    waits: list[PrimaryWaitNote] = []
 
 
 class DirectoryShare(NamedTuple):
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -14,6 +14,7 @@
     HeardReport,
     PrimaryLeaseAnswer,
     PrimaryLeaseNote,
+    PrimaryWaitNote,
     WatermarkNote,
 )
 from endivewick_core.positions import Position
@@ -172,9 +173,17 @@
 
     def grant_lease(self, left_ms=2_000, upstream=PRIMARY, leadership=0):
         """Let control answer the gateway's latest poll with a lease on the primary."""
+        self.answer_leases([PrimaryLeaseNote(SERVICE, upstream, left_ms, leadership)])
+
+    def tell_wait(self, waited_ms, left_ms=20_000):
+        """Let control answer the gateway's latest poll with a failover that waits for commits."""
+        self.answer_leases([], [PrimaryWaitNote(SERVICE, waited_ms, left_ms)])
+
+    def answer_leases(self, leases, waits=()):
+        """Let control answer the gateway's latest poll with what it knows of the primaries."""
         question = [item for item in self.messages if item.address == CONTROL][-1].message
-        notes = [PrimaryLeaseNote(SERVICE, upstream, left_ms, leadership)]
-        self.handle(ev.MessageReceived(self.now_ms, PrimaryLeaseAnswer(question.sequence, notes)))
+        answer = PrimaryLeaseAnswer(question.sequence, leases, list(waits))
+        self.handle(ev.MessageReceived(self.now_ms, answer))
 
     def open_all(self):
         """Accept every connection that is being opened, and answer its setup statements."""
