Have a former primary step down that still leads in a failover

Cause: where the platform doesn't fence, a former primary that control could not reach may lead still when the next primary is replaced. It answers the pause, and counted as a paused replica, although the row of its answer says primary; its log lacks the later commits.

Change: a pause counts only where the row says replica. On a platform that doesn't fence, an upstream that says primary is told to step down first, unless it is the target of this failover. Where the platform fences, a leader is the primary itself and is asked again, as before. New log event replica_leads.

Evidence: test_a_former_primary_that_still_leads_is_no_replica fails without the check, for a platform on which a pause has an effect at a leader and one on which it has none; without the exception for the target test_the_target_of_a_failover_is_not_told_to_step_down fails. The model of the tests let a stepped-down primary receive from a leader of an older term, and overwrite its log; it no longer does.

--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -68,14 +68,17 @@
 def handle_stepped_down(
     state: ControlState, now_ms: int, upstream: str, reply: UpstreamReply
 ) -> list[Effect]:
-    """Record that the previous primary of a running failover has become a replica."""
+    """Record that an upstream has become a replica: the previous primary, or one that still led."""
     if reply.error is not None or reply.status is None or reply.status.is_primary:
         return []
     entry = state.directory_state.directory.entries.get(upstream)
     if entry is None:
         return []
     attempt = state.failover.running.get(entry.report.service)
-    if attempt is None or attempt.previous != upstream:
+    if attempt is None:
+        return []
+    attempt.leading.pop(upstream, None)
+    if attempt.previous != upstream:
         return []
     if attempt.stepped_down_born_ms != entry.report.born_ms:
         attempt.stepped_down_ms = now_ms
--- a/packages/core/src/endivewick_core/control/failover_log.py
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -35,6 +35,18 @@
     return LogEvent("info", "replica_paused", text, inputs)
 
 
+def replica_leads(now_ms: int, attempt: Failover, entry: DirectoryEntry) -> LogEvent:
+    """Return the log event of an upstream that answered a pause as a primary."""
+    inputs: dict[str, object] = {
+        "service": attempt.service,
+        "token": attempt.token,
+        "stage": attempt.stage.value,
+        "upstream": _describe_upstream(now_ms, attempt, entry),
+    }
+    text = f"{entry.report.upstream} of {attempt.service} still leads; it is told to step down"
+    return LogEvent("warning", "replica_leads", text, inputs)
+
+
 def _inputs(state: ControlState, now_ms: int, attempt: Failover) -> dict[str, object]:
     """Return what was known of the service, with the age of each part."""
     watermark = state.watch.watermarks.get(attempt.service)
--- a/packages/core/src/endivewick_core/control/replica_pauses.py
+++ b/packages/core/src/endivewick_core/control/replica_pauses.py
@@ -23,19 +23,33 @@
     """
     if reply.error is not None or reply.status is None:
         return []
-    if reply.status.paused_term <= reply.status.term:
-        return []
     entry = state.directory_state.directory.entries.get(upstream)
     if entry is None:
         return []
     attempt = state.failover.running.get(entry.report.service)
-    if attempt is not None and attempt.stage in PAUSED_STAGES:
-        attempt.paused[upstream] = PausedReplica(
-            entry.report.born_ms, reply.status.received, now_ms
-        )
-        attempt.received = max(attempt.received, reply.status.received)
-        return [failover_log.replica_paused(state, now_ms, attempt, entry)]
-    return []
+    if attempt is None or attempt.stage not in PAUSED_STAGES:
+        return []
+    if reply.status.is_primary:
+        return _handle_leading(state, now_ms, attempt, entry)
+    if reply.status.paused_term <= reply.status.term:
+        return []
+    attempt.paused[upstream] = PausedReplica(entry.report.born_ms, reply.status.received, now_ms)
+    attempt.received = max(attempt.received, reply.status.received)
+    return [failover_log.replica_paused(state, now_ms, attempt, entry)]
+
+
+def _handle_leading(
+    state: ControlState, now_ms: int, attempt: Failover, entry: DirectoryEntry
+) -> list[Effect]:
+    """Have an upstream step down that leads although another one was promoted after it.
+
+    Former primaries do where the platform doesn't fence them. Their logs lack later commits.
+    """
+    upstream = entry.report.upstream
+    if state.settings.fences_primaries or upstream == attempt.target:
+        return []
+    attempt.leading[upstream] = entry.report.born_ms
+    return [failover_log.replica_leads(now_ms, attempt, entry)]
 
 
 def handle_connection_ended(state: ControlState, service: str, upstream: str) -> None:
@@ -78,12 +92,20 @@
 
 
 def pause(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
-    """Pause the replicas that have not confirmed it, also those that registered meanwhile."""
+    """Pause the replicas that have not confirmed it, also those that registered meanwhile.
+
+    Those that still lead are told to step down first.
+    """
     statement = probes.next_term_statement(state, attempt.service, StatementKind.PAUSE)
+    step_down = probes.next_term_statement(state, attempt.service, StatementKind.STEP_DOWN)
     effects: list[Effect] = []
     for entry in unpaused_replicas(state, attempt):
-        state.failover.to_resume[entry.report.upstream] = attempt.service
-        state.failover.receiving.pop(entry.report.upstream, None)
+        upstream = entry.report.upstream
+        if attempt.leading.get(upstream) == entry.report.born_ms:
+            effects += probes.send_probe(state, now_ms, entry, step_down, ProbeKind.STEP_DOWN)
+            continue
+        state.failover.to_resume[upstream] = attempt.service
+        state.failover.receiving.pop(upstream, None)
         effects += probes.send_probe(state, now_ms, entry, statement, ProbeKind.PAUSE)
     return effects
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -115,7 +115,8 @@
     acknowledged. ``target_born_ms`` identifies the start of the target whose log was chosen.
     ``step_down_sent_ms`` is when the previous primary was last told to step down, and
     ``order_due_ms`` the time before which nothing is ordered. ``is_gap_logged`` is set once it was
-    logged that no replica which answered has every commit.
+    logged that no replica which answered has every commit. ``leading`` maps each upstream that
+    still leads, as one that isn't fenced may, to its start; it steps down before it is paused.
     """
 
     service: str
@@ -143,6 +144,7 @@
     order_due_ms: int = 0
     is_gap_logged: bool = False
     paused: dict[str, PausedReplica] = field(default_factory=dict)
+    leading: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/tests/replicated_service.py
+++ b/tests/replicated_service.py
@@ -95,6 +95,7 @@
 class ReplicatedService(Control):
     """A control process, its service, the service's clients, two gateways and the platform.
 
+    Where ``pauses_primaries``, an upstream that leads answers a pause as if it had an effect.
     ``lost`` holds the acknowledged commits that a promoted upstream lacked, ``promoted`` the
     upstreams that were promoted. ``courses`` are those of the next orders, ``token_seen`` is the
     highest token that the platform has seen. ``positions`` is where each gateway acknowledged
@@ -102,6 +103,7 @@
     """
 
     is_fenced: bool = True
+    pauses_primaries: bool = False
     is_writing: bool = True
     control_is_up: bool = True
     acknowledged: dict[Entry, int] = field(default_factory=dict)
@@ -179,6 +181,8 @@
         for item in self.upstreams.values():
             if not item.is_up or item.is_deaf or item.leads or item.paused_term > primary.term:
                 continue
+            if item.term > primary.term:
+                continue  # a former primary that isn't fenced has no newer commits
             item.log, item.term = list(primary.log), primary.term
 
     def _write(self):
@@ -282,7 +286,8 @@
     def _reply(self, upstream, statement):
         if statement.kind is StatementKind.PAUSE:
             # Only a replica is paused, and no pause ends by another one with a lower term.
-            asked = 0 if upstream.leads else int(statement.argument)
+            is_pausable = self.pauses_primaries or not upstream.leads
+            asked = int(statement.argument) if is_pausable else 0
             statement = statement._replace(argument=str(max(upstream.paused_term, asked)))
         was_leading = upstream.leads
         upstream.received = upstream.end_of_log()
--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -1,13 +1,22 @@
 """Guards of a failover that act only where a second thing goes wrong at the same time."""
 
+import pytest
 from control_driver import ADDRESSES, SERVICE, peer
 from endivewick_core.control import events as ce
-from endivewick_core.control.failover import PROMOTION_TIMEOUT_MS
+from endivewick_core.control.failover import PROMOTION_SETTLING_MS, PROMOTION_TIMEOUT_MS
 from endivewick_core.control.primary_leases import ORDER_VALIDITY_MS
 from endivewick_core.control.probes import PEER_TIMEOUT_MS
 from endivewick_core.control.state import Role
+from endivewick_core.control.watch import REOPEN_DELAY_MS
 from endivewick_core.messages import DirectoryShare, PrimaryHealth
-from replicated_service import GATEWAYS, LEASE_MARGIN_MS, PROMOTION_MS, STEP_MS
+from replicated_service import (
+    GATEWAYS,
+    LEASE_MARGIN_MS,
+    PROMOTION_MS,
+    STEP_MS,
+    OrderCourse,
+    running_service,
+)
 from test_promotions_keep_commits import (
     CRASH_LIMIT_MS,
     LOSS_LIMIT_MS,
@@ -18,7 +27,7 @@
     run_until_promoted,
 )
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Contains, Equals, LessThan, Not
 
 
 def acknowledge_unreported(service, for_ms):
@@ -164,3 +173,49 @@
     service.later(3_000, lambda: setattr(third, "is_deaf", False))
     assert_serves_within(service, CRASH_LIMIT_MS)
     assert_nothing_lost(service)
+
+
+def leave_beside_a_former_primary(service):
+    """Let a primary leave while the only other upstream is a former primary that still leads."""
+    former, second, third = instances(service)
+    service.cut_from_control(former)
+    run_until_promoted(service)
+    service.reconnect_to_control(former)
+    primary = service.primary()
+    service.crash(third if primary is second else second)
+    service.run(300)
+    service.leave(primary)
+    return former
+
+
+# Guards against a former primary that still leads, as nothing fences it, and counts as a replica
+# since it answers the pause. It was ordered again and again, and the service had no primary for
+# 133 s (soak seed 201).
+@pytest.mark.parametrize("pauses_primaries", [True, False])
+def test_a_former_primary_that_still_leads_is_no_replica(pauses_primaries):
+    service = running_service(is_fenced=False)
+    service.pauses_primaries = pauses_primaries
+    former = leave_beside_a_former_primary(service)
+    assert_that(former.leads, Equals(True))
+    service.run_until(lambda: not former.leads, CRASH_LIMIT_MS)
+    assert_that(former.leads, Equals(False))
+    assert_serves_within(service, CRASH_LIMIT_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against a new primary that is told to step down: its connection had ended, so that it is
+# asked to pause again, just after its promotion and before earlier orders can't take effect.
+def test_the_target_of_a_failover_is_not_told_to_step_down():
+    service = running_service(is_fenced=False)
+    primary, _, _ = instances(service)
+    service.courses = [OrderCourse(is_lost=True)]
+    service.crash(primary)
+    run_until_ordered(service)
+    service.replace_leader()
+    target = service.upstreams[run_until_ordered(service).upstream]
+    service.run(PROMOTION_MS - REOPEN_DELAY_MS + STEP_MS)
+    service.break_connections(target.name)
+    service.run_until(lambda: service.promoted, CRASH_LIMIT_MS)
+    service.run(PROMOTION_SETTLING_MS)
+    assert_that(target.leads, Equals(True))
+    assert_that(service.log_event_names, Not(Contains("replica_leads")))
