Order another complete replica where a promotion takes too long

Cause: an attempt that begins anew ranks the candidates as the one before did, so that it comes to the target whose promotion has just failed.

Change: among the replicas that have every commit, those whose promotion took too long go last. A replica without every commit is still never preferred.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -30,20 +30,22 @@
 ) -> tuple[str, bool]:
     """Return the candidate to promote, and whether it has every acknowledged commit.
 
-    Of those that have, a ready one is preferred, then the most advanced one.
+    Of those that have, one that was not ordered in vain is preferred, then a ready one, then the
+    most advanced one.
     """
 
-    def rank(entry: DirectoryEntry) -> tuple[bool, bool, Position, str]:
-        received = attempt.paused[entry.report.upstream].received
-        is_ready = entry.report.state is UpstreamState.READY
+    def rank(entry: DirectoryEntry) -> tuple[bool, bool, bool, Position, str]:
+        upstream = entry.report.upstream
+        received = attempt.paused[upstream].received
         return (
             has_every_commit(state, now_ms, attempt, received),
-            is_ready,
+            upstream not in attempt.slow_targets,
+            entry.report.state is UpstreamState.READY,
             received,
-            entry.report.upstream,
+            upstream,
         )
 
-    is_complete, _, _, upstream = max(rank(entry) for entry in candidates)
+    is_complete, _, _, _, upstream = max(rank(entry) for entry in candidates)
     return upstream, is_complete
 
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -190,6 +190,7 @@
             return []
         return _finish(state, now_ms, attempt)
     if now_ms - attempt.ordered_ms >= PROMOTION_TIMEOUT_MS:
+        attempt.slow_targets |= {attempt.target}
         return _restart(state, now_ms, attempt, "the promotion took too long")
     target = state.directory_state.directory.entries.get(attempt.target)
     if target is None or target.report.state is UpstreamState.GONE:
@@ -392,6 +393,7 @@
     fresh.received = attempt.received
     fresh.incomplete_since_ms = attempt.incomplete_since_ms
     fresh.step_down_sent_ms = attempt.step_down_sent_ms
+    fresh.slow_targets = attempt.slow_targets
     state.failover.running[attempt.service] = fresh
     return _propose(state, now_ms, fresh)
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -117,6 +117,7 @@
     ``order_due_ms`` the time before which nothing is ordered. ``is_gap_logged`` is set once it was
     logged that no replica which answered has every commit. ``leading`` maps each upstream that
     still leads, as one that isn't fenced may, to its start; it steps down before it is paused.
+    ``slow_targets`` are those whose promotion took too long.
     """
 
     service: str
@@ -145,6 +146,7 @@
     is_gap_logged: bool = False
     paused: dict[str, PausedReplica] = field(default_factory=dict)
     leading: dict[str, int] = field(default_factory=dict)
+    slow_targets: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -219,3 +219,16 @@
     service.run(PROMOTION_SETTLING_MS)
     assert_that(target.leads, Equals(True))
     assert_that(service.log_event_names, Not(Contains("replica_leads")))
+
+
+# Guards against a target that is ordered again and again although its promotion never takes effect
+# (soak seed 201), while another replica has every commit.
+def test_a_target_that_was_ordered_in_vain_is_not_ordered_again_before_another(service):
+    primary, _, _ = instances(service)
+    service.crash(primary)
+    target = run_until_ordered(service).upstream
+    take_effect = service._take_effect
+    service._take_effect = lambda item: None if item.name == target else take_effect(item)
+    run_until_promoted(service, CRASH_LIMIT_MS)
+    assert_that(service.promoted, Not(Contains(target)))
+    assert_nothing_lost(service)
