Send a COMMIT of writes only under a lease on its primary

What callers saw: a COMMIT ended in doubt while control replaced its primary, where it had been sent although its success could not be acknowledged. A client can't repeat that.

Cause: single writes wait for a lease before they are sent, a COMMIT did not: statements of an open transaction went straight to its connection.

Change: it waits in the queue, before other statements, until a lease on its upstream arrives. Where a lease on another one comes first, the connection ends, the statement times out or control is out of reach, the transaction is rolled back and the client told that nothing is kept.

--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -135,6 +135,10 @@
         if session is not None and session.connection == connection.number:
             session.connection = None
             session.state = TransactionState.FAILED
+            if session.current is not None:
+                # A COMMIT that waited for a lease; nothing of it was sent.
+                error = Error(Fault.ABORTED, f"{item.upstream} closed the connection")
+                effects += answers.fail(state, now_ms, session.current, error)
     return effects + routing.dispatch_queued(state, now_ms, item.service)
 
 
@@ -392,7 +396,7 @@
             f"last refusal: {request.last_refusal or 'none'}"
         )
         error = Error(Fault.BUSY, text, routing.RETRY_AFTER_MS)
-        return answers.fail(state, now_ms, request, error)
+        return routing.refuse(state, now_ms, request, error)
     error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
     if commit_confirmations.is_waiting(state, request):
         text = f"no lease shows that {request.upstream} was the primary at the commit"
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -14,6 +14,7 @@
 from ..watermarks import required_position
 from . import answers, forwarding, holders, pool, primary_leases, primary_waits
 from .effects import Effect, LogEvent
+from .requests import commits_writes
 from .state import (
     GatewayState,
     QueuedRequest,
@@ -35,6 +36,7 @@
 MAX_BUSY_BACKOFF_MS = 120  # a fifth of the usual latency objective
 READ_ONLY_BACKOFF_MS = 100  # after an upstream answered that it is not the primary
 LAGGING_BACKOFF_MS = 150  # after a replica answered that it lacks the required position
+PINNED_PRIORITY = -1  # of a COMMIT, which holds a connection that others wait for
 MAX_READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_AFTER_MS = 300  # sent to clients whose statement was refused for lack of capacity
 OUT_OF_REACH_RETRY_AFTER_MS = 1_000  # about the time of an election in control
@@ -56,29 +58,35 @@
 def route_request(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Send a request upstream, or queue it until a connection is available."""
     session = state.sessions[request.session]
-    if session.connection is not None:
-        connection = state.connections[session.connection]
-        return pool.send_pinned(state, now_ms, connection, session, request)
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
         return result.effects
     if result.refusal is not None:
-        return result.effects + answers.fail(state, now_ms, request, result.refusal)
+        return result.effects + refuse(state, now_ms, request, result.refusal)
     if primary_leases.is_out_of_reach(state, now_ms, session, request):
         text = "this gateway has no contact with control, which would confirm the primary"
         error = Error(Fault.BUSY, text, OUT_OF_REACH_RETRY_AFTER_MS)
-        return result.effects + answers.fail(state, now_ms, request, error)
+        return result.effects + refuse(state, now_ms, request, error)
     return result.effects + enqueue(state, now_ms, request)
 
 
+def refuse(state: GatewayState, now_ms: int, request: Request, error: Error) -> list[Effect]:
+    """Refuse a request that was not sent; a transaction that waited to commit is rolled back."""
+    effects = pool.release_session(state, now_ms, state.sessions[request.session])
+    return effects + answers.fail(state, now_ms, request, error)
+
+
 def enqueue(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Queue a request until a connection is available, or refuse it if the queue is full."""
     session = state.sessions[request.session]
     if state.queued >= state.settings.queue_limit:
         error = Error(Fault.BUSY, "too many statements are queued in this gateway", RETRY_AFTER_MS)
-        return answers.fail(state, now_ms, request, error)
+        return refuse(state, now_ms, request, error)
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
-    item = QueuedRequest(request.route.priority, request.serial, request)
+    priority = request.route.priority
+    if session.connection is not None:
+        priority = PINNED_PRIORITY
+    item = QueuedRequest(priority, request.serial, request)
     heapq.heappush(queue.primary if needs_primary(session, request) else queue.reads, item)
     state.queued += 1
     return []
@@ -190,7 +198,7 @@
         if result.is_routed:
             continue
         if result.refusal is not None:
-            effects += answers.fail(state, now_ms, request, result.refusal)
+            effects += refuse(state, now_ms, request, result.refusal)
             continue
         waiting.append(item)
         if not result.needs_lease:
@@ -204,6 +212,8 @@
 def _try_route(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> RoutingResult:
+    if session.connection is not None:
+        return _try_pinned(state, now_ms, session, request)
     if session.origin is None and _is_forwarded(state, now_ms, session, request):
         return RoutingResult(True, forwarding.forward(state, now_ms, session, request))
     if not needs_primary(session, request):
@@ -213,6 +223,29 @@
     return _try_primary(state, now_ms, session, request)
 
 
+def _try_pinned(
+    state: GatewayState, now_ms: int, session: Session, request: Request
+) -> RoutingResult:
+    """Send a statement on its transaction's connection, a COMMIT of writes only under a lease.
+
+    Without one its success could not be acknowledged. Unsent, the transaction can be rolled back.
+    """
+    assert session.connection is not None
+    connection = state.connections[session.connection]
+    upstream, service = connection.upstream, request.route.service
+    if not commits_writes(session, request) or primary_leases.covers_commit(
+        state, service, upstream, now_ms
+    ):
+        return RoutingResult(True, pool.send_pinned(state, now_ms, connection, session, request))
+    lease = state.primary_leases.get(service)
+    if lease is not None and lease.upstream != upstream and now_ms < lease.valid_until_ms:
+        error = Error(Fault.ABORTED, f"{upstream} was replaced as primary before the commit")
+        return RoutingResult(False, [], refusal=error)
+    request.last_refusal = f"{upstream}: no lease on it as the primary"
+    refusal = primary_waits.refusal(state, now_ms, session, request, upstream)
+    return RoutingResult(False, [], needs_lease=True, refusal=refusal)
+
+
 def _try_primary(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> RoutingResult:
