Don't wait 30 s for commits that a replica departed without

Cause: commits that nobody received may count in the positions that gateways report. That wait ends after 10 s, unless an upstream may have a copy; a departed one was taken to have one for the 60 s in which the directory remembers it.

Change: control records departures that were announced or have a successor, and bounds each log by the position of the primary in the first probe that was sent after it. A departed upstream counts only where that bound exceeds the target's log. A departure that may be revoked, and one that no later probe bounds, count as before.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -12,6 +12,7 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..positions import ZERO, Position
+from . import departures
 from .service_state import Failover
 from .state import ControlState
 
@@ -77,7 +78,7 @@
     """Return whether the missing commits were still waiting for a replica, so that no one has them.
 
     They are no more than the primary has slots, and every upstream that may have had a copy has
-    answered: none has departed, restarted or stayed out of reach.
+    answered: none has restarted or stayed out of reach, or departed since they were made.
     """
     if received < attempt.received:
         return False
@@ -89,8 +90,12 @@
         slots = max(slots, report.slots)
         if report.upstream == attempt.previous:
             continue
+        if report.state is UpstreamState.GONE:
+            if departures.may_exceed(state, attempt.service, report.upstream, received):
+                return False
+            continue
         paused = attempt.paused.get(report.upstream)
-        if report.state is UpstreamState.GONE or paused is None:
+        if paused is None:
             return False
         if paused.born_ms != report.born_ms:
             return False
--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,7 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import primary_leases, probes
+from . import departures, primary_leases, probes
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -189,6 +189,7 @@
     directory_state.contended_shared = contended
     directory_state.share_due_ms = now_ms + SHARE_INTERVAL_MS
     remove_expired(directory_state.directory, now_ms)
+    departures.record_departures(state, now_ms)
     return effects + _send_share(state, now_ms, _recent_reports(state, now_ms), 0)
 
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -58,12 +58,25 @@
     position: Position
 
 
+class Departure(NamedTuple):
+    """A departed upstream, of which this process learned at ``learned_ms``.
+
+    ``revision`` is that of its directory entry. ``bound`` is a position of the primary that was
+    probed later, which the departed upstream's log didn't exceed; None until there is one.
+    """
+
+    revision: int
+    learned_ms: int
+    bound: Position | None = None
+
+
 @dataclass(slots=True)
 class WatchState:
     """The watched connections, and the results of the probes.
 
     ``by_upstream`` holds connection numbers, ``reopen_at_ms`` the time before which no connection
     to an upstream is opened, ``watermarks`` and ``terms`` the latest results by service.
+    ``departures`` holds the departed upstreams of each service while the directory does.
     """
 
     connections: dict[int, WatchedConnection] = field(default_factory=dict)
@@ -71,6 +84,7 @@
     reopen_at_ms: dict[str, int] = field(default_factory=dict)
     watermarks: dict[str, PrimaryWatermark] = field(default_factory=dict)
     terms: dict[str, int] = field(default_factory=dict)
+    departures: dict[str, dict[str, Departure]] = field(default_factory=dict)
     next_connection: int = 1
 
 
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -14,7 +14,7 @@
     ConnectionOpened,
     ConnectionReplied,
 )
-from . import failover, primary_leases, probes, replica_pauses
+from . import departures, failover, primary_leases, probes, replica_pauses
 from .effects import Effect, LogEvent
 from .service_state import PendingProbe, PrimaryWatermark, ProbeKind, WatchedConnection
 from .state import ControlState
@@ -137,6 +137,7 @@
     state.watch.watermarks[service] = PrimaryWatermark(
         connection.upstream, pending.sent_ms, reply.position
     )
+    departures.bound_departures(state, service, pending.sent_ms, reply.position)
     effects: list[Effect] = []
     if previous is None or previous.upstream != connection.upstream:
         previous_name = previous.upstream if previous else "none"
--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -2,13 +2,17 @@
 
 import pytest
 from control_driver import ADDRESSES, SERVICE, peer
+from endivewick_core.control import departures
 from endivewick_core.control import events as ce
+from endivewick_core.control.commit_coverage import UNCERTAIN_COMMITS_TIMEOUT_MS
 from endivewick_core.control.failover import PROMOTION_SETTLING_MS, PROMOTION_TIMEOUT_MS
 from endivewick_core.control.primary_leases import ORDER_VALIDITY_MS
 from endivewick_core.control.probes import PEER_TIMEOUT_MS
 from endivewick_core.control.state import Role
 from endivewick_core.control.watch import REOPEN_DELAY_MS
+from endivewick_core.directory import UpstreamState
 from endivewick_core.messages import DirectoryShare, PrimaryHealth
+from endivewick_core.positions import Position
 from replicated_service import (
     GATEWAYS,
     LEASE_MARGIN_MS,
@@ -27,7 +31,7 @@
     run_until_promoted,
 )
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, LessThan, Not
+from testtools.matchers import Contains, Equals, Is, LessThan, Not
 
 
 def acknowledge_unreported(service, for_ms):
@@ -232,3 +236,43 @@
     run_until_promoted(service, CRASH_LIMIT_MS)
     assert_that(service.promoted, Not(Contains(target)))
     assert_nothing_lost(service)
+
+
+# Guards against a wait that ends after 10 s, as for commits that nobody received, although a
+# replica departed with the only copies just before. The primary has them, and comes back later.
+@pytest.mark.parametrize("until_crash_ms", [0, 300])
+def test_copies_that_just_departed_are_waited_for(service, until_crash_ms):
+    primary, second, third = instances(service)
+    service.leave(second)
+    service.run(1_000)
+    third.is_deaf = True
+    service.run(2 * STEP_MS)
+    service.depart(second)
+    service.run(until_crash_ms)
+    service.crash(primary)
+    third.is_deaf = False
+    service.run(UNCERTAIN_COMMITS_TIMEOUT_MS + 5_000)
+    service.come_back(primary)
+    assert_serves_within(service, LOSS_LIMIT_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against a bound on the log of a departed upstream from a probe before its departure, or
+# from before it started again.
+def test_a_departed_log_is_bounded_by_later_probes_only(service):
+    _, second, _ = instances(service)
+    service.leave(second)
+    service.depart(second)
+    state, now_ms = service.state, service.now_ms
+    departures.record_departures(state, now_ms)
+    departures.bound_departures(state, SERVICE, now_ms - 1, Position(1, 500))
+    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 900)), Is(True))
+    departures.bound_departures(state, SERVICE, now_ms + 1, Position(1, 500))
+    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 499)), Is(True))
+    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 500)), Is(False))
+    second.state = UpstreamState.READY
+    service.come_back(second)
+    service.report(second)
+    service.leave(second)
+    service.depart(second)
+    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 500)), Is(True))
