Proxy: a promotion raises no demand on the next target

If that one ends before it has acknowledged anything, the next one would be waited for up to 30 s in vain. The position is lowered only where writes are given up.

Found in reading. test_the_proxy_demands_only_what_it_acknowledged fails on the code before.

--- a/packages/core/src/endivewick_core/proxy/failover.py
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -119,12 +119,12 @@
     if not candidates or (missing and now_ms - home.phase_since_ms < REPLICA_WAIT_MS):
         return []
     best = max(candidates, key=_rank)
-    waited_ms = now_ms - home.phase_since_ms
-    if not covers(best.position, home.replicated_position) and waited_ms < MISSING_COPY_WAIT_MS:
-        return []
+    if not covers(best.position, home.replicated_position):
+        if now_ms - home.phase_since_ms < MISSING_COPY_WAIT_MS:
+            return []
+        home.replicated_position = best.position  # the writes after it are given up
     highest_term = max(item.position.term for item in home.instances.values())
     term = max(group.term, highest_term) + 1
-    home.replicated_position = best.position
     command = Promote(home.group, home.epoch, term, best.name, best.position.offset)
     text = f"proposes {best.name} as the primary of {home.group} in term {term}"
     effects = configuration.propose(state, now_ms, command)
--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -5,6 +5,7 @@
 from endivewick_core.control import events as ce
 from endivewick_core.directory import UpstreamState
 from endivewick_core.messages import DirectoryShare, HeardReport, PrimaryHealth
+from endivewick_core.positions import ZERO
 from endivewick_core.statements import StatementKind as K
 from gateway_driver import ready_gateway
 from replicated_service import GATEWAYS, OrderCourse
@@ -279,6 +280,20 @@
     assert_that(lost_by_proxy(driver), Equals([]))
 
 
+# A target that is promoted raises no demand on the next one: it may end before it has acknowledged
+# anything, and the next one would be waited for in vain.
+def test_the_proxy_demands_only_what_it_acknowledged():
+    driver = ready_driver(1)
+    driver.run(500)
+    driver.kill_upstream("u0")
+    driver.run(5_000)
+    homes = [
+        home for name in matrix.PROXIES for home in driver.processes[name].state.homes.values()
+    ]
+    assert_that([item.kind for item in driver.history].count("promoted"), Equals(1))
+    assert_that({home.replicated_position for home in homes}, Equals({ZERO}))
+
+
 # A DELETE names no start. One that is late, or repeated since its answer was lost, marks the new
 # start of the same id as departed, and for one start that is final: its reports are dropped.
 def test_a_late_departure_does_not_remove_the_next_start_of_an_upstream(service):
