Find the replicas that answered once a tick, and a departure by its entry

Behaviour stays as it is. _choose_primary computed _answered_replicas a second time while commits were missing; departures.may_exceed looked the directory entry up again that its caller holds; and gateway/primary_waits.py had a type only to pass three values to a log event.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -91,7 +91,7 @@
         if report.upstream == attempt.previous:
             continue
         if report.state is UpstreamState.GONE:
-            if departures.may_exceed(state, attempt.service, report.upstream, received):
+            if departures.may_exceed(state, entry, received):
                 return False
             continue
         paused = attempt.paused.get(report.upstream)
--- a/packages/core/src/endivewick_core/control/departures.py
+++ b/packages/core/src/endivewick_core/control/departures.py
@@ -4,7 +4,7 @@
 after the departure.
 """
 
-from ..directory import FINAL_SEQUENCE, UpstreamState
+from ..directory import FINAL_SEQUENCE, DirectoryEntry, UpstreamState
 from ..positions import Position
 from .service_state import Departure
 from .state import ControlState
@@ -36,10 +36,9 @@
             departures[upstream] = departure._replace(bound=position)
 
 
-def may_exceed(state: ControlState, service: str, upstream: str, received: Position) -> bool:
+def may_exceed(state: ControlState, entry: DirectoryEntry, received: Position) -> bool:
     """Return whether a departed upstream may have had commits after ``received``."""
-    entry = state.directory_state.directory.entries[upstream]
-    departure = state.watch.departures.get(service, {}).get(upstream)
+    departure = state.watch.departures.get(entry.report.service, {}).get(entry.report.upstream)
     if departure is None or departure.revision != entry.revision or departure.bound is None:
         return True
     return received < departure.bound
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -220,7 +220,8 @@
     effects = replica_pauses.pause(state, now_ms, attempt)
     if attempt.pausing_since_ms is None:
         attempt.pausing_since_ms = now_ms
-    target = _find_target(state, now_ms, attempt)
+    replicas = _answered_replicas(state, now_ms, attempt)
+    target = _find_target(state, now_ms, attempt, replicas)
     if target:
         if now_ms < attempt.order_due_ms:
             return effects
@@ -228,15 +229,16 @@
         return effects + _send_order(state, now_ms, attempt)
     if attempt.incomplete_since_ms is None:
         attempt.incomplete_since_ms = now_ms
-    if not attempt.is_gap_logged and _answered_replicas(state, now_ms, attempt):
+    if replicas and not attempt.is_gap_logged:
         attempt.is_gap_logged = True
         effects.append(failover_event(state, now_ms, attempt, "warning", "commits_missing"))
     return effects + _return_to_primary(state, now_ms, attempt, primary)
 
 
-def _find_target(state: ControlState, now_ms: int, attempt: Failover) -> str:
+def _find_target(
+    state: ControlState, now_ms: int, attempt: Failover, replicas: list[DirectoryEntry]
+) -> str:
     """Return the replica to promote, or an empty text while there is none to promote yet."""
-    replicas = _answered_replicas(state, now_ms, attempt)
     if not replicas:
         return ""
     target, is_complete = commit_coverage.choose_target(state, now_ms, attempt, replicas)
--- a/packages/core/src/endivewick_core/gateway/primary_waits.py
+++ b/packages/core/src/endivewick_core/gateway/primary_waits.py
@@ -5,8 +5,6 @@
 refused together return spread out.
 """
 
-from typing import NamedTuple
-
 from ..messages import PrimaryWaitNote
 from ..statements import Error, Fault
 from . import pool, primary_leases
@@ -19,14 +17,6 @@
 TOLD_VALIDITY_MS = 1_000  # of what control told, where the next polls get no answer
 
 
-class _Change(NamedTuple):
-    """A wait that begins or ends."""
-
-    service: str
-    waited_ms: int
-    outcome: str
-
-
 def apply_notes(
     state: GatewayState, now_ms: int, requested_ms: int, notes: list[PrimaryWaitNote]
 ) -> list[Effect]:
@@ -38,17 +28,15 @@
         )
         for note in notes
     }
-    changes = [
-        _Change(note.service, note.waited_ms, "refuses statements that need the primary")
-        for note in notes
-        if note.service not in known
-    ]
-    changes += [
-        _Change(service, now_ms - wait.since_ms, "ended")
-        for service, wait in known.items()
-        if service not in state.primary_waits
-    ]
-    return [_log_event(change) for change in changes]
+    effects: list[Effect] = []
+    for note in notes:
+        if note.service not in known:
+            outcome = "refuses statements that need the primary"
+            effects.append(_log_event(note.service, note.waited_ms, outcome))
+    for service, wait in known.items():
+        if service not in state.primary_waits:
+            effects.append(_log_event(service, now_ms - wait.since_ms, "ended"))
+    return effects
 
 
 def refusal(
@@ -88,6 +76,6 @@
     return return_ms + return_ms * step // (2 * RETURN_STEPS)
 
 
-def _log_event(change: _Change) -> LogEvent:
-    inputs: dict[str, object] = {"service": change.service, "waited_ms": change.waited_ms}
-    return LogEvent("warning", "primary_awaited", "", "", inputs, change.outcome)
+def _log_event(service: str, waited_ms: int, outcome: str) -> LogEvent:
+    inputs: dict[str, object] = {"service": service, "waited_ms": waited_ms}
+    return LogEvent("warning", "primary_awaited", "", "", inputs, outcome)
--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -264,15 +264,16 @@
     service.leave(second)
     service.depart(second)
     state, now_ms = service.state, service.now_ms
+    entry = state.directory_state.directory.entries[second.name]
     departures.record_departures(state, now_ms)
     departures.bound_departures(state, SERVICE, now_ms - 1, Position(1, 500))
-    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 900)), Is(True))
+    assert_that(departures.may_exceed(state, entry, Position(1, 900)), Is(True))
     departures.bound_departures(state, SERVICE, now_ms + 1, Position(1, 500))
-    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 499)), Is(True))
-    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 500)), Is(False))
+    assert_that(departures.may_exceed(state, entry, Position(1, 499)), Is(True))
+    assert_that(departures.may_exceed(state, entry, Position(1, 500)), Is(False))
     second.state = UpstreamState.READY
     service.come_back(second)
     service.report(second)
     service.leave(second)
     service.depart(second)
-    assert_that(departures.may_exceed(state, SERVICE, second.name, Position(1, 500)), Is(True))
+    assert_that(departures.may_exceed(state, entry, Position(1, 500)), Is(True))
