--- a/tests/test_failover_guards.py
+++ b/tests/test_failover_guards.py
@@ -1,9 +1,8 @@
 """Guards of a failover that act only where a second thing goes wrong at the same time."""
 
 import pytest
-from control_driver import ADDRESSES, SERVICE, peer
+from control_driver import ADDRESSES, SERVICE
 from endivewick_core.control import departures
-from endivewick_core.control import events as ce
 from endivewick_core.control.commit_coverage import UNCERTAIN_COMMITS_TIMEOUT_MS
 from endivewick_core.control.failover import PROMOTION_SETTLING_MS, PROMOTION_TIMEOUT_MS
 from endivewick_core.control.primary_leases import ORDER_VALIDITY_MS
@@ -11,7 +10,6 @@
 from endivewick_core.control.state import Role
 from endivewick_core.control.watch import REOPEN_DELAY_MS
 from endivewick_core.directory import UpstreamState
-from endivewick_core.messages import DirectoryShare, PrimaryHealth
 from endivewick_core.positions import Position
 from replicated_service import (
     GATEWAYS,
@@ -27,6 +25,7 @@
     assert_nothing_lost,
     assert_serves_within,
     instances,
+    leave_the_only_receiver,
     run_until_ordered,
     run_until_promoted,
 )
@@ -95,27 +94,21 @@
     assert_nothing_lost(service)
 
 
-def share_health(service, primary, failing_ms):
-    """Let the other control processes say how long they find a primary failing."""
-
-    def share():
-        for address in ADDRESSES[1:]:
-            health = [PrimaryHealth(SERVICE, primary.name, failing_ms, 0)]
-            message = DirectoryShare(peer(address), 0, [], health, 0, [], {})
-            service.handle(ce.MessageReceived(service.now_ms, message))
-
-    service.share = share
-    share()
+def assert_not_replaced(service, primary):
+    """The primary, which control can't reach, goes on to lead."""
+    service.run(8_000)
+    assert_that(service.orders, Equals([]))
+    assert_that(primary.leads, Equals(True))
 
 
 # Guards against a leader that replaces a primary which only it can't reach.
 def test_a_primary_that_answers_the_other_control_processes_is_not_replaced(service):
     primary, _, _ = instances(service)
-    share_health(service, primary, failing_ms=0)
+    share = service.share
+    service.share = lambda: share(failing_ms=0)
+    service.share()
     service.cut_from_control(primary)
-    service.run(8_000)
-    assert_that(service.orders, Equals([]))
-    assert_that(primary.leads, Equals(True))
+    assert_not_replaced(service, primary)
 
 
 # Guards against a leader that hears no other control process and takes itself for the majority.
@@ -125,9 +118,7 @@
     service.share = lambda: None
     service.run(PEER_TIMEOUT_MS)
     service.cut_from_control(primary)
-    service.run(8_000)
-    assert_that(service.orders, Equals([]))
-    assert_that(primary.leads, Equals(True))
+    assert_not_replaced(service, primary)
 
 
 # The same after a restart of control, where the leader knows of no primary.
@@ -136,18 +127,13 @@
     service.share = lambda: None
     service.cut_from_control(primary)
     service.restart_control()
-    service.run(8_000)
-    assert_that(service.orders, Equals([]))
-    assert_that(primary.leads, Equals(True))
+    assert_not_replaced(service, primary)
 
 
 # Guards against an attempt that begins anew and forgets what its departed target had received.
 # The gateways that acknowledged it have ended, so that nothing else tells.
 def test_a_new_attempt_knows_what_the_departed_target_had(service):
-    primary, second, third = instances(service)
-    service.leave(second)
-    service.run(1_000)
-    third.is_deaf = True
+    primary, second, third = leave_the_only_receiver(service)
     acknowledge_unreported(service, 200)
     service.crash(primary)
     order = run_until_ordered(service)
@@ -164,10 +150,7 @@
 # Guards against an attempt that begins anew and forgets where the log of the primary ended which
 # it told to step down: that primary alone has every commit, and would not be told to lead again.
 def test_a_new_attempt_knows_the_end_of_the_primary_that_stepped_down(service):
-    primary, second, third = instances(service)
-    service.leave(second)
-    service.run(1_000)
-    third.is_deaf = True
+    primary, second, third = leave_the_only_receiver(service)
     service.run(1_000)
     service.leave(primary)
     order = run_until_ordered(service)
@@ -242,10 +225,7 @@
 # replica departed with the only copies just before. The primary has them, and comes back later.
 @pytest.mark.parametrize("until_crash_ms", [0, 300])
 def test_copies_that_just_departed_are_waited_for(service, until_crash_ms):
-    primary, second, third = instances(service)
-    service.leave(second)
-    service.run(1_000)
-    third.is_deaf = True
+    primary, second, third = leave_the_only_receiver(service)
     service.run(2 * STEP_MS)
     service.depart(second)
     service.run(until_crash_ms)
--- a/tests/test_promotions_keep_commits.py
+++ b/tests/test_promotions_keep_commits.py
@@ -77,15 +77,33 @@
     assert_nothing_lost(service)
 
 
-def lose_the_only_copy(service):
-    """Let a leaving replica depart with the only copy of the newest commits, and the primary crash.
+def leave_the_only_receiver(service):
+    """Let a replica leave that goes on to receive, while the other one receives nothing.
 
-    The other replica receives nothing until 3 s after the crash.
+    Return the primary and the two.
     """
     primary, second, third = instances(service)
     service.leave(second)
     service.run(1_000)
     third.is_deaf = True
+    return primary, second, third
+
+
+def leave_with_a_lagging_replica(service):
+    """Let the replica that has the newest commits depart, and then the primary leave."""
+    primary, second, third = leave_the_only_receiver(service)
+    service.run(2_000)
+    service.depart(second)
+    service.leave(primary)
+    return primary, third
+
+
+def lose_the_only_copy(service):
+    """Let a leaving replica depart with the only copy of the newest commits, and the primary crash.
+
+    The other replica receives nothing until 3 s after the crash.
+    """
+    primary, second, third = leave_the_only_receiver(service)
     service.run(3_000)
     service.depart(second)
     service.run(300)
@@ -342,13 +360,7 @@
 # As review/2, in a planned change. A primary that has stepped down replicates nothing more, so the
 # replica that lags can't catch up then.
 def test_a_leaving_primary_is_not_replaced_by_a_lagging_replica(service):
-    primary, second, third = instances(service)
-    service.leave(second)
-    service.run(1_000)
-    third.is_deaf = True
-    service.run(2_000)
-    service.depart(second)
-    service.leave(primary)
+    _, third = leave_with_a_lagging_replica(service)
     service.later(3_000, lambda: setattr(third, "is_deaf", False))
     run_until_promoted(service)
     assert_serves_within(service, LOSS_LIMIT_MS)
--- a/tests/test_review_28.py
+++ b/tests/test_review_28.py
@@ -15,6 +15,7 @@
     assert_nothing_lost,
     assert_serves_within,
     instances,
+    leave_with_a_lagging_replica,
     run_until_ordered,
 )
 from testtools.assertions import assert_that
@@ -179,18 +180,6 @@
     assert_nothing_lost(service)
 
 
-def leave_with_a_lagging_replica(service):
-    """Let the replica that has the newest commits depart, and then the primary leave."""
-    primary, second, third = instances(service)
-    service.leave(second)
-    service.run(1_000)
-    third.is_deaf = True
-    service.run(2_000)
-    service.depart(second)
-    service.leave(primary)
-    return primary, third
-
-
 # A former primary that stepped down and then crashed is ordered to lead again. The platform refuses
 # each time, and a new attempt begins at once, with two more entries of the log.
 def test_a_former_primary_that_crashed_is_not_ordered_again_and_again(service):
