Gateway: no import circle; work left by an event is done by the reducer

Six modules imported each other: answers, forwarding, pool, primary_waits, routing and sessions. Releasing a connection, answering and re-queueing now record what is to be done next in state.follow_up, and the reducer does it after the event's handler. Forwarding is split: what the origin sends (forwarding), how it handles answers (forwarded_requests), and what the holder runs (remote_sessions).

No change of behaviour is meant. The order differs in one case: a queue is dispatched before a pipelined statement of the answered session runs. Checked: no module of gateway/ reaches itself through its imports; gateway, forwarding, load pattern and lease tests pass.

--- a/packages/core/src/endivewick_core/gateway/answers.py
+++ b/packages/core/src/endivewick_core/gateway/answers.py
@@ -2,7 +2,6 @@
 
 from ..positions import Position
 from ..statements import Error, StatementKind, TransactionState, UpstreamReply
-from . import sessions
 from .effects import AnswerStatement, Effect, LogEvent, StatementServed
 from .state import GatewayState, Request, Session
 
@@ -40,7 +39,8 @@
     late_ms = now_ms - request.received_ms - request.route.objective_ms
     if late_ms > 0:
         effects.append(_log_event(state, "warning", "answered_late", now_ms, request, "ok"))
-    return effects + sessions.run_waiting(state, now_ms, session)
+    state.follow_up.sessions.append(session)
+    return effects
 
 
 def fail(
@@ -67,7 +67,8 @@
         AnswerStatement(session.number, (), "", error, session.state, position or session.position),
         _served(now_ms, request, error.fault.value),
     ]
-    return effects + sessions.run_waiting(state, now_ms, session)
+    state.follow_up.sessions.append(session)
+    return effects
 
 
 def _served(now_ms: int, request: Request, outcome: str) -> StatementServed:
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, primary_leases, routing
+from . import limits, primary_leases
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -136,7 +136,8 @@
     if request.wait_for is None and not primary_leases.covers_primary(
         state, service, connection.upstream, now_ms
     ):
-        return routing.enqueue(state, now_ms, request) + release(state, now_ms, connection)
+        state.follow_up.requests.append(request)
+        return release(state, now_ms, connection)
     return _send_in_transaction(state, now_ms, connection, session, request)
 
 
@@ -195,7 +196,7 @@
 
 
 def make_idle(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
-    """Make a connection idle and dispatch queued requests; close it if excess or unusable."""
+    """Make a connection idle for queued requests; close it if excess or unusable."""
     pool = state.pools[connection.upstream]
     connection.session = None
     connection.idle_since_ms = now_ms
@@ -203,7 +204,8 @@
     if above or not accepts_work(state, pool):
         return close(state, connection)
     pool.idle.append(connection.number)
-    return routing.dispatch_queued(state, now_ms, pool.service)
+    state.follow_up.services.append(pool.service)
+    return []
 
 
 def renew(state: GatewayState, now_ms: int, connection: Connection) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -12,8 +12,10 @@
 )
 from . import (
     control_link,
+    forwarded_requests,
     forwarding,
     maintenance,
+    remote_sessions,
     results,
     routing,
     sessions,
@@ -44,7 +46,25 @@
 def reduce(state: GatewayState, event: Event) -> list[Effect]:
     """Change ``state`` by one event and return the effects, in the order to carry out."""
     effects: list[Effect] = _HANDLERS[type(event)](state, event)
-    return forwarding.forward_answers(state, effects)
+    effects += _follow_up(state, event.now_ms)
+    return remote_sessions.forward_answers(state, effects)
+
+
+def _follow_up(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Do the work that the handlers of an event left, and the work that this leaves in turn."""
+    effects: list[Effect] = []
+    work = state.follow_up
+    while work.requests or work.services or work.sessions:
+        if work.requests:
+            effects += routing.enqueue(state, now_ms, work.requests.pop(0))
+            continue
+        if work.services:
+            effects += routing.dispatch_queued(state, now_ms, work.services.pop(0))
+            continue
+        session = work.sessions.pop(0)
+        if session.number in state.sessions:
+            effects += sessions.run_waiting(state, now_ms, session)
+    return effects
 
 
 def _tick(state: GatewayState, event: Tick) -> list[Effect]:
@@ -53,7 +73,7 @@
     effects += results.check_deadlines(state, now_ms)
     effects += results.retry_overdue_reads(state, now_ms)
     effects += results.close_unresponsive(state, now_ms)
-    effects += forwarding.check_overdue(state, now_ms)
+    effects += forwarded_requests.check_overdue(state, now_ms)
     effects += forwarding.resend_undelivered(state)
     effects += sessions.check_idle(state, now_ms)
     effects += sessions.check_unconfigured(state, now_ms)
@@ -73,11 +93,11 @@
     if isinstance(event.message, PrimaryLeaseAnswer):
         return control_link.handle_leases(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedStatement):
-        return forwarding.handle_statement(state, event.now_ms, event.message)
+        return remote_sessions.handle_statement(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedReply):
-        return forwarding.handle_reply(state, event.now_ms, event.message)
+        return forwarded_requests.handle_reply(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedEnd):
-        return forwarding.handle_end(state, event.now_ms, event.message)
+        return remote_sessions.handle_end(state, event.now_ms, event.message)
     name = type(event.message).__name__
     return [LogEvent("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
 
@@ -85,7 +105,7 @@
 def _handle_undelivered(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
     if isinstance(event.message, DirectoryQuestion):
         return control_link.handle_undelivered_poll(state, event.now_ms, event.address)
-    return forwarding.handle_undelivered(state, event.now_ms, event.address, event.message)
+    return forwarded_requests.handle_undelivered(state, event.now_ms, event.address, event.message)
 
 
 def _start_drain(state: GatewayState, event: DrainRequested) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -14,7 +14,7 @@
     StatementKind,
     TransactionState,
 )
-from . import answers, forwarding, pool, routing
+from . import answers, pool, remote_sessions, routing
 from .effects import AcceptSession, CloseSession, Effect, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
 from .requests import is_write, open_request
@@ -84,7 +84,7 @@
             continue
         session.state = TransactionState.FAILED
         effects += pool.release_session(state, now_ms, session)
-        forwarding.remove_session(state, session)
+        remote_sessions.remove_session(state, session)
     return effects
 
 
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -284,6 +284,19 @@
     reads: list[QueuedRequest] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class FollowUp:
+    """Work that an event leaves for the reducer, which does it after the event's handler.
+
+    ``requests`` are queued, the queues of ``services`` are dispatched, and ``sessions`` run their
+    waiting statements.
+    """
+
+    requests: list[Request] = field(default_factory=list)
+    services: list[str] = field(default_factory=list)
+    sessions: list[Session] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class GatewayState:
     """The whole state of a gateway.
@@ -335,3 +348,4 @@
     next_sweep_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
+    follow_up: FollowUp = field(default_factory=FollowUp)
