Types of tenants and keys: configuration document, startup message, NOAUTH, policies

The types that the parts of docs/design/hard-load.md share. Nothing uses them yet, so behaviour is unchanged; test_platform_adapter expects the key that the startup message now carries.

--- a/packages/core/src/endivewick_core/gateway/events.py
+++ b/packages/core/src/endivewick_core/gateway/events.py
@@ -14,11 +14,12 @@
 
 
 class SessionOpened(NamedTuple):
-    """A client named its workspace on a new connection."""
+    """A client named its workspace and presented its key on a new connection."""
 
     now_ms: int
     session: int
     workspace: str
+    key: str = ""
 
 
 class StatementReceived(NamedTuple):
--- a/packages/core/src/endivewick_core/routes.py
+++ b/packages/core/src/endivewick_core/routes.py
@@ -22,7 +22,7 @@
 
     ``timeout_ms`` is the timeout of one statement, ``objective_ms`` the latency objective of a
     whole operation, and ``staleness_ms`` the staleness that reads are allowed. Lower values of
-    ``priority`` are served first.
+    ``priority`` are served first. A client needs no known key on a route that ``is_public``.
     """
 
     workspace: str
@@ -32,6 +32,20 @@
     objective_ms: int
     priority: int
     staleness_ms: int
+    is_public: bool = False
+
+
+class Tenant(NamedTuple):
+    """A customer whose clients identify themselves by a key.
+
+    ``rate_per_s`` and ``burst`` limit its operations over all gateways; a ``rate_per_s`` of None
+    sets no limit. Lower values of ``priority`` are served first among requests of one priority.
+    """
+
+    name: str
+    priority: int
+    rate_per_s: float | None
+    burst: float
 
 
 class Service(NamedTuple):
@@ -43,12 +57,17 @@
 
 
 class Configuration(NamedTuple):
-    """A configuration; ``routes`` is keyed by workspace and ``services`` by name."""
+    """A configuration; ``routes`` is keyed by workspace, ``services`` and ``tenants`` by name.
+
+    ``tenants`` is None where clients are not authenticated. ``tenant_names`` maps keys to tenants.
+    """
 
     version: int
     routes: dict[str, Route]
     services: dict[str, Service]
     transaction_idle_ms: int
+    tenants: dict[str, Tenant] | None = None
+    tenant_names: dict[str, str] = {}
 
 
 EMPTY = Configuration(0, {}, {}, 3_000)
--- a/packages/core/src/endivewick_core/statements.py
+++ b/packages/core/src/endivewick_core/statements.py
@@ -71,6 +71,7 @@
     TOO_MANY_CONNECTIONS = "too_many_connections"
     UNKNOWN_STATEMENT = "unknown_statement"
     UNKNOWN_WORKSPACE = "unknown_workspace"
+    UNAUTHENTICATED = "unauthenticated"
     BAD_REQUEST = "bad_request"
     OUTCOME_UNKNOWN = "outcome_unknown"
     TIMEOUT = "timeout"
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -126,7 +126,7 @@
     def _handle_message(self, client: ClientConnection, message: object) -> None:
         if isinstance(message, Startup) and not client.has_workspace:
             client.has_workspace = True
-            self._handle(SessionOpened(now_ms(), client.number, message.workspace))
+            self._handle(SessionOpened(now_ms(), client.number, message.workspace, message.key))
             return
         if isinstance(message, Statement) and client.has_workspace:
             self._handle(StatementReceived(now_ms(), client.number, message))
--- a/packages/node/src/endivewick_node/statement_wire.py
+++ b/packages/node/src/endivewick_node/statement_wire.py
@@ -12,9 +12,10 @@
 
 
 class Startup(NamedTuple):
-    """A client opens its session in a workspace."""
+    """A client opens its session in a workspace; its ``key`` identifies its tenant."""
 
     workspace: str
+    key: str = ""
 
 
 class Quit(NamedTuple):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -142,7 +142,7 @@
 
 def test_startup_and_quit_are_parsed():
     messages = codec.read_client()(b"STARTUP db1 u1\r\nQUIT\r\n")
-    assert_that(messages, Equals([Startup("db1"), Quit()]))
+    assert_that(messages, Equals([Startup("db1", "u1"), Quit()]))
 
 
 def test_unterminated_line_is_refused_at_the_limit():
