Gateway: authenticate sessions by their tenants' keys

A key is checked at session start, before each operation and each statement of a transaction, and again before a queued request is sent. A refused key rolls the transaction back, is answered with NOAUTH and closes the session.

--- a/packages/core/src/endivewick_core/gateway/answers.py
+++ b/packages/core/src/endivewick_core/gateway/answers.py
@@ -1,7 +1,8 @@
 """Answers to sessions, with the effects that count them and log failures and late answers."""
 
 from ..positions import Position
-from ..statements import Error, StatementKind, TransactionState, UpstreamReply
+from ..statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
+from . import tenants
 from .effects import AnswerStatement, Effect, LogEvent, StatementServed
 from .state import GatewayState, Request, Session
 
@@ -50,14 +51,18 @@
     error: Error,
     position: Position | None = None,
 ) -> list[Effect]:
-    """Answer a request with an error; an open transaction fails with it."""
+    """Answer a request with an error; an open transaction fails with it.
+
+    A refusal of its session's key ends the transaction and closes the session.
+    """
     session = state.sessions.get(request.session)
     if session is None or session.current is not request:
         return []
     state.requests.pop(request.serial, None)
     session.current = None
     session.last_active_ms = now_ms
-    ended = request.statement.kind is StatementKind.COMMIT
+    is_refused_key = error.fault is Fault.UNAUTHENTICATED
+    ended = request.statement.kind is StatementKind.COMMIT or is_refused_key
     if ended:
         session.state = TransactionState.IDLE
     elif session.state is TransactionState.OPEN:
@@ -67,6 +72,8 @@
         AnswerStatement(session.number, (), "", error, session.state, position or session.position),
         _served(now_ms, request, error.fault.value),
     ]
+    if is_refused_key:
+        return effects + tenants.close_session(state, session)
     state.follow_up.sessions.append(session)
     return effects
 
--- a/packages/core/src/endivewick_core/gateway/events.py
+++ b/packages/core/src/endivewick_core/gateway/events.py
@@ -21,6 +21,10 @@
     workspace: str
     key: str = ""
 
+    def __repr__(self) -> str:
+        """Return a text without the key, which must not appear in logs."""
+        return f"SessionOpened({self.now_ms}, {self.session}, {self.workspace!r})"
+
 
 class StatementReceived(NamedTuple):
     """A session sent a statement."""
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, primary_leases
+from . import limits, primary_leases, tenants
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -133,6 +133,10 @@
     if session is None or session.current is not request:
         return release(state, now_ms, connection)
     service = request.route.service
+    if tenants.statement_fault(state, session, request.route) is not None:
+        # Dispatching the queue refuses it.
+        state.follow_up.requests.append(request)
+        return release(state, now_ms, connection)
     if request.wait_for is None and not primary_leases.covers_primary(
         state, service, connection.upstream, now_ms
     ):
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits
+from . import answers, forwarding, holders, pool, primary_leases, primary_waits, tenants
 from .effects import Effect, LogEvent
 from .requests import commits_writes
 from .state import (
@@ -72,7 +72,10 @@
 
 def refuse(state: GatewayState, now_ms: int, request: Request, error: Error) -> list[Effect]:
     """Refuse a request that was not sent; a transaction that waited to commit is rolled back."""
-    effects = pool.release_session(state, now_ms, state.sessions[request.session])
+    session = state.sessions[request.session]
+    effects = pool.release_session(state, now_ms, session)
+    if error.fault is Fault.UNAUTHENTICATED:
+        effects += forwarding.send_end(state, session)
     return effects + answers.fail(state, now_ms, request, error)
 
 
@@ -212,6 +215,9 @@
 def _try_route(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> RoutingResult:
+    fault = tenants.statement_fault(state, session, request.route)
+    if fault is not None:
+        return RoutingResult(False, [], refusal=fault)
     if session.connection is not None:
         return _try_pinned(state, now_ms, session, request)
     if session.origin is None and _is_forwarded(state, now_ms, session, request):
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -14,8 +14,8 @@
     StatementKind,
     TransactionState,
 )
-from . import answers, pool, remote_sessions, routing
-from .effects import AcceptSession, CloseSession, Effect, RefuseSession
+from . import answers, pool, remote_sessions, routing, tenants
+from .effects import AcceptSession, CloseSession, Effect, LogEvent, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
 from .requests import is_write, open_request
 from .state import GatewayState, Session
@@ -28,13 +28,25 @@
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
 )
 
+# Statements before which the key is checked: the first of an operation, and all that go upstream.
+AUTHENTICATED_KINDS = UPSTREAM_KINDS | {StatementKind.BEGIN}
+
 
 def handle_opened(state: GatewayState, event: SessionOpened) -> list[Effect]:
-    """Open a session, or refuse it if its workspace has no route."""
-    configured = state.configuration.version > 0
-    if configured and event.workspace not in state.configuration.routes:
+    """Open a session, or refuse it if its workspace has no route or its key is unknown.
+
+    Before the first configuration has arrived, its first statement is checked instead.
+    """
+    route = state.configuration.routes.get(event.workspace)
+    session = Session(event.session, event.workspace, event.key, last_active_ms=event.now_ms)
+    if state.configuration.version and route is None:
         return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
-    session = Session(event.session, event.workspace, last_active_ms=event.now_ms)
+    fault = tenants.startup_fault(state, session, route) if route is not None else None
+    if fault is not None:
+        inputs: dict[str, object] = {"statement": "startup", "text": fault.text}
+        outcome = fault.fault.value
+        log_event = LogEvent("warning", "refused", "", event.workspace, inputs, outcome)
+        return [log_event, RefuseSession(event.session, fault)]
     state.sessions[event.session] = session
     return [AcceptSession(event.session)]
 
@@ -122,6 +134,10 @@
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
     session.last_active_ms = now_ms
+    if statement.kind in AUTHENTICATED_KINDS or not session.tenant:
+        fault = tenants.statement_fault(state, session)
+        if fault is not None:
+            return _refuse_key(state, now_ms, session, statement, fault)
     if statement.kind in UPSTREAM_KINDS:
         return _run_upstream(state, now_ms, session, statement)
     fault = _local_fault(state, session, statement)
@@ -146,6 +162,16 @@
     return answers.answer_local(session)
 
 
+def _refuse_key(
+    state: GatewayState, now_ms: int, session: Session, statement: Statement, fault: Error
+) -> list[Effect]:
+    """Refuse a statement for its session's key: roll back, answer and close the session."""
+    effects = routing.end_transaction(state, now_ms, session)
+    session.state = TransactionState.IDLE
+    effects += answers.refuse_local(session, statement.kind, statement.request_id, fault)
+    return effects + tenants.close_session(state, session)
+
+
 def _local_fault(state: GatewayState, session: Session, statement: Statement) -> Error | None:
     """Return why a statement that needs no upstream is refused, or None."""
     kind = statement.kind
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -103,11 +103,16 @@
     ``connection`` is pinned while a transaction runs upstream. ``holder`` is the gateway that runs
     the session's transaction, where that is another one. ``origin`` is set for a session of another
     gateway: that gateway's address and boot, and its number for the session.
-    ``origin_request_serial`` is that gateway's number for the current statement.
+    ``origin_request_serial`` is that gateway's number for the current statement, and
+    ``configuration_version`` the newest configuration that it had.
+
+    ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
 
     number: int
     workspace: str
+    key: str = field(default="", repr=False)
+    tenant: str = ""
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     state: TransactionState = TransactionState.IDLE
@@ -123,6 +128,7 @@
     holder: str = ""
     origin: tuple[str, str, int] | None = None
     origin_request_serial: int = 0
+    configuration_version: int = 0
 
 
 class Purpose(StrEnum):
--- a/packages/node/src/endivewick_node/statement_wire.py
+++ b/packages/node/src/endivewick_node/statement_wire.py
@@ -17,6 +17,10 @@
     workspace: str
     key: str = ""
 
+    def __repr__(self) -> str:
+        """Return a text without the key, which must not appear in logs."""
+        return f"Startup({self.workspace!r})"
+
 
 class Quit(NamedTuple):
     """A client ends its session."""
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -228,9 +228,9 @@
         error = Error(fault, "the connection was reset")
         self.handle(ConnectionBroke(self.now_ms, connection, error))
 
-    def session(self, number, workspace):
+    def session(self, number, workspace, key=""):
         """Open a session."""
-        self.handle(ev.SessionOpened(self.now_ms, number, workspace))
+        self.handle(ev.SessionOpened(self.now_ms, number, workspace, key))
         return number
 
     def send(self, session, kind, **fields):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -375,3 +375,69 @@
         text = path.read_text()
         for word in words:
             assert_that((word in text, str(path)), Equals((False, str(path))))
+
+
+TENANT = {
+    "name": "bode960",
+    "api-keys": ["8m82", "jy5r"],
+    "priority": 1,
+    "rate-per-s": 158,
+    "burst": 158,
+}
+
+
+def test_a_document_with_tenants_is_decoded():
+    plain = {"name": "kern", "api-keys": []}
+    routes = [ROUTE | {"public": True}]
+    document = DOCUMENT | {"tenants": [TENANT, plain], "routes": routes}
+    decoded = decode_configuration(json.dumps(document).encode()).unwrap()
+    assert_that(decoded.tenant_names, Equals({"8m82": "bode960", "jy5r": "bode960"}))
+    assert_that(decoded.tenants["bode960"], Equals(("bode960", 1, 158.0, 158.0)))
+    assert_that(decoded.tenants["kern"], Equals(("kern", 0, None, 0.0)))
+    assert_that(decoded.routes["db1"].is_public, Equals(True))
+
+
+def test_only_a_document_with_the_field_has_tenants():
+    decoded = decode_configuration(json.dumps(DOCUMENT).encode()).unwrap()
+    assert_that(decoded.tenants, Equals(None))
+    empty = decode_configuration(json.dumps(DOCUMENT | {"tenants": []}).encode()).unwrap()
+    assert_that(empty.tenants, Equals({}))
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANT, TENANT | {"api-keys": []}],
+        [TENANT, {"name": "kern", "api-keys": ["8m82"]}],
+        [TENANT | {"api-keys": ["8m82", "8m82"]}],
+        [TENANT | {"name": "public"}],
+        [TENANT | {"name": "endivewick"}],
+        [TENANT | {"name": "a b"}],
+        [TENANT | {"name": ""}],
+        [TENANT | {"rate-per-s": -1}],
+        [TENANT | {"burst": -0.5}],
+    ],
+)
+def test_a_document_with_faulty_tenants_is_refused_without_its_keys(tenants):
+    decoded = decode_configuration(json.dumps(DOCUMENT | {"tenants": tenants}).encode())
+    assert_that(decoded, IsInstance(Failure))
+    assert_that(repr(decoded.failure()), Not(Contains("8m82")))
+
+
+def test_all_faults_of_the_tenants_are_listed():
+    tenants = [TENANT | {"name": "public", "burst": -1}, TENANT | {"rate-per-s": -1}]
+    decoded = decode_configuration(json.dumps(DOCUMENT | {"tenants": tenants}).encode())
+    message = decoded.failure().message
+    for text in ("reserved", "burst", "rate-per-s", "api-keys"):
+        assert_that(message, Contains(text))
+
+
+def test_a_startup_message_carries_the_key():
+    (message,) = codec.read_client()(b"STARTUP db1 8m82\r\n")
+    assert_that((message.workspace, message.key), Equals(("db1", "8m82")))
+    assert_that(repr(message), Not(Contains("8m82")))
+
+
+def test_a_refusal_for_a_key_has_its_own_code():
+    refused = codec.encode_refused(Error(Fault.UNAUTHENTICATED, "the key is not known"))
+    assert_that(refused, Equals(b"ERR NOAUTH the key is not known\r\n"))
