Gateway: connections to upstreams belong to tenants

An idle connection serves only its own tenant. At its allowance a gateway closes the least recently used idle connection of another tenant, and a request without a connection holds up no other tenant's. At most as many connections are opened for a tenant as it has requests waiting; none is opened in advance.

--- a/packages/bench/src/endivewick_bench/soak/clients.py
+++ b/packages/bench/src/endivewick_bench/soak/clients.py
@@ -91,7 +91,7 @@
             self.stream = await trio.open_tcp_stream(*split_address(relay.listen_address))
             self.read = system.wire.statements.read_upstream()
             session = f"{self.name}.{next(self.serial)}"
-            greeting = system.wire.statements.encode_startup(self.workspace, "")
+            greeting = system.wire.statements.encode_startup(self.workspace, "", "")
             await self.stream.send_all(greeting.rstrip() + b"\r\n")
             message = await self._receive_message()
             if isinstance(message, Refused) or not isinstance(message, Accepted):
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -157,7 +157,8 @@
         "routes": len(configuration.routes),
     }
     state.configuration = configuration
-    effects = maintenance.renew_transactions(state, event.now_ms)
+    effects = maintenance.close_removed_tenants(state)
+    effects += maintenance.renew_transactions(state, event.now_ms)
     if not inputs["previous"]:
         for session in list(state.sessions.values()):
             effects += sessions.run_waiting(state, event.now_ms, session)
@@ -177,6 +178,8 @@
         holders.holds(state, service) for service in state.configuration.services
     ):
         return True
+    if state.configuration.tenants is not None:
+        return any(item.service in state.primaries for item in state.pools.values())
     return any(item.connections for item in state.pools.values())
 
 
@@ -203,8 +206,13 @@
 
 
 def preopen_connections(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Open a connection to each upstream that has none, so that first statements don't wait."""
+    """Open a connection to each upstream that has none, so that first statements don't wait.
+
+    With tenants none is opened: it would have to belong to the tenant of the next statement.
+    """
     effects: list[Effect] = []
+    if state.configuration.tenants is not None:
+        return effects
     for item in state.pools.values():
         if item.connections or not pool.accepts_work(state, item):
             continue
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -37,6 +37,7 @@
         session.position,
         state.configuration.version,
         max(0, request.deadline_ms - now_ms),
+        session.tenant,
     )
     return [Send(address, message)]
 
--- a/packages/core/src/endivewick_core/gateway/maintenance.py
+++ b/packages/core/src/endivewick_core/gateway/maintenance.py
@@ -1,6 +1,6 @@
 """Maintenance of idle connections: closing unused ones and renewing their transactions."""
 
-from . import limits, pool, routing
+from . import limits, pool, routing, tenants
 from .effects import Effect, LogEvent
 from .state import GatewayState, UpstreamPool
 
@@ -40,6 +40,17 @@
     return effects
 
 
+def close_removed_tenants(state: GatewayState) -> list[Effect]:
+    """Close the idle connections of tenants that the configuration in force doesn't have."""
+    effects: list[Effect] = []
+    for item in state.pools.values():
+        for number in list(item.idle):
+            connection = item.connections[number]
+            if not tenants.may_keep_connection(state, connection.tenant):
+                effects += pool.close(state, connection)
+    return effects
+
+
 def renew_transactions(state: GatewayState, now_ms: int) -> list[Effect]:
     """Renew the idle transactions, so that none is older than the configuration in force."""
     effects: list[Effect] = []
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, primary_leases, tenants
+from . import limits, primary_leases, tenant_connections, tenants
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -49,31 +49,67 @@
 
 
 def open_connection(
-    state: GatewayState, now_ms: int, pool: UpstreamPool, wanted: int = 1
+    state: GatewayState,
+    now_ms: int,
+    pool: UpstreamPool,
+    wanted: int = 1,
+    request: Request | None = None,
 ) -> list[Effect]:
-    """Open a connection if the limits allow it and fewer than ``wanted`` are being opened."""
+    """Open a connection if the limits allow it and fewer than ``wanted`` are being opened.
+
+    If ``request`` is that of a tenant, the connection is opened for the tenant if it waits for more
+    than are being opened for it; idle connections of other tenants are closed where it needs room.
+    """
     service = state.configuration.services.get(pool.service)
     entry = state.directory.entries.get(pool.upstream)
     if service is None or entry is None or now_ms < pool.connect_backoff_until_ms:
         return []
-    if len(pool.connections) >= limits.allowance(state, now_ms, pool):
+    tenant = request.tenant if request is not None else ""
+    excess = len(pool.connections) + 1 - limits.allowance(state, now_ms, pool)
+    if excess > 0 and (not tenant or len(pool.idle) < excess):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
-    if opening >= min(MAX_OPENING_CONNECTIONS, max(1, wanted)):
+    if opening >= (
+        MAX_OPENING_CONNECTIONS if tenant else min(MAX_OPENING_CONNECTIONS, max(1, wanted))
+    ):
         return []
-    connection = Connection(state.next_connection, pool.upstream, now_ms, last_received_ms=now_ms)
+    effects: list[Effect] = []
+    if request is not None and tenant:
+        if not tenant_connections.may_open(state, now_ms, request):
+            return []
+        if excess > 0:
+            evicted = tenant_connections.choose_evicted(state, now_ms, pool, request, excess)
+            if not evicted:
+                return []
+            for item in evicted:
+                effects += close(state, item)
+    connection = Connection(
+        state.next_connection,
+        pool.upstream,
+        now_ms,
+        tenant=tenant,
+        last_used_ms=now_ms,
+        last_received_ms=now_ms,
+    )
     state.next_connection += 1
     pool.connections[connection.number] = connection
     state.connections[connection.number] = connection
-    return [OpenConnection(connection.number, entry.report.address, pool.service, pool.upstream)]
+    address = entry.report.address
+    opened = OpenConnection(connection.number, address, pool.service, pool.upstream, tenant)
+    return [*effects, opened]
 
 
 def take_idle(pool: UpstreamPool, session: Session) -> Connection | None:
-    """Remove and return the idle connection that needs the least preparation, or None."""
+    """Remove and return the idle connection that needs the least preparation, or None.
+
+    Only connections of the session's tenant are taken.
+    """
     best: Connection | None = None
     best_cost = 0
     for number in reversed(pool.idle):
         connection = pool.connections[number]
+        if connection.tenant != session.tenant:
+            continue
         cost = 0 if _matches_session(connection, session) else 1
         if best is None or cost < best_cost:
             best, best_cost = connection, cost
@@ -205,7 +241,8 @@
     connection.session = None
     connection.idle_since_ms = now_ms
     above = pool.upstream in state.control.contended and limits.is_above_share(state, pool)
-    if above or not accepts_work(state, pool):
+    may_keep = tenants.may_keep_connection(state, connection.tenant)
+    if above or not accepts_work(state, pool) or not may_keep:
         return close(state, connection)
     pool.idle.append(connection.number)
     state.follow_up.services.append(pool.service)
@@ -300,6 +337,7 @@
         name = _prepare(now_ms, connection, session.prepared[statement.name], batch)
         statement = statement._replace(name=name)
     request.sent_ms = now_ms
+    connection.last_used_ms, connection.is_unused = now_ms, False
     request.upstream = connection.upstream
     request.wait_for = wait_for
     if request.changes_data:
--- a/packages/core/src/endivewick_core/gateway/remote_sessions.py
+++ b/packages/core/src/endivewick_core/gateway/remote_sessions.py
@@ -16,8 +16,9 @@
     state.control.undelivered_since_ms.pop(message.origin, None)
     known = state.sessions.get(number) if number is not None else None
     effects: list[Effect] = []
-    if known is not None and known.current is not None:
+    if known is not None and (known.current is not None or known.tenant != message.tenant):
         # The client's last statement timed out at its gateway, and the client sent the next one.
+        # Or the session runs as another tenant now, which can't use its transaction's connection.
         remove_session(state, known)
         effects += routing.abort_session(state, now_ms, known)
         known = None
@@ -32,6 +33,8 @@
     state.min_transaction_version = max(
         state.min_transaction_version, message.configuration_version
     )
+    session.configuration_version = message.configuration_version
+    session.tenant = message.tenant
     session.workspace = message.route.workspace
     session.route = message.route
     session.state = TransactionState(message.state)
--- a/packages/core/src/endivewick_core/gateway/requests.py
+++ b/packages/core/src/endivewick_core/gateway/requests.py
@@ -4,7 +4,7 @@
 """
 
 from ..positions import Position
-from ..routes import Route
+from ..routes import Freshness, Route
 from ..statements import Statement, StatementKind, TransactionState
 from .state import GatewayState, Request, Session
 
@@ -23,6 +23,7 @@
     )
     state.next_serial += 1
     request.is_write = is_write(session, statement)
+    request.tenant = session.tenant
     session.current = request
     state.requests[request.serial] = request
     return request
@@ -36,6 +37,13 @@
     return statement.kind is StatementKind.WRITE
 
 
+def needs_primary(session: Session, request: Request) -> bool:
+    """Tell whether only the primary may serve a request."""
+    if session.state is TransactionState.OPEN:
+        return not session.is_read_only or request.route.freshness is Freshness.PRIMARY
+    return request.is_write or request.route.freshness is Freshness.PRIMARY
+
+
 def is_single_read(session: Session, request: Request) -> bool:
     """Tell whether a request is a read outside a transaction, so that it may be repeated."""
     return session.state is TransactionState.IDLE and not request.changes_data
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -10,11 +10,20 @@
 
 from ..positions import Position
 from ..routes import Freshness
-from ..statements import Error, Fault, TransactionState
+from ..statements import Error, Fault
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits, tenants
+from . import (
+    answers,
+    forwarding,
+    holders,
+    pool,
+    primary_leases,
+    primary_waits,
+    tenant_connections,
+    tenants,
+)
 from .effects import Effect, LogEvent
-from .requests import commits_writes
+from .requests import commits_writes, needs_primary
 from .state import (
     GatewayState,
     QueuedRequest,
@@ -157,13 +166,6 @@
     return [log_event, *route_request(state, now_ms, request)]
 
 
-def needs_primary(session: Session, request: Request) -> bool:
-    """Tell whether only the primary may serve a request."""
-    if session.state is TransactionState.OPEN:
-        return not session.is_read_only or request.route.freshness is Freshness.PRIMARY
-    return request.is_write or request.route.freshness is Freshness.PRIMARY
-
-
 def replica_position(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> Position | None:
@@ -189,6 +191,7 @@
 def _dispatch_heap(state: GatewayState, now_ms: int, heap: list[QueuedRequest]) -> list[Effect]:
     effects: list[Effect] = []
     waiting: list[QueuedRequest] = []
+    blocked: set[str] = set()
     while heap:
         item = heapq.heappop(heap)
         state.queued -= 1
@@ -196,6 +199,9 @@
         if request.serial not in state.requests:
             continue
         session = state.sessions[request.session]
+        if session.tenant in blocked and session.connection is None:
+            waiting.append(item)
+            continue
         result = _try_route(state, now_ms, session, request)
         effects += result.effects
         if result.is_routed:
@@ -205,7 +211,10 @@
             continue
         waiting.append(item)
         if not result.needs_lease:
-            break
+            # Requests of other tenants may have connections that this one can't use.
+            if not session.tenant:
+                break
+            blocked.add(session.tenant)
     for item in waiting:
         heapq.heappush(heap, item)
     state.queued += len(waiting)
@@ -218,6 +227,7 @@
     fault = tenants.statement_fault(state, session, request.route)
     if fault is not None:
         return RoutingResult(False, [], refusal=fault)
+    request.tenant = session.tenant
     if session.connection is not None:
         return _try_pinned(state, now_ms, session, request)
     if session.origin is None and _is_forwarded(state, now_ms, session, request):
@@ -283,9 +293,16 @@
             continue
         if not is_primary and now_ms < item.lagging_backoff_until_ms:
             continue
-        if not item.idle and now_ms < item.connect_backoff_until_ms:
+        has_idle = tenant_connections.has_idle(item, session.tenant)
+        if not has_idle and (
+            now_ms < item.connect_backoff_until_ms
+            or tenant_connections.is_unresponsive(item, now_ms, session.tenant)
+        ):
             continue
-        cost_ms = _cost_ms(state, item, is_primary)
+        cost_ms = _cost_ms(state, item, is_primary, has_idle)
+        if session.tenant and not has_idle:
+            if not tenant_connections.has_room(state, now_ms, item, request):
+                cost_ms += item.latency_ms  # until a connection is released
         if best is None or cost_ms < best_cost_ms:
             best, best_cost_ms = item, cost_ms
     if best is None:
@@ -299,14 +316,14 @@
     return _try_upstream(state, now_ms, session, request, best.upstream, position)
 
 
-def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool) -> float:
+def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool, has_idle: bool) -> float:
     entry = state.directory.entries[item.upstream]
     slots = max(1, entry.report.slots)
     cost_ms = item.latency_ms * (1 + item.running / slots)
     cost_ms *= 1 + FAILURE_COST_FACTOR * item.failure_rate
     if is_primary:
         cost_ms *= PRIMARY_COST_FACTOR
-    if not item.idle:
+    if not has_idle:
         cost_ms += OPENING_COST_MS
     return cost_ms
 
@@ -332,7 +349,7 @@
     if connection is None:
         queue = state.queues.get(item.service)
         wanted = len(queue.primary) + len(queue.reads) if queue is not None else 1
-        return RoutingResult(False, pool.open_connection(state, now_ms, item, wanted))
+        return RoutingResult(False, pool.open_connection(state, now_ms, item, wanted, request))
     return RoutingResult(
         True, pool.start_request(state, now_ms, connection, session, request, wait_for)
     )
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -72,7 +72,7 @@
 
     ``tried`` holds the upstreams that are not chosen again for this request: they refused it as
     lagging, failed it as a single read, or lost its connection. ``sent_ms`` is zero until bytes of
-    it may have reached an upstream.
+    it may have reached an upstream. ``tenant`` is that of its session.
     """
 
     session: int
@@ -89,6 +89,7 @@
     wait_for: Position | None = None
     last_refusal: str = ""
     forwarded_to: str = ""
+    tenant: str = ""
 
     @property
     def changes_data(self) -> bool:
@@ -154,13 +155,14 @@
 
 @dataclass(slots=True)
 class Connection:
-    """One connection to an upstream.
+    """One connection to an upstream; it serves only its ``tenant``, empty without tenants.
 
     ``values`` and ``prepared`` are what the upstream stores for it. ``in_transaction`` is set
     between a BEGIN and the end of its transaction, and ``transaction_version`` is the configuration
     version at that BEGIN. On the primary, idle connections are kept inside a transaction, so that a
     read takes one round trip and can't run on an upstream that is no longer the primary.
-    ``is_used`` is set once a session ran statements in the transaction, and ``is_dirty`` once
+    ``is_used`` is set once a session ran statements in the transaction, ``is_unused`` until the
+    connection ran its first statement, and ``is_dirty`` once
     values must be reset before the next session. ``next_request`` waits for the answers to the
     statements that prepare the connection for it.
     """
@@ -168,6 +170,7 @@
     number: int
     upstream: str
     opened_ms: int
+    tenant: str = ""
     is_open: bool = False
     in_transaction: bool = False
     transaction_version: int = 0
@@ -179,6 +182,8 @@
     pending: deque[PendingStatement] = field(default_factory=deque)
     next_request: Request | None = None
     idle_since_ms: int = 0
+    last_used_ms: int = 0
+    is_unused: bool = True
     last_received_ms: int = 0
 
 
--- a/packages/core/src/endivewick_core/gateway/tenants.py
+++ b/packages/core/src/endivewick_core/gateway/tenants.py
@@ -10,6 +10,7 @@
 from .state import GatewayState, Session
 
 PUBLIC = "public"  # the tenant of sessions on public routes whose key is unknown
+LAST_PRIORITY = 1_000_000  # of public sessions, which no tenant is responsible for
 
 
 def tenant_of(configuration: Configuration, route: Route, key: str) -> str | None:
@@ -26,11 +27,22 @@
     return PUBLIC if route.is_public else None
 
 
-def is_current(configuration: Configuration, tenant: str) -> bool:
-    """Tell whether new work may run as a tenant in the configuration in force."""
+def may_keep_connection(state: GatewayState, tenant: str) -> bool:
+    """Tell whether a tenant's connections may be kept.
+
+    A tenant that is unknown here may belong to a newer configuration that another gateway has.
+    """
+    if state.min_transaction_version > state.configuration.version:
+        return True
+    return _is_current(state.configuration, tenant)
+
+
+def priority(configuration: Configuration, tenant: str) -> int:
+    """Return a tenant's priority; lower values are served first, public sessions last."""
     if configuration.tenants is None:
-        return not tenant
-    return tenant == PUBLIC or tenant in configuration.tenants
+        return 0
+    known = configuration.tenants.get(tenant)
+    return known.priority if known is not None else LAST_PRIORITY
 
 
 def startup_fault(state: GatewayState, session: Session, route: Route) -> Error | None:
@@ -102,11 +114,18 @@
     """
     if session.configuration_version > state.configuration.version:
         return None
-    if is_current(state.configuration, session.tenant):
+    if _is_current(state.configuration, session.tenant):
         return None
     return _changed()
 
 
+def _is_current(configuration: Configuration, tenant: str) -> bool:
+    """Tell whether statements may run as a tenant in a configuration."""
+    if configuration.tenants is None:
+        return not tenant
+    return tenant == PUBLIC or tenant in configuration.tenants
+
+
 def _unknown() -> Error:
     return Error(Fault.UNAUTHENTICATED, "the key is not known; check the key of this client")
 
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -450,6 +450,7 @@
     statements of the transaction have already run. ``values`` are the session values to set on the
     upstream connection, ``prepared`` is the prepared statement to execute, and ``position`` is the
     log position that the session has seen. ``left_ms`` is the time left of the statement's timeout.
+    ``tenant`` is the tenant that the session runs as, empty where there are no tenants.
     """
 
     origin: str
@@ -466,6 +467,7 @@
     position: Position | None
     configuration_version: int
     left_ms: int
+    tenant: str = ""
 
 
 class ForwardedReply(NamedTuple):
--- a/packages/core/src/endivewick_core/upstream_links.py
+++ b/packages/core/src/endivewick_core/upstream_links.py
@@ -6,12 +6,16 @@
 
 
 class OpenConnection(NamedTuple):
-    """Open a connection to ``upstream``; another upstream at ``address`` refuses it."""
+    """Open a connection to ``upstream``; another upstream at ``address`` refuses it.
+
+    It belongs to ``tenant``, which is empty where there are no tenants.
+    """
 
     connection: int
     address: str
     service: str
     upstream: str
+    tenant: str = ""
 
 
 class SendStatements(NamedTuple):
--- a/packages/node/src/endivewick_node/statement_wire.py
+++ b/packages/node/src/endivewick_node/statement_wire.py
@@ -49,12 +49,15 @@
 
 
 class StatementWire(NamedTuple):
-    """The functions of a codec, for connections to clients and to upstreams."""
+    """The functions of a codec, for connections to clients and to upstreams.
+
+    ``encode_startup`` takes the service, the upstream and the tenant, empty without tenants.
+    """
 
     read_client: Callable[[], ClientReader]
     read_upstream: Callable[[], UpstreamReader]
     encode_accepted: Callable[[], bytes]
     encode_refused: Callable[[Error], bytes]
     encode_answer: Callable[[AnswerStatement], bytes]
-    encode_startup: Callable[[str, str], bytes]
+    encode_startup: Callable[[str, str, str], bytes]
     encode_statement: Callable[[UpstreamStatement], bytes]
--- a/packages/node/src/endivewick_node/upstream_connections.py
+++ b/packages/node/src/endivewick_node/upstream_connections.py
@@ -53,7 +53,7 @@
         """Start connecting."""
         stream = sockets.start_connect(effect.address)
         sockets.set_ack_timeout(stream, UPSTREAM_ACK_TIMEOUT_MS)
-        startup_message = self._wire.encode_startup(effect.service, effect.upstream)
+        startup_message = self._wire.encode_startup(effect.service, effect.upstream, effect.tenant)
         writer = sockets.Writer(self._poller, stream)
         connection = Connection(
             effect.connection, stream, writer, self._wire.read_upstream(), startup_message
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -98,6 +98,7 @@
     state: GatewayState
     now_ms: int = START_MS
     upstream_of: dict[int, str] = field(default_factory=dict)
+    tenant_of: dict[int, str] = field(default_factory=dict)
     opening: list[int] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
     writes: list[list[StatementKind]] = field(default_factory=list)
@@ -119,6 +120,7 @@
     def _record_effect(self, effect):
         if isinstance(effect, OpenConnection):
             self.upstream_of[effect.connection] = effect.upstream
+            self.tenant_of[effect.connection] = effect.tenant
             self.opening.append(effect.connection)
         elif isinstance(effect, SendStatements):
             kinds = [item.statement.kind for item in effect.statements]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -162,6 +162,7 @@
 
 def test_startup_message_names_the_service_and_the_upstream():
     assert_that(codec.encode_startup("s1", "i-1"), Equals(b"STARTUP s1 endivewick i-1\r\n"))
+    assert_that(codec.encode_startup("s1", "i-1", "bode"), Equals(b"STARTUP s1 bode i-1\r\n"))
     read = codec.read_upstream()
     assert_that(read(b"READY I 3.1207\r\n"), Equals([Accepted()]))
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -18,14 +18,14 @@
 
 K = StatementKind
 ALICE_KEY, BOB_KEY, OTHER_KEY = "k-alice-5d1", "k-bob-77c", "k-other-0f9"
-TENANTS = {"alice": Tenant("alice", 1, None, 0.0), "bob": Tenant("bob", 0, None, 0.0)}
+TENANTS = {"alice": Tenant("alice", 1, None, 0.0), "bob": Tenant("bob", 1, None, 0.0)}
 NAMES = {ALICE_KEY: "alice", BOB_KEY: "bob"}
 
 
 def tenant_configuration(version=1, names=NAMES, tenants=TENANTS, **changes):
     default = configuration(version, limit=40, tenants=tenants, tenant_names=names)
     routes = default.routes | {"open": route("open", Freshness.BOUNDED, is_public=True)}
-    return default._replace(routes=routes, **changes)
+    return default._replace(**{"routes": routes, **changes})
 
 
 def configure(gateway, version, **changes):
