--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -72,7 +72,7 @@
 
     ``tried`` holds the upstreams that are not chosen again for this request: they refused it as
     lagging, failed it as a single read, or lost its connection. ``sent_ms`` is zero until bytes of
-    it may have reached an upstream.
+    it may have reached an upstream. ``tenant`` is that of its session.
     """
 
     session: int
@@ -89,6 +89,7 @@
     wait_for: Position | None = None
     last_refusal: str = ""
     forwarded_to: str = ""
+    tenant: str = ""
 
     @property
     def changes_data(self) -> bool:
@@ -103,11 +104,16 @@
     ``connection`` is pinned while a transaction runs upstream. ``holder`` is the gateway that runs
     the session's transaction, where that is another one. ``origin`` is set for a session of another
     gateway: that gateway's address and boot, and its number for the session.
-    ``origin_request_serial`` is that gateway's number for the current statement.
+    ``origin_request_serial`` is that gateway's number for the current statement, and
+    ``configuration_version`` the newest configuration that it had.
+
+    ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
 
     number: int
     workspace: str
+    key: str = field(default="", repr=False)
+    tenant: str = ""
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     state: TransactionState = TransactionState.IDLE
@@ -123,6 +129,7 @@
     holder: str = ""
     origin: tuple[str, str, int] | None = None
     origin_request_serial: int = 0
+    configuration_version: int = 0
 
 
 class Purpose(StrEnum):
@@ -148,13 +155,14 @@
 
 @dataclass(slots=True)
 class Connection:
-    """One connection to an upstream.
+    """One connection to an upstream; it serves only its ``tenant``, empty without tenants.
 
     ``values`` and ``prepared`` are what the upstream stores for it. ``in_transaction`` is set
     between a BEGIN and the end of its transaction, and ``transaction_version`` is the configuration
     version at that BEGIN. On the primary, idle connections are kept inside a transaction, so that a
     read takes one round trip and can't run on an upstream that is no longer the primary.
-    ``is_used`` is set once a session ran statements in the transaction, and ``is_dirty`` once
+    ``is_used`` is set once a session ran statements in the transaction, ``is_unused`` until the
+    connection ran its first statement, and ``is_dirty`` once
     values must be reset before the next session. ``next_request`` waits for the answers to the
     statements that prepare the connection for it.
     """
@@ -162,6 +170,7 @@
     number: int
     upstream: str
     opened_ms: int
+    tenant: str = ""
     is_open: bool = False
     in_transaction: bool = False
     transaction_version: int = 0
@@ -173,6 +182,8 @@
     pending: deque[PendingStatement] = field(default_factory=deque)
     next_request: Request | None = None
     idle_since_ms: int = 0
+    last_used_ms: int = 0
+    is_unused: bool = True
     last_received_ms: int = 0
 
 
