Quotas: shares of tenants' limits from the control leader, tokens for gateways

A divisible token bucket bounds each tenant's operations over all gateways. The limits travel with the configuration command. Without limited tenants no quota message is sent.

--- a/packages/core/src/endivewick_core/commands.py
+++ b/packages/core/src/endivewick_core/commands.py
@@ -9,6 +9,7 @@
 
 from .codec import build_codec
 from .messages import Member
+from .token_buckets import TokenLimit
 
 
 class StartTerm(NamedTuple):
@@ -107,12 +108,13 @@
     """Put a configuration in force, unless one of this or a higher version is.
 
     ``document`` is the operator's document, compressed by ``documents.compress``, and ``services``
-    names the services in it.
+    names the services in it. ``limits`` are those of its tenants that have one.
     """
 
     version: int
     services: list[str]
     document: bytes
+    limits: dict[str, TokenLimit] = {}
 
 
 class BeginFailover(NamedTuple):
--- a/packages/core/src/endivewick_core/control/events.py
+++ b/packages/core/src/endivewick_core/control/events.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from ..directory import UpstreamReport
+from ..token_buckets import TokenLimit
 from ..upstream_links import ConnectionBroke, ConnectionOpened, ConnectionReplied
 
 
@@ -74,6 +75,7 @@
     version: int
     services: list[str]
     document: bytes
+    limits: dict[str, TokenLimit] = {}
 
 
 class GetConfiguration(NamedTuple):
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -0,0 +1,184 @@
+"""The control leader divides the limits of tenants among the control processes.
+
+Shares are leases, given in proportion to demand. A part of each limit stays undivided, for
+processes whose share is too small at a moment. A new leader reserves the shares that the others
+report; until all members have reported, or every share that it doesn't know has ended, it gives no
+tokens and raises no share.
+"""
+
+from ..messages import QuotaShare, QuotaShareAnswer, QuotaShareQuestion, ShareReport
+from ..token_buckets import (
+    ROUNDING,
+    WHOLE_PPM,
+    Division,
+    Grant,
+    Part,
+    TokenLimit,
+    capacity,
+    confirm,
+    give,
+    hold,
+    refresh,
+    reserved,
+    rest,
+)
+from .effects import Effect, LogEvent
+from .primary_leases import is_confirmed_leader
+from .quota_state import LeaderQuotas
+from .state import ControlState, Role
+
+SHARE_LEASE_MS = 4_000
+CLOCK_MARGIN_MS = 100  # that the leader waits longer, since its clock may be faster
+# What is divided by demand. The rest serves processes whose demand has just begun or varies.
+DIVIDED_RATE_PPM = 750_000
+DIVIDED_BURST_PPM = 300_000
+# Of all members together for a whole token each, so that an operation needn't wait for the leader.
+MIN_BURSTS_PPM = 500_000
+# A share is at most this multiple of the demand, so that more remains for the other processes.
+MAX_SHARE_PER_DEMAND = 2.0
+STOCK_TIME_S = 0.3  # one interval of requests: a share is filled up to the demand of this time
+
+
+def answer(
+    state: ControlState, now_ms: int, question: QuotaShareQuestion
+) -> tuple[QuotaShareAnswer | None, list[Effect]]:
+    """Return the shares of a control process, or None if this process may give none."""
+    if not _may_give(state, now_ms) or question.term != state.term:
+        return None, []
+    members = _member_ids(state)
+    if question.member_id not in members:
+        return None, []
+    leader = _leader_quotas(state)
+    limits = state.replicated_state.configuration.limits
+    if question.is_full:
+        leader.reported.add(question.member_id)
+    effects: list[Effect] = []
+    if not leader.is_complete:
+        effects += _check_complete(state, now_ms, leader, members)
+    holder = f"{question.sender} {question.boot}"
+    shares: dict[str, QuotaShare] = {}
+    for tenant, report in question.reports.items():
+        limit = limits.get(tenant)
+        if limit is None:
+            continue
+        division = leader.divisions.setdefault(tenant, Division())
+        shares[tenant] = _share(leader, division, now_ms, limit, holder, report, len(members))
+    reply = QuotaShareAnswer(question.boot, state.term, question.sequence, shares)
+    return reply, effects
+
+
+def remove_unlimited(state: ControlState, now_ms: int) -> None:
+    """Remove the divisions of tenants without a limit once no share of them is held any more.
+
+    The limit may come back while a process that was cut off still uses its share.
+    """
+    limits = state.replicated_state.configuration.limits
+    divisions = state.quotas.leader.divisions
+    for tenant, division in list(divisions.items()):
+        if tenant not in limits and reserved(division, now_ms) == Part():
+            del divisions[tenant]
+
+
+def _may_give(state: ControlState, now_ms: int) -> bool:
+    leader_state = state.leader_state
+    if state.role is not Role.LEADER or leader_state is None:
+        return False
+    if state.commit_index < leader_state.start_index:
+        return False
+    return is_confirmed_leader(state, now_ms)
+
+
+def _member_ids(state: ControlState) -> set[str]:
+    """Return the committed members; the next leader knows them and waits for their reports."""
+    if state.memberships and state.memberships[-1][0] > state.commit_index:
+        committed = [item for index, item in state.memberships if index <= state.commit_index]
+        membership = committed[-1] if committed else state.snapshot_membership
+    else:
+        membership = state.membership
+    return {member.member_id for member in membership.voters + membership.learners}
+
+
+def _leader_quotas(state: ControlState) -> LeaderQuotas:
+    if state.quotas.leader.term != state.term:
+        state.quotas.leader = LeaderQuotas(state.term)
+    return state.quotas.leader
+
+
+def _check_complete(
+    state: ControlState, now_ms: int, leader: LeaderQuotas, members: set[str]
+) -> list[Effect]:
+    """Note when no share is held any more that this leader doesn't know."""
+    assert state.leader_state is not None
+    led_ms = now_ms - state.leader_state.since_ms
+    missing = sorted(members - leader.reported)
+    if missing and led_ms <= SHARE_LEASE_MS + state.settings.lease_margin_ms:
+        return []
+    leader.is_complete = True
+    inputs: dict[str, object] = {"led_ms": led_ms, "missing": missing, "term": state.term}
+    text = "every held share is known or has ended; tokens are given again"
+    return [LogEvent("info", "quotas_divided", text, inputs)]
+
+
+def _share(
+    leader: LeaderQuotas,
+    division: Division,
+    now_ms: int,
+    limit: TokenLimit,
+    holder: str,
+    report: ShareReport,
+    members: int,
+) -> QuotaShare:
+    """Renew one process's share of one limit, as far as the other shares leave room."""
+    held = Part(report.rate_ppm, report.burst_ppm)
+    until_ms = now_ms + SHARE_LEASE_MS + CLOCK_MARGIN_MS
+    known = division.grants.get(holder, [])
+    if report.serial and all(grant.serial != report.serial for grant in known):
+        hold(division, holder, Grant(report.serial, held, until_ms))
+    confirm(division, holder, report.serial)
+    refresh(division, now_ms, limit, not leader.is_complete)
+    division.demands[holder] = report.demand_per_s
+    leader.grants_given += 1
+    serial = (leader.term << 32) + leader.grants_given
+    free = rest(division, now_ms, holder)
+    wanted = _wanted(division, limit, report, members)
+    if not leader.is_complete:
+        part = Part(
+            min(wanted.rate_ppm, free.rate_ppm, held.rate_ppm),
+            min(wanted.burst_ppm, free.burst_ppm, held.burst_ppm),
+        )
+        hold(division, holder, Grant(serial, part, until_ms))
+        return QuotaShare(serial, part.rate_ppm, part.burst_ppm, 0.0, -1)
+    part = Part(min(wanted.rate_ppm, free.rate_ppm), min(wanted.burst_ppm, free.burst_ppm))
+    stock = max(1.0, report.demand_per_s * STOCK_TIME_S)
+    lacking = report.needed + stock - report.level
+    grant = Grant(serial, part, until_ms)
+    tokens = give(division, now_ms, limit, holder, grant, report.level, lacking)
+    retry_after_ms = 0
+    if tokens + report.level < max(1, report.needed) - ROUNDING:
+        retry_after_ms = _next_token_ms(division)
+    return QuotaShare(serial, part.rate_ppm, part.burst_ppm, tokens, retry_after_ms)
+
+
+def _wanted(division: Division, limit: TokenLimit, report: ShareReport, members: int) -> Part:
+    """Return the part of a limit that a process's demand deserves."""
+    whole = capacity(limit)
+    if whole <= 0:
+        return Part()
+    total_per_s = sum(division.demands.values())
+    demand_share = report.demand_per_s / total_per_s if total_per_s > 0 else 0.0
+    by_demand = MAX_SHARE_PER_DEMAND * report.demand_per_s / limit.rate_per_s
+    rate_ppm = int(min(DIVIDED_RATE_PPM * demand_share, WHOLE_PPM * min(1.0, by_demand)))
+    # Rounded up, and one more for the rounding of levels, so that a whole token fits.
+    one_token_ppm = int(WHOLE_PPM / whole) + 2
+    min_burst_ppm = min(one_token_ppm, MIN_BURSTS_PPM // max(1, members))
+    burst_ppm = max(min_burst_ppm, int(DIVIDED_BURST_PPM * demand_share))
+    urgent_ppm = int(one_token_ppm * (report.needed + report.level))
+    return Part(rate_ppm, min(WHOLE_PPM, max(burst_ppm, urgent_ppm if report.needed else 0)))
+
+
+def _next_token_ms(division: Division) -> int:
+    """Return when the undivided bucket has a whole token, negative if it never does."""
+    undivided = division.undivided
+    if undivided.rate_per_s <= 0 or undivided.burst < 1:
+        return -1
+    return max(1, int(1000 * (1 - undivided.level) / undivided.rate_per_s))
--- /dev/null
+++ b/packages/core/src/endivewick_core/control/quota_state.py
@@ -0,0 +1,75 @@
+"""The state of the quotas at a control process."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..token_buckets import Bucket, Division, Part
+
+
+@dataclass(slots=True)
+class WaitingNeed:
+    """Tokens that a gateway's operations wait for, received at ``received_ms``."""
+
+    gateway: str
+    boot: str
+    sequence: int
+    count: int
+    received_ms: int
+
+
+@dataclass(slots=True)
+class HeldShare:
+    """This process's share of a tenant's limit, which it may use until ``until_ms``.
+
+    ``demand`` counts the tokens that gateways asked for, and fades. ``asked_ms`` is when the leader
+    was last asked and has not answered yet. Until ``exhausted_until_ms`` the leader is known to
+    have no tokens; it has the next one at ``leader_token_ms``.
+    """
+
+    bucket: Bucket
+    serial: int = 0
+    part: Part = Part()
+    until_ms: int = 0
+    demand: float = 0.0
+    demand_updated_ms: int = 0
+    renewal_due_ms: int = 0
+    asked_ms: int | None = None
+    exhausted_until_ms: int = 0
+    leader_token_ms: int | None = None
+    waiting: deque[WaitingNeed] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class LeaderQuotas:
+    """How this leader divides the limits, in one term.
+
+    ``reported`` are the members that have reported every share that they hold. ``is_complete`` is
+    set once no share is held that this leader doesn't know.
+    """
+
+    term: int = 0
+    is_complete: bool = False
+    reported: set[str] = field(default_factory=set)
+    divisions: dict[str, Division] = field(default_factory=dict)
+    grants_given: int = 0
+
+
+@dataclass(slots=True)
+class QuotaState:
+    """The quotas at a control process.
+
+    ``shares`` are held by tenant. ``short`` are the tenants that need tokens of the leader at once.
+    ``sent_ms`` gives the time of each unanswered question by its sequence number, and
+    ``full_sequence`` is the last question that reported every share. ``asked_term`` is the highest
+    term whose leader was asked, ``reported_term`` the one whose leader knows every share held.
+    """
+
+    shares: dict[str, HeldShare] = field(default_factory=dict)
+    short: set[str] = field(default_factory=set)
+    sequence: int = 0
+    sent_ms: dict[int, int] = field(default_factory=dict)
+    full_sequence: int = 0
+    asked_term: int = 0
+    reported_term: int = 0
+    renewal_due_ms: int = 0
+    leader: LeaderQuotas = field(default_factory=LeaderQuotas)
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -13,6 +13,9 @@
     PrimaryLeaseAnswer,
     PrimaryLeaseQuestion,
     ProxyHeartbeat,
+    QuotaQuestion,
+    QuotaShareAnswer,
+    QuotaShareQuestion,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -27,6 +30,7 @@
     operators,
     placement,
     primary_leases,
+    quotas,
     replication,
     watch,
 )
@@ -56,6 +60,9 @@
     DirectoryShareReceived: directory.handle_share_received,
     PrimaryLeaseQuestion: primary_leases.handle_question,
     PrimaryLeaseAnswer: primary_leases.handle_answer,
+    QuotaQuestion: quotas.handle_question,
+    QuotaShareQuestion: quotas.handle_share_question,
+    QuotaShareAnswer: quotas.handle_share_answer,
 }
 
 _EVENT_HANDLERS: dict[type, Any] = {
@@ -87,6 +94,7 @@
     effects = directory.check_sharing(state, now_ms)
     effects += watch.check_primaries(state, now_ms)
     effects += primary_leases.check_leases(state, now_ms)
+    effects += quotas.check_quotas(state, now_ms)
     return effects + failover.check_failovers(state, now_ms)
 
 
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -10,6 +10,7 @@
 from ..messages import ControlPeer, Member, ProxyHeartbeat
 from ..replicated_state import ReplicatedState
 from .log import Log
+from .quota_state import QuotaState
 from .service_state import DirectoryState, FailoverState, LeaseState, WatchState
 
 
@@ -165,6 +166,7 @@
     watch: WatchState = field(default_factory=WatchState)
     failover: FailoverState = field(default_factory=FailoverState)
     primary_leases: LeaseState = field(default_factory=LeaseState)
+    quotas: QuotaState = field(default_factory=QuotaState)
 
     @property
     def membership(self) -> Membership:
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -9,12 +9,15 @@
     ForwardedReply,
     ForwardedStatement,
     PrimaryLeaseAnswer,
+    QuotaAnswer,
+    QuotaQuestion,
 )
 from . import (
     control_link,
     forwarded_requests,
     forwarding,
     maintenance,
+    quotas,
     remote_sessions,
     results,
     routing,
@@ -54,13 +57,16 @@
     """Do the work that the handlers of an event left, and the work that this leaves in turn."""
     effects: list[Effect] = []
     work = state.follow_up
-    while work.requests or work.services or work.sessions:
+    while work.requests or work.services or work.sessions or work.tokenless:
         if work.requests:
             effects += routing.enqueue(state, now_ms, work.requests.pop(0))
             continue
         if work.services:
             effects += routing.dispatch_queued(state, now_ms, work.services.pop(0))
             continue
+        if work.tokenless:
+            effects += quotas.renew_token(state, now_ms, work.tokenless.pop(0))
+            continue
         session = work.sessions.pop(0)
         if session.number in state.sessions:
             effects += sessions.run_waiting(state, now_ms, session)
@@ -71,6 +77,7 @@
     now_ms = event.now_ms
     effects = control_link.check_poll(state, now_ms)
     effects += results.check_deadlines(state, now_ms)
+    effects += quotas.check_tokens(state, now_ms)
     effects += results.retry_overdue_reads(state, now_ms)
     effects += results.close_unresponsive(state, now_ms)
     effects += forwarded_requests.check_overdue(state, now_ms)
@@ -98,6 +105,8 @@
         return forwarded_requests.handle_reply(state, event.now_ms, event.message)
     if isinstance(event.message, ForwardedEnd):
         return remote_sessions.handle_end(state, event.now_ms, event.message)
+    if isinstance(event.message, QuotaAnswer):
+        return quotas.handle_answer(state, event.now_ms, event.message)
     name = type(event.message).__name__
     return [LogEvent("warning", "message_unexpected", "", "", {"message": name}, "dropped")]
 
@@ -105,6 +114,8 @@
 def _handle_undelivered(state: GatewayState, event: MessageUndelivered) -> list[Effect]:
     if isinstance(event.message, DirectoryQuestion):
         return control_link.handle_undelivered_poll(state, event.now_ms, event.address)
+    if isinstance(event.message, QuotaQuestion):
+        return quotas.handle_undelivered(state, event.message)
     return forwarded_requests.handle_undelivered(state, event.now_ms, event.address, event.message)
 
 
@@ -119,7 +130,7 @@
 
 def has_waiting(state: GatewayState) -> bool:
     """Tell whether queued statements or messages are to be tried again soon."""
-    return bool(state.queued or state.unsent_messages)
+    return bool(state.queued or state.unsent_messages) or quotas.has_waiting(state)
 
 
 def next_tick_ms(state: GatewayState, now_ms: int) -> int:
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits
+from . import answers, forwarding, holders, pool, primary_leases, primary_waits, quota_tokens
 from .effects import Effect, LogEvent
 from .requests import commits_writes
 from .state import (
@@ -72,6 +72,7 @@
 
 def refuse(state: GatewayState, now_ms: int, request: Request, error: Error) -> list[Effect]:
     """Refuse a request that was not sent; a transaction that waited to commit is rolled back."""
+    quota_tokens.give_back(state, now_ms, request)
     effects = pool.release_session(state, now_ms, state.sessions[request.session])
     return effects + answers.fail(state, now_ms, request, error)
 
@@ -192,6 +193,9 @@
         request = item.request
         if request.serial not in state.requests:
             continue
+        if quota_tokens.has_expired(request, now_ms):
+            state.follow_up.tokenless.append(request)
+            continue
         session = state.sessions[request.session]
         result = _try_route(state, now_ms, session, request)
         effects += result.effects
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -14,7 +14,7 @@
     StatementKind,
     TransactionState,
 )
-from . import answers, pool, remote_sessions, routing
+from . import answers, pool, quotas, remote_sessions, routing
 from .effects import AcceptSession, CloseSession, Effect, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
 from .requests import is_write, open_request
@@ -188,7 +188,7 @@
         fault = _unknown_workspace(session.workspace)
         return answers.refuse_local(session, statement.kind, statement.request_id, fault)
     request = open_request(state, now_ms, session, statement, route, route.timeout_ms)
-    return routing.route_request(state, now_ms, request)
+    return quotas.start_operation(state, now_ms, session, request)
 
 
 def _upstream_fault(session: Session, statement: Statement) -> Error | None:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -22,6 +22,7 @@
 )
 from ..watermarks import WatermarkHistory
 from .effects import Send
+from .quota_state import QuotaState
 
 
 class GatewaySettings(NamedTuple):
@@ -72,7 +73,8 @@
 
     ``tried`` holds the upstreams that are not chosen again for this request: they refused it as
     lagging, failed it as a single read, or lost its connection. ``sent_ms`` is zero until bytes of
-    it may have reached an upstream.
+    it may have reached an upstream. ``token_until_ms`` is when the token of its tenant's limit
+    expires, zero without one.
     """
 
     session: int
@@ -89,6 +91,7 @@
     wait_for: Position | None = None
     last_refusal: str = ""
     forwarded_to: str = ""
+    token_until_ms: int = 0
 
     @property
     def changes_data(self) -> bool:
@@ -123,6 +126,7 @@
     holder: str = ""
     origin: tuple[str, str, int] | None = None
     origin_request_serial: int = 0
+    tenant: str = ""
 
 
 class Purpose(StrEnum):
@@ -289,12 +293,13 @@
     """Work that an event leaves for the reducer, which does it after the event's handler.
 
     ``requests`` are queued, the queues of ``services`` are dispatched, and ``sessions`` run their
-    waiting statements.
+    waiting statements. The requests in ``tokenless`` need another token of their tenant's limit.
     """
 
     requests: list[Request] = field(default_factory=list)
     services: list[str] = field(default_factory=list)
     sessions: list[Session] = field(default_factory=list)
+    tokenless: list[Request] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -349,3 +354,4 @@
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
     follow_up: FollowUp = field(default_factory=FollowUp)
+    quotas: QuotaState = field(default_factory=QuotaState)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -494,6 +494,104 @@
     session: int
 
 
+class TokenNeed(NamedTuple):
+    """Tokens that a gateway needs for a tenant.
+
+    ``waiting`` operations wait for one, and ``expected`` are expected to start soon.
+    """
+
+    waiting: int
+    expected: int
+
+
+class QuotaQuestion(NamedTuple):
+    """A gateway's request to a control process for tokens, by tenant.
+
+    ``boot`` identifies the start of the gateway's process, ``sequence`` the question there.
+    """
+
+    gateway: str
+    boot: str
+    sequence: int
+    configuration_version: int
+    needs: dict[str, TokenNeed]
+
+
+class TokenAnswer(NamedTuple):
+    """The tokens for a tenant in response to a QuotaQuestion.
+
+    Of the operations that wait, ``refused`` won't get a token, because the tenant is at its limit;
+    tokens for more of them are expected after ``retry_after_ms``.
+    """
+
+    tokens: int
+    refused: int = 0
+    retry_after_ms: int = 0
+
+
+class QuotaAnswer(NamedTuple):
+    """Tokens by tenant; a QuotaQuestion may be answered in parts, by several of these."""
+
+    boot: str
+    sequence: int
+    answers: dict[str, TokenAnswer]
+
+
+class ShareReport(NamedTuple):
+    """The share of a tenant's limit that a control process holds, and what it needs.
+
+    ``serial``, ``rate_ppm`` and ``burst_ppm`` are those of the last QuotaShare that it adopted.
+    ``demand_per_s`` is what its gateways lately asked for, ``level`` the tokens that it has, and
+    ``needed`` how many more its gateways wait for.
+    """
+
+    serial: int
+    rate_ppm: int
+    burst_ppm: int
+    demand_per_s: float
+    level: float
+    needed: int
+
+
+class QuotaShareQuestion(NamedTuple):
+    """A control process's request to its leader for shares of tenants' limits.
+
+    ``boot`` identifies the start of the sender's process. With ``is_full``, the reports contain
+    every share that it holds.
+    """
+
+    sender: str
+    member_id: str
+    boot: str
+    term: int
+    sequence: int
+    is_full: bool
+    reports: dict[str, ShareReport]
+
+
+class QuotaShare(NamedTuple):
+    """A share of a tenant's limit, in millionths of its rate and burst, and ``tokens`` with it.
+
+    A share with a higher ``serial`` replaces it. ``retry_after_ms`` is when the leader has the next
+    token, where it gave fewer than needed; it is negative if the leader can't tell.
+    """
+
+    serial: int
+    rate_ppm: int
+    burst_ppm: int
+    tokens: float
+    retry_after_ms: int
+
+
+class QuotaShareAnswer(NamedTuple):
+    """The response to a QuotaShareQuestion; shares are leases from when the question was sent."""
+
+    boot: str
+    term: int
+    sequence: int
+    shares: dict[str, QuotaShare]
+
+
 class DirectoryShareReceived(NamedTuple):
     """Confirm receipt of the DirectoryShare with this ``serial``."""
 
@@ -523,6 +621,10 @@
         PrimaryLeaseAnswer,
         DirectoryShare,
         DirectoryShareReceived,
+        QuotaQuestion,
+        QuotaAnswer,
+        QuotaShareQuestion,
+        QuotaShareAnswer,
         ForwardedStatement,
         ForwardedReply,
         ForwardedEnd,
--- a/packages/core/src/endivewick_core/replicated_state.py
+++ b/packages/core/src/endivewick_core/replicated_state.py
@@ -28,6 +28,7 @@
 )
 from .contracts import Contract
 from .positions import FORKS_KEPT, Fork
+from .token_buckets import TokenLimit
 
 CHANGE_RECORDS_KEPT = 50_000
 
@@ -99,11 +100,15 @@
 
 
 class StoredConfiguration(NamedTuple):
-    """The operator's configuration in force; ``document`` is compressed."""
+    """The operator's configuration in force; ``document`` is compressed.
+
+    ``limits`` are those of the tenants that have one, by name.
+    """
 
     version: int
     services: list[str]
     document: bytes
+    limits: dict[str, TokenLimit] = {}
 
 
 @dataclass(slots=True)
--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -35,7 +35,15 @@
 )
 from endivewick_core.documents import decompress
 from endivewick_core.exceptions import NO_QUORUM, Failure
-from endivewick_core.messages import CODEC, DirectoryQuestion, DirectoryShare, Member
+from endivewick_core.messages import (
+    CODEC,
+    DirectoryQuestion,
+    DirectoryShare,
+    Member,
+    QuotaQuestion,
+    QuotaShareAnswer,
+    QuotaShareQuestion,
+)
 from endivewick_core.replicated_state import decode_replicated_state
 from endivewick_core.upstream_links import (
     CloseConnection,
@@ -149,7 +157,14 @@
 def _concerns_soft_state(event: Event) -> bool:
     """Return whether an event can't change the log, so that the process may outlive an error."""
     if isinstance(event, MessageReceived):
-        return isinstance(event.message, DirectoryQuestion | DirectoryShare)
+        return isinstance(
+            event.message,
+            DirectoryQuestion
+            | DirectoryShare
+            | QuotaQuestion
+            | QuotaShareQuestion
+            | QuotaShareAnswer,
+        )
     return isinstance(
         event, ReportReceived | UpstreamRemoved | ConnectionOpened | ConnectionReplied
     )
