--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -32,10 +32,13 @@
 # What is divided by demand. The rest serves processes whose demand has just begun or varies.
 DIVIDED_RATE_PPM = 750_000
 DIVIDED_BURST_PPM = 300_000
-# Of all members together for a whole token each, so that an operation needn't wait for the leader.
-MIN_BURSTS_PPM = 500_000
-# A share is at most this multiple of the demand, so that more remains for the other processes.
-MAX_SHARE_PER_DEMAND = 2.0
+KEPT_BURST_PPM = 250_000  # kept undivided where processes have their minimum, while demand moves
+# Each member has room for one token that the leader fills up, so that an operation needn't wait for
+# it, and for one of its own rate, which is lost if the bucket is full.
+MIN_BURST_TOKENS = 2
+MIN_BURSTS_PPM = 700_000  # of all members together
+# A share's rate below its demand is used whatever the moment. The leader adds what lacks.
+MAX_SHARE_PER_DEMAND = 0.5
 STOCK_TIME_S = 0.3  # one interval of requests: a share is filled up to the demand of this time
 
 
@@ -140,7 +143,7 @@
     leader.grants_given += 1
     serial = (leader.term << 32) + leader.grants_given
     free = rest(division, now_ms, holder)
-    wanted = _wanted(division, limit, report, members)
+    wanted = _wanted(division, limit, report, members, free)
     if not leader.is_complete:
         part = Part(
             min(wanted.rate_ppm, free.rate_ppm, held.rate_ppm),
@@ -154,12 +157,15 @@
     grant = Grant(serial, part, until_ms)
     tokens = give(division, now_ms, limit, holder, grant, report.level, lacking)
     retry_after_ms = 0
-    if tokens + report.level < max(1, report.needed) - ROUNDING:
-        retry_after_ms = _next_token_ms(division)
+    short = max(1, report.needed) - report.level - tokens
+    if short > ROUNDING:
+        retry_after_ms = _tokens_after_ms(division, min(1.0, short))
     return QuotaShare(serial, part.rate_ppm, part.burst_ppm, tokens, retry_after_ms)
 
 
-def _wanted(division: Division, limit: TokenLimit, report: ShareReport, members: int) -> Part:
+def _wanted(
+    division: Division, limit: TokenLimit, report: ShareReport, members: int, free: Part
+) -> Part:
     """Return the part of a limit that a process's demand deserves."""
     whole = capacity(limit)
     if whole <= 0:
@@ -170,15 +176,18 @@
     rate_ppm = int(min(DIVIDED_RATE_PPM * demand_share, WHOLE_PPM * min(1.0, by_demand)))
     # Rounded up, and one more for the rounding of levels, so that a whole token fits.
     one_token_ppm = int(WHOLE_PPM / whole) + 2
-    min_burst_ppm = min(one_token_ppm, MIN_BURSTS_PPM // max(1, members))
-    burst_ppm = max(min_burst_ppm, int(DIVIDED_BURST_PPM * demand_share))
+    min_burst_ppm = min(MIN_BURST_TOKENS * one_token_ppm, MIN_BURSTS_PPM // max(1, members))
+    burst_by_demand_ppm = min(
+        int(DIVIDED_BURST_PPM * demand_share), free.burst_ppm - KEPT_BURST_PPM
+    )
+    burst_ppm = max(min_burst_ppm, burst_by_demand_ppm)
     urgent_ppm = int(one_token_ppm * (report.needed + report.level))
     return Part(rate_ppm, min(WHOLE_PPM, max(burst_ppm, urgent_ppm if report.needed else 0)))
 
 
-def _next_token_ms(division: Division) -> int:
-    """Return when the undivided bucket has a whole token, negative if it never does."""
+def _tokens_after_ms(division: Division, tokens: float) -> int:
+    """Return when the undivided bucket has so many tokens, negative if it never does."""
     undivided = division.undivided
-    if undivided.rate_per_s <= 0 or undivided.burst < 1:
+    if undivided.rate_per_s <= 0 or undivided.burst < tokens:
         return -1
-    return max(1, int(1000 * (1 - undivided.level) / undivided.rate_per_s))
+    return max(1, int(1000 * (tokens - undivided.level) / undivided.rate_per_s))
--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -32,9 +32,9 @@
 # After so long a question to the leader is lost; a round trip between regions takes 40 ms.
 LEADER_ANSWER_MS = 150
 # How long a gateway's need waits here. Tokens expire 500 ms after the gateway asked for them.
-NEED_TIMEOUT_MS = 250
-# How long a leader without tokens is known to have none. A need may wait this long for a token.
-EXHAUSTED_MS = 200
+NEED_TIMEOUT_MS = 350
+EXHAUSTED_MS = 200  # how long a leader without a token isn't asked for one
+TOKEN_WAIT_MS = 300  # a need is refused if it is expected to wait longer for a token
 # Sent to clients of a tenant at its limit: at least this, at most the window in which the limit
 # counts.
 MIN_RETRY_AFTER_MS = 300
@@ -224,8 +224,8 @@
 
 def _refuse_excess(now_ms: int, tenant: str, share: HeldShare, limit: TokenLimit) -> list[Effect]:
     """Refuse the needs that neither the share nor the leader has tokens for soon."""
-    soon = int(share.bucket.level + share.bucket.rate_per_s * EXHAUSTED_MS / 1000)
-    if share.leader_token_ms is not None and share.leader_token_ms <= now_ms + EXHAUSTED_MS:
+    soon = int(share.bucket.level + share.bucket.rate_per_s * TOKEN_WAIT_MS / 1000)
+    if share.leader_token_ms is not None and share.leader_token_ms <= now_ms + TOKEN_WAIT_MS:
         soon += 1
     effects: list[Effect] = []
     refused = 0
--- a/packages/core/src/endivewick_core/gateway/quotas.py
+++ b/packages/core/src/endivewick_core/gateway/quotas.py
@@ -13,8 +13,8 @@
 from .state import GatewayState, Request, Session
 
 STOCK_TIME_S = 0.2  # operations expected within this time get their tokens in advance
-# After so long a question or its answer is lost; control answers within 250 ms.
-REPEAT_MS = 300
+# After so long a question or its answer is lost; control answers within 350 ms.
+REPEAT_MS = 400
 # How long operations are refused without asking again, once control had no token for one.
 REFUSED_MS = 100
 # Refused clients come back in steps, so that they don't all ask at the same moment.
