--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -19,6 +19,7 @@
     pool,
     primary_leases,
     primary_waits,
+    quota_tokens,
     tenant_connections,
     tenants,
 )
@@ -81,6 +82,7 @@
 
 def refuse(state: GatewayState, now_ms: int, request: Request, error: Error) -> list[Effect]:
     """Refuse a request that was not sent; a transaction that waited to commit is rolled back."""
+    quota_tokens.give_back(state, now_ms, request)
     session = state.sessions[request.session]
     effects = pool.release_session(state, now_ms, session)
     if error.fault is Fault.UNAUTHENTICATED:
@@ -198,6 +200,9 @@
         request = item.request
         if request.serial not in state.requests:
             continue
+        if quota_tokens.has_expired(request, now_ms):
+            state.follow_up.tokenless.append(request)
+            continue
         session = state.sessions[request.session]
         if session.tenant in blocked and session.connection is None:
             waiting.append(item)
