Gateway: queue order by tenant, and one holder per service and tenant

Queued requests go by route priority, tenant priority, turns among tenants and age. A tenant leaves space in the queue for others. Each tenant has one holder per service among those of its data centre, chosen by rendezvous hashing with bounded load; holders forward the statements of other holders' tenants. The simulation under random faults has a variant with tenants and revoked keys.

--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -158,6 +158,8 @@
     }
     state.configuration = configuration
     effects = maintenance.close_removed_tenants(state)
+    if configuration.tenants is not None:
+        effects += forwarding.preconnect(state)
     effects += maintenance.renew_transactions(state, event.now_ms)
     if not inputs["previous"]:
         for session in list(state.sessions.values()):
--- a/packages/core/src/endivewick_core/gateway/forwarding.py
+++ b/packages/core/src/endivewick_core/gateway/forwarding.py
@@ -7,14 +7,16 @@
 
 from ..messages import ForwardedEnd, ForwardedStatement
 from ..statements import TransactionState
-from . import holders
+from . import holders, tenant_holders
 from .effects import Connect, Effect, Send
 from .state import GatewayState, Request, Session
 
 
 def forward(state: GatewayState, now_ms: int, session: Session, request: Request) -> list[Effect]:
     """Send a request to the gateway that holds connections for its service."""
-    address = session.holder or holders.holder(state, now_ms, request.route.service)
+    address = session.holder or tenant_holders.holder(
+        state, now_ms, request.route.service, session.tenant
+    )
     if session.state is TransactionState.OPEN:
         session.holder = address
     statement = request.statement
@@ -54,8 +56,10 @@
 def preconnect(state: GatewayState) -> list[Effect]:
     """Connect in advance to this gateway's holders, or as a holder to the other gateways."""
     services = state.configuration.services
+    # With tenants each holder has some of them.
+    count = 1 if state.configuration.tenants is None else None
     addresses = {
-        address for name in services for address in holders.candidates_for(state, name)[:1]
+        address for name in services for address in holders.candidates_for(state, name)[:count]
     }
     if any(holders.are_needed(state, name) and holders.holds(state, name) for name in services):
         addresses.update(state.control.neighbours)
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -69,6 +69,11 @@
     return rank_gateways(state, service)[: _holder_count(state, service) + 1]
 
 
+def holder_addresses(state: GatewayState, service: str) -> tuple[str, ...]:
+    """Return the holders of a service in this data centre."""
+    return tuple(rank_gateways(state, service)[: _holder_count(state, service)])
+
+
 def rank_gateways(state: GatewayState, service: str) -> list[str]:
     """Return the gateways of this data centre in the order in which they become holders."""
     known = state.control.ranked_holders.get(service)
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -14,12 +14,13 @@
 from ..watermarks import required_position
 from . import (
     answers,
+    fair_queue,
     forwarding,
-    holders,
     pool,
     primary_leases,
     primary_waits,
     tenant_connections,
+    tenant_holders,
     tenants,
 )
 from .effects import Effect, LogEvent
@@ -45,7 +46,6 @@
 MAX_BUSY_BACKOFF_MS = 120  # a fifth of the usual latency objective
 READ_ONLY_BACKOFF_MS = 100  # after an upstream answered that it is not the primary
 LAGGING_BACKOFF_MS = 150  # after a replica answered that it lacks the required position
-PINNED_PRIORITY = -1  # of a COMMIT, which holds a connection that others wait for
 MAX_READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_AFTER_MS = 300  # sent to clients whose statement was refused for lack of capacity
 OUT_OF_REACH_RETRY_AFTER_MS = 1_000  # about the time of an election in control
@@ -91,21 +91,20 @@
 def enqueue(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Queue a request until a connection is available, or refuse it if the queue is full."""
     session = state.sessions[request.session]
-    if state.queued >= state.settings.queue_limit:
+    if not fair_queue.has_space(state, session, request):
         error = Error(Fault.BUSY, "too many statements are queued in this gateway", RETRY_AFTER_MS)
         return refuse(state, now_ms, request, error)
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
-    priority = request.route.priority
-    if session.connection is not None:
-        priority = PINNED_PRIORITY
-    item = QueuedRequest(priority, request.serial, request)
-    heapq.heappush(queue.primary if needs_primary(session, request) else queue.reads, item)
+    fair_queue.add(state, queue, session, request)
     state.queued += 1
     return []
 
 
 def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
-    return bool(session.holder or holders.holder(state, now_ms, request.route.service))
+    return bool(
+        session.holder
+        or tenant_holders.holder(state, now_ms, request.route.service, session.tenant)
+    )
 
 
 def dispatch_queued(state: GatewayState, now_ms: int, service: str) -> list[Effect]:
@@ -197,6 +196,7 @@
         state.queued -= 1
         request = item.request
         if request.serial not in state.requests:
+            fair_queue.note_removed(item)
             continue
         session = state.sessions[request.session]
         if session.tenant in blocked and session.connection is None:
@@ -205,8 +205,10 @@
         result = _try_route(state, now_ms, session, request)
         effects += result.effects
         if result.is_routed:
+            fair_queue.note_removed(item, is_served=True)
             continue
         if result.refusal is not None:
+            fair_queue.note_removed(item)
             effects += refuse(state, now_ms, request, result.refusal)
             continue
         waiting.append(item)
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -72,7 +72,8 @@
 
     ``tried`` holds the upstreams that are not chosen again for this request: they refused it as
     lagging, failed it as a single read, or lost its connection. ``sent_ms`` is zero until bytes of
-    it may have reached an upstream. ``tenant`` is that of its session.
+    it may have reached an upstream. ``tenant`` is that of its session, and ``turn`` its turn in the
+    queue once it was queued.
     """
 
     session: int
@@ -90,6 +91,7 @@
     last_refusal: str = ""
     forwarded_to: str = ""
     tenant: str = ""
+    turn: int | None = None
 
     @property
     def changes_data(self) -> bool:
@@ -215,6 +217,14 @@
     limit_reached_ms: int | None = None
 
 
+class TenantHolders(NamedTuple):
+    """The holders of a service's tenants, for a configuration and the holders of the service."""
+
+    version: int
+    addresses: tuple[str, ...]
+    by_tenant: dict[str, str]
+
+
 @dataclass(slots=True)
 class ControlLink:
     """The polling of control, and what this gateway knows of control and of other gateways.
@@ -248,6 +258,7 @@
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked_holders: dict[str, list[str]] = field(default_factory=dict)
+    tenant_holders: dict[str, TenantHolders] = field(default_factory=dict)
     holder_last_received_ms: dict[str, int] = field(default_factory=dict)
     undelivered_since_ms: dict[str, int] = field(default_factory=dict)
 
@@ -276,12 +287,32 @@
     leadership: int | None
 
 
+@dataclass(slots=True)
+class Turns:
+    """The turns of tenants among the queued requests of one priority; see ``fair_queue``.
+
+    ``served`` is the latest turn that was served, ``last`` the latest one that each tenant took,
+    and ``waiting`` the number of its queued requests.
+    """
+
+    served: int = 0
+    last: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
 class QueuedRequest(NamedTuple):
-    """A queued request; the lowest priority number goes first, then the oldest."""
+    """A queued request; the order is that of the fields, the lowest value first.
+
+    ``tenant`` is that of the request when it was queued. ``turns`` is None without tenants.
+    """
 
     priority: int
+    tenant_priority: int
+    turn: int
     serial: int
     request: Request
+    tenant: str
+    turns: Turns | None
 
 
 @dataclass(slots=True)
@@ -289,10 +320,12 @@
     """The requests of one service that wait for a connection.
 
     ``primary`` is the heap of those that only the primary may serve, ``reads`` that of the others.
+    ``turns`` are those of the requests of one of the heaps with the same priorities.
     """
 
     primary: list[QueuedRequest] = field(default_factory=list)
     reads: list[QueuedRequest] = field(default_factory=list)
+    turns: dict[tuple[bool, int, int], Turns] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -45,7 +45,7 @@
     PrimaryLeaseNote,
     WatermarkNote,
 )
-from endivewick_core.routes import Freshness
+from endivewick_core.routes import Freshness, Tenant
 from endivewick_core.statements import (
     Error,
     Fault,
@@ -89,6 +89,7 @@
     member: str
     connection: CallerConnection
     queue: deque[UpstreamStatement] = field(default_factory=deque)
+    tenant: str = ""
     is_busy: bool = False
     is_closed: bool = False
     loses_next: bool = False
@@ -96,10 +97,11 @@
 
 @dataclass(slots=True, eq=False)
 class Client:
-    """A client and the statement that it waits for."""
+    """A client and the statement that it waits for; ``tenant`` has its key, if it has one."""
 
     name: str
     workspace: str
+    tenant: str = ""
     gateway: str = ""
     number: int = 0
     script: Script | None = None
@@ -130,6 +132,9 @@
     only_freshness: Freshness | None = None
 
 
+TENANTS = ("alice", "bob", "carol")  # the clients of a simulation with tenants belong to them
+REVOKED_MS = 7_000  # how long a key is revoked
+REVOCATION_LIMIT_MS = 5_000  # after which nothing may run under a revoked key
 DEFAULT_LOAD = Load(40.0, WORK_MS, 1_000, 32, LIMIT)
 
 
@@ -144,6 +149,7 @@
         holders: bool = False,
         load: Load = DEFAULT_LOAD,
         fenced: bool = True,
+        has_tenants: bool = False,
     ):
         self.load = load
         self.fenced = fenced
@@ -164,6 +170,11 @@
         self.recorder = Recorder(frozenset(CHECKS) - TIMED_CHECKS)
         self.execution = Execution(self.database, self.recorder, count(1))
         self.configuration = configuration(limit=load.connection_limit)
+        self.revoked_ms: dict[str, float] = {}
+        if has_tenants:
+            tenants = {name: Tenant(name, 1, None, 0.0) for name in TENANTS}
+            names = {f"key-{name}": name for name in TENANTS}
+            self.configuration = self.configuration._replace(tenants=tenants, tenant_names=names)
         self.holders = holders
         self.addresses = [f"10.0.0.{20 + number}:7000" for number in range(gateways)]
         self.links: dict[tuple[str, int], Link] = {}
@@ -178,7 +189,12 @@
             for name, route in self.configuration.routes.items()
             if load.only_freshness in (None, route.freshness)
         )
-        self.clients = [Client(f"c{n}", routes[n % len(routes)]) for n in range(clients)]
+        # Neighbouring clients use different routes, and each tenant has clients on each route.
+        owners = TENANTS if has_tenants else ("",)
+        self.clients = [
+            Client(f"c{n}", routes[n % len(routes)], owners[n // len(routes) % len(owners)])
+            for n in range(clients)
+        ]
         self.by_number: dict[int, Client] = {}
         self.numbers = count(1)
         self._every(TICK_MS, self._tick)
@@ -368,7 +384,7 @@
     def _open_link(self, address: str, effect: OpenConnection) -> None:
         member = self.database.members[effect.upstream]
         connection = CallerConnection(next(self.execution.numbers))
-        link = Link(address, effect.connection, effect.upstream, connection)
+        link = Link(address, effect.connection, effect.upstream, connection, tenant=effect.tenant)
         held = sum(
             item.member == member.name and not item.is_closed for item in self.links.values()
         )
@@ -434,6 +450,7 @@
     def _run(self, link: Link, message: UpstreamStatement) -> None:
         if link.is_closed:
             return
+        self._check_tenant(link, message)
         member = self.database.members[link.member]
         connection = link.connection
         result = run_without_slot(self.execution, member, connection, message)
@@ -445,6 +462,21 @@
                 result = fail(connection, fault)
         self._complete(link, member, result)
 
+    def _check_tenant(self, link: Link, message: UpstreamStatement) -> None:
+        """Check that a client's statement runs on a connection of its tenant, and under its key."""
+        name = message.statement.request_id.partition(".")[0]
+        client = next((item for item in self.clients if item.name == name), None)
+        if client is None:
+            return
+        revoked_ms = self.revoked_ms.get(client.tenant, self.now_ms)
+        if link.tenant == client.tenant and self.now_ms - revoked_ms < REVOCATION_LIMIT_MS:
+            return
+        text = (
+            f"{message.statement} of {client.tenant!r} ran on a connection of {link.tenant!r}, "
+            f"{self.now_ms - revoked_ms:.0f} ms after its key was revoked"
+        )
+        self.recorder.violations.append(Violation("tenant", text, self.recorder.events[-1]))
+
     def _complete(self, link: Link, member: db.Member, result: Result) -> None:
         """Answer once a replica has received the commit; a former primary never answers."""
         if link.is_closed:
@@ -482,7 +514,8 @@
         client.script = Script(session, self.random, self.serial, ITEMS)
         client.steps = run_script(client.script)
         self.by_number[client.number] = client
-        event = ev.SessionOpened(int(self.now_ms), client.number, client.workspace)
+        key = f"key-{client.tenant}" if client.tenant else ""
+        event = ev.SessionOpened(int(self.now_ms), client.number, client.workspace, key)
         self.deliver(client.gateway, event)
 
     def _next(self, client: Client | None, outcome: Outcome | None) -> None:
@@ -554,6 +587,8 @@
             self.lose_messages,
             self.disconnect_client,
         )
+        if self.configuration.tenants is not None:
+            faults += (self.revoke_key,) * 2
         fault = self.random.choice(faults)
         fault()
         return fault.__name__
@@ -652,7 +687,24 @@
                 self._disconnect(client)
         self._configure(address, RESTART_MS + 60.0)
 
+    def revoke_key(self) -> None:
+        """Revoke the key of a tenant for a time in which nobody may go on under it."""
+        tenant = self.random.choice(TENANTS)
+        if tenant in self.revoked_ms:
+            return
+
+        def restore() -> None:
+            del self.revoked_ms[tenant]
+            self.change_configuration()
+
+        self.revoked_ms[tenant] = self.now_ms
+        self.change_configuration()
+        self.schedule(REVOKED_MS, restore)
+
     def change_configuration(self) -> None:
+        if self.configuration.tenants is not None:
+            names = {f"key-{name}": name for name in TENANTS if name not in self.revoked_ms}
+            self.configuration = self.configuration._replace(tenant_names=names)
         version = self.configuration.version + 1
         self.configuration = self.configuration._replace(version=version)
         for address in self.addresses:
--- a/tests/test_gateway_search.py
+++ b/tests/test_gateway_search.py
@@ -1,7 +1,7 @@
 """Gateways under random faults in simulated time; a seed repeats exactly."""
 
 import pytest
-from gateway_simulation import Simulation
+from gateway_simulation import DEFAULT_LOAD, Simulation
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -10,9 +10,13 @@
 RECOVERY_MS = 12_000  # the platform's time limit for a system to serve again
 
 
-def play(seed, holders, fenced):
+# Fewer connections than the clients' tenants need at once, so that connections change tenants.
+TENANT_LOAD = DEFAULT_LOAD._replace(connection_limit=10)
+
+
+def play(seed, holders, fenced, **options):
     """Run overlapping faults; return violations, clients not served afterwards and the faults."""
-    simulation = Simulation(seed, holders=holders, fenced=fenced)
+    simulation = Simulation(seed, holders=holders, fenced=fenced, **options)
     simulation.run(1_500)
     injected = []
     for _ in range(FAULTS):
@@ -36,3 +40,12 @@
 def test_promises_hold_under_random_faults(seed, holders, fenced):
     broken, unserved, injected = play(seed, holders, fenced)
     assert_that((broken[:5], unserved), Equals(([], [])), f"faults: {injected}")
+
+
+@pytest.mark.parametrize("holders", [False, True], ids=["own", "holders"])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_promises_hold_with_tenants_under_random_faults(seed, holders):
+    """No statement may run on another tenant's connection or under a key revoked for long."""
+    options = {"has_tenants": True, "load": TENANT_LOAD, "clients": 9}
+    broken, unserved, injected = play(seed, holders, True, **options)
+    assert_that((broken[:5], unserved), Equals(([], [])), f"faults: {injected}")
