--- a/packages/core/src/endivewick_core/gateway/answers.py
+++ b/packages/core/src/endivewick_core/gateway/answers.py
@@ -112,6 +112,8 @@
         "tried": sorted(request.tried),
         "last_refusal": request.last_refusal,
     }
+    if request.tenant:
+        inputs["tenant"] = request.tenant
     if error is not None:
         inputs["text"] = error.text
     workspace = request.route.workspace
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -20,7 +20,7 @@
     internal_statement,
 )
 from . import limits, primary_leases, tenant_connections, tenants
-from .effects import CloseConnection, Effect, OpenConnection, SendStatements
+from .effects import CloseConnection, Effect, LogEvent, OpenConnection, SendStatements
 from .state import (
     Connection,
     GatewayState,
@@ -69,9 +69,8 @@
     if excess > 0 and (not tenant or len(pool.idle) < excess):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
-    if opening >= (
-        MAX_OPENING_CONNECTIONS if tenant else min(MAX_OPENING_CONNECTIONS, max(1, wanted))
-    ):
+    limit = MAX_OPENING_CONNECTIONS if tenant else min(MAX_OPENING_CONNECTIONS, max(1, wanted))
+    if opening >= limit:
         return []
     effects: list[Effect] = []
     if request is not None and tenant:
@@ -82,6 +81,7 @@
             if not evicted:
                 return []
             for item in evicted:
+                effects.append(_eviction_event(now_ms, item, request))
                 effects += close(state, item)
     connection = Connection(
         state.next_connection,
@@ -99,6 +99,18 @@
     return [*effects, opened]
 
 
+def _eviction_event(now_ms: int, connection: Connection, request: Request) -> LogEvent:
+    inputs: dict[str, object] = {
+        "upstream": connection.upstream,
+        "of_tenant": connection.tenant,
+        "for_tenant": request.tenant,
+        "idle_ms": now_ms - connection.last_used_ms,
+        "waited_ms": now_ms - request.received_ms,
+    }
+    request_id, workspace = request.statement.request_id, request.route.workspace
+    return LogEvent("info", "connection_evicted", request_id, workspace, inputs, "closed")
+
+
 def take_idle(pool: UpstreamPool, session: Session) -> Connection | None:
     """Remove and return the idle connection that needs the least preparation, or None.
 
--- a/tests/test_tenant_connections.py
+++ b/tests/test_tenant_connections.py
@@ -79,6 +79,8 @@
     small.answer_own_statements()
     request = small.send(9, K.WRITE)
     assert_that(small.closed, Equals([newest]))
+    evicted = [item for item in small.log_events if item.event == "connection_evicted"]
+    assert_that([item.inputs["of_tenant"] for item in evicted], Equals(["bob"]))
     small.open_all()
     assert_that(small.tenant_of[small.find_sent(request).connection], Equals("public"))
 
