Gateway: reads leave upstreams that fail, answer nothing or are full

An upstream that has answered nothing for 120 ms and 2.5 times its mean latency is taken for unresponsive: single reads, transactions whose BEGIN waits and those whose first read waits move to another upstream, without the budget for repeated reads. A read that waits for a connection takes an idle one of the next best upstream after 50 ms. Reads are distributed by weights from the gateway's own outcomes and, once control sends them, from control's.

--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -21,6 +21,7 @@
     primary_waits,
     routing,
     sessions,
+    upstream_health,
 )
 from .effects import ApplyDocument, Effect, LogEvent, Send
 from .events import ConfigurationReceived
@@ -66,6 +67,7 @@
         limits.wanted(state),
         state.draining_since_ms is not None,
         dict(state.acknowledged),
+        upstream_health.take_report(state),
     )
     return [*effects, Send(link.address, question)]
 
@@ -125,6 +127,7 @@
     for report, age_ms in answer.reports:
         merge_report(state.directory, sent_ms, report, age_ms)
         routing.add_pool(state, report.upstream, report.service)
+    upstream_health.apply_told(state, sent_ms, answer.upstream_weights)
     for note in answer.watermarks:
         history = state.watermarks.setdefault(note.service, WatermarkHistory())
         add_watermark(history, sent_ms - note.age_ms, Position(note.term, note.offset))
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -15,6 +15,7 @@
     forwarded_requests,
     forwarding,
     maintenance,
+    overdue,
     remote_sessions,
     results,
     routing,
@@ -38,6 +39,7 @@
 from .state import GatewayState
 
 QUEUED_TICK_MS = 20  # about as soon as a busy upstream is tried again
+WEIGHTED_TICK_MS = 40  # with weights, while requests wait: a silent upstream is noticed in time
 IDLE_TICK_MS = 100  # timeouts and other timed work may be late by a tenth of a second
 SWEEP_INTERVAL_MS = 1_000  # idle connections and latencies change slowly
 BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
@@ -71,8 +73,9 @@
     now_ms = event.now_ms
     effects = control_link.check_poll(state, now_ms)
     effects += results.check_deadlines(state, now_ms)
-    effects += results.retry_overdue_reads(state, now_ms)
-    effects += results.close_unresponsive(state, now_ms)
+    effects += overdue.leave_unresponsive(state, now_ms)
+    effects += overdue.retry_overdue_reads(state, now_ms)
+    effects += overdue.close_unresponsive(state, now_ms)
     effects += forwarded_requests.check_overdue(state, now_ms)
     effects += forwarding.resend_undelivered(state)
     effects += sessions.check_idle(state, now_ms)
@@ -131,7 +134,8 @@
         default=state.control.next_poll_ms,
     )
     wait_ms = min(due_ms, state.control.next_poll_ms) - now_ms
-    return max(QUEUED_TICK_MS, min(wait_ms, IDLE_TICK_MS))
+    watches = state.settings.uses_upstream_weights and state.requests
+    return max(QUEUED_TICK_MS, min(wait_ms, WEIGHTED_TICK_MS if watches else IDLE_TICK_MS))
 
 
 def _check_drain(state: GatewayState, now_ms: int) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -14,7 +14,15 @@
     UpstreamReply,
 )
 from ..watermarks import WatermarkHistory, add_watermark
-from . import answers, commit_confirmations, forwarding, pool, primary_leases, routing
+from . import (
+    answers,
+    commit_confirmations,
+    forwarding,
+    pool,
+    primary_leases,
+    routing,
+    upstream_health,
+)
 from .effects import CloseConnection, Effect, LogEvent
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
 from .requests import commits_writes, is_single_read
@@ -33,12 +41,7 @@
 # Each answer allows a tenth of a retry, so that retries can't double the load.
 RETRY_BUDGET_PER_ANSWER = 0.1
 MAX_RETRY_BUDGET = 20.0  # reads that may be sent again in a burst
-# An answer is overdue after OVERDUE_MS plus OVERDUE_FACTOR times the upstream's mean latency.
-OVERDUE_MS = 250
-OVERDUE_FACTOR = 2.5
 FORWARDED_REFUSAL_MARGIN_MS = 120  # a tick, and the way to a gateway under load
-ABANDONED_ANSWER_TIMEOUT_MS = 1_000  # for an answer that no session waits for any more
-ANSWER_TIMEOUT_MARGIN_MS = 250  # so that a timeout is reported before its connection is closed
 CONNECT_BACKOFF_MS = 100  # base of the pause after failed connections; doubles with each failure
 MAX_CONNECT_BACKOFF_MS = 2_000  # so that an upstream that recovered is found in time
 MOVED_BACKOFF_MS = 1_000  # after another upstream answered; a report corrects the address
@@ -53,6 +56,7 @@
     connection.last_received_ms = event.now_ms
     item = state.pools[connection.upstream]
     item.connect_failures = 0
+    upstream_health.record_opened(item, event.now_ms)
     if pool.is_primary(state, item):
         state.unreachable_since_ms.pop(item.service, None)
     return pool.release(state, event.now_ms, connection)
@@ -69,6 +73,7 @@
         log_event = LogEvent("warning", "answer_unexpected", "", "", inputs, "closed")
         return [log_event, *pool.close(state, connection)]
     connection.last_received_ms = now_ms
+    upstream_health.record_answer(state.pools[connection.upstream], now_ms)
     connection.in_transaction = reply.state is not TransactionState.IDLE
     pending = connection.pending.popleft()
     if _is_answer_missing(pending, reply):
@@ -105,6 +110,9 @@
     item = state.pools[connection.upstream]
     pool.remove_connection(state, connection)
     effects: list[Effect] = []
+    lost = sum(1 for one in connection.pending if one.purpose is Purpose.WORK and one.request)
+    lost += connection.next_request is not None or not connection.is_open
+    upstream_health.record_lost(item, now_ms, lost, event.error.fault)
     if not connection.is_open:
         item.connect_failures += 1
         if event.error.fault is Fault.TOO_MANY_CONNECTIONS:
@@ -164,69 +172,9 @@
     return request.deadline_ms
 
 
-def close_unresponsive(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Close the connections that have not opened, or not answered a statement, in time."""
-    effects: list[Effect] = []
-    for connection in list(state.connections.values()):
-        oldest_ms = connection.opened_ms
-        if connection.is_open:
-            if not connection.pending:
-                continue
-            oldest_ms = max(connection.last_received_ms, connection.pending[0].sent_ms)
-        limit_ms = _answer_timeout_ms(state, connection)
-        if now_ms - oldest_ms < limit_ms:
-            continue
-        effects.append(CloseConnection(connection.number))
-        error = Error(Fault.TIMEOUT, f"no answer for {now_ms - oldest_ms} ms")
-        effects += handle_connection_lost(state, ConnectionBroke(now_ms, connection.number, error))
-    return effects
-
-
-def retry_overdue_reads(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Send single reads again whose answers are overdue, within the retry budget.
-
-    An upstream may lose an answer, or a connection stop delivering, while the upstream appears
-    healthy. The late answer to the first attempt is dropped.
-    """
-    effects: list[Effect] = []
-    for request in list(state.requests.values()):
-        if (
-            not request.sent_ms
-            or request.forwarded_to
-            or request.attempts >= routing.MAX_READ_ATTEMPTS
-        ):
-            continue
-        item = state.pools.get(request.upstream)
-        late_ms = OVERDUE_MS + OVERDUE_FACTOR * (item.latency_ms if item is not None else 0)
-        if now_ms - request.sent_ms < late_ms or state.retry_budget < 1:
-            continue
-        if not is_single_read(state.sessions[request.session], request):
-            continue
-        state.retry_budget -= 1
-        _detach(state, request)
-        error = Error(Fault.TIMEOUT, f"no answer for {now_ms - request.sent_ms} ms")
-        effects += routing.retry_refused(state, now_ms, request, request.upstream, error)
-    return effects
-
-
-def _detach(state: GatewayState, request: Request) -> None:
-    """Detach a request from its pending statement, so that the answer is dropped."""
-    for connection in state.connections.values():
-        for pending in connection.pending:
-            if pending.request is request:
-                pending.request = None
-
-
-def _answer_timeout_ms(state: GatewayState, connection: Connection) -> int:
-    """Return how long a connection may take to open, or to answer its oldest statement.
-
-    For a statement whose session still waits this is the statement timeout plus a margin.
-    """
-    if not connection.is_open:
-        return state.settings.open_timeout_ms
-    if not connection.pending or connection.pending[0].request is None:
-        return ABANDONED_ANSWER_TIMEOUT_MS
-    return connection.pending[0].request.route.timeout_ms + ANSWER_TIMEOUT_MARGIN_MS
+def max_attempts(state: GatewayState, request: Request) -> int:
+    """Return how often a single read is sent at most."""
+    return upstream_health.max_attempts(state, request, routing.MAX_READ_ATTEMPTS)
 
 
 def _handle_begin_reply(
@@ -267,6 +215,7 @@
         connection.is_used = connection.is_used or connection.in_transaction
         return _advance_connection(state, now_ms, connection)
     session = state.sessions[request.session]
+    upstream_health.record_reply(item, now_ms, pending.sent_ms, reply.error)
     if reply.error is None or reply.error.fault not in UPSTREAM_DID_NOT_RUN:
         _record_outcome(item, reply.error is not None)
     if reply.error is not None:
@@ -314,7 +263,7 @@
     is_commit = request.statement.kind is StatementKind.COMMIT
     may_repeat = error.fault in UPSTREAM_DID_NOT_RUN and first and not is_commit
     may_repeat = may_repeat or (
-        is_single_read(session, request) and request.attempts < routing.MAX_READ_ATTEMPTS
+        is_single_read(session, request) and request.attempts < max_attempts(state, request)
     )
     if session.connection == connection.number:
         session.connection = None
@@ -365,7 +314,7 @@
         if request.is_write:
             error = Error(Fault.OUTCOME_UNKNOWN, f"{upstream} closed the connection")
             return answers.fail(state, now_ms, request, error)
-        if request.attempts < routing.MAX_READ_ATTEMPTS:
+        if request.attempts < max_attempts(state, request):
             return _retry_lost_request(state, now_ms, request, upstream)
         error = Error(Fault.BUSY, f"{upstream} closed the connection", routing.RETRY_AFTER_MS)
         return answers.fail(state, now_ms, request, error)
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,15 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits
+from . import (
+    answers,
+    forwarding,
+    holders,
+    pool,
+    primary_leases,
+    primary_waits,
+    upstream_health,
+)
 from .effects import Effect, LogEvent
 from .requests import commits_writes
 from .state import (
@@ -263,8 +271,7 @@
 ) -> RoutingResult:
     """Try the upstream with the lowest expected latency."""
     service = request.route.service
-    best: UpstreamPool | None = None
-    best_cost_ms = 0.0
+    candidates: list[tuple[float, int, UpstreamPool]] = []
     has_replica = False
     for item in state.pools.values():
         if item.service != service or item.upstream in request.tried:
@@ -280,17 +287,37 @@
         if not item.idle and now_ms < item.connect_backoff_until_ms:
             continue
         cost_ms = _cost_ms(state, item, is_primary)
-        if best is None or cost_ms < best_cost_ms:
-            best, best_cost_ms = item, cost_ms
-    if best is None:
+        cost_ms = upstream_health.read_cost_ms(state, now_ms, item, session, request, cost_ms)
+        candidates.append((cost_ms, len(candidates), item))
+    if not candidates:
+        if upstream_health.forget_tried(state, now_ms, request):
+            return _try_read(state, now_ms, session, request, position)
         result = _try_primary(state, now_ms, session, request)
         # A replica that is only backed off may serve the read a moment later.
         return result._replace(refusal=None) if has_replica else result
-    if pool.is_primary(state, best) and primary_leases.covers_primary(
-        state, service, best.upstream, now_ms
+    candidates.sort()
+    result = _try_candidate(state, now_ms, session, request, candidates[0][2], position)
+    for _, _, item in candidates[1:]:
+        if result.is_routed or not upstream_health.may_use_next(state, now_ms, request, item):
+            continue
+        following = _try_candidate(state, now_ms, session, request, item, position)
+        result = following._replace(effects=[*result.effects, *following.effects])
+    return result
+
+
+def _try_candidate(
+    state: GatewayState,
+    now_ms: int,
+    session: Session,
+    request: Request,
+    item: UpstreamPool,
+    position: Position,
+) -> RoutingResult:
+    if pool.is_primary(state, item) and primary_leases.covers_primary(
+        state, request.route.service, item.upstream, now_ms
     ):
         return _try_primary(state, now_ms, session, request)
-    return _try_upstream(state, now_ms, session, request, best.upstream, position)
+    return _try_upstream(state, now_ms, session, request, item.upstream, position)
 
 
 def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool) -> float:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -20,6 +20,7 @@
     TransactionState,
     UpstreamReply,
 )
+from ..upstream_statistics import UpstreamHealth
 from ..watermarks import WatermarkHistory
 from .effects import Send
 
@@ -56,6 +57,8 @@
     commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
+    # Whether outcomes are reported to control, and reads distributed by the weights of upstreams.
+    uses_upstream_weights: bool = False
 
 
 def distance(settings: GatewaySettings, data_centre: str) -> int:
@@ -202,6 +205,7 @@
     allowance: int = 0
     allowance_raised_ms: int = 0
     limit_reached_ms: int | None = None
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
 
 
 @dataclass(slots=True)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -15,6 +15,7 @@
 from .positions import Position
 from .routes import Route
 from .statements import PreparedStatement, Statement
+from .upstream_statistics import UpstreamCounts, UpstreamWeight
 
 
 class Member(NamedTuple):
@@ -334,7 +335,8 @@
     limit was reached, and ``writes_failing`` the services whose writes have had no response for
     some time. ``wanted`` is the number of connections that the gateway wants, by upstream.
     ``acknowledged`` is the highest position at which the gateway has acknowledged a commit, by
-    service.
+    service. ``upstream_counts`` are the outcomes of statements since the last poll, by upstream;
+    those without a change are left out.
     """
 
     gateway: str
@@ -348,6 +350,7 @@
     wanted: dict[str, int]
     is_draining: bool
     acknowledged: dict[str, Position] = {}
+    upstream_counts: dict[str, UpstreamCounts] = {}
 
 
 class DirectoryAnswer(NamedTuple):
@@ -360,7 +363,8 @@
     with the control leader; it is 0 from the leader. ``gateways`` is the number of gateways that
     share the connections of each upstream. ``contended`` maps each upstream that recently refused
     connections to a gateway to the number of connections that all gateways want from it.
-    ``neighbours`` lists the gateways in the receiver's data centre.
+    ``neighbours`` lists the gateways in the receiver's data centre. ``upstream_weights`` holds the
+    upstreams that should get less than their usual share of reads, or have few free slots.
     """
 
     sequence: int
@@ -375,6 +379,7 @@
     gateways: int
     contended: dict[str, int]
     neighbours: list[str]
+    upstream_weights: dict[str, UpstreamWeight] = {}
 
 
 class PrimaryLeaseNote(NamedTuple):
@@ -426,7 +431,8 @@
     the directory from the sender, ``contended`` names the upstreams that recently refused
     connections to them, and ``wanted`` is the number of connections that they want together, by
     upstream. ``acknowledged`` is the highest position at which any gateway is known to have
-    acknowledged a commit, by service.
+    acknowledged a commit, by service. ``upstream_counts`` are the aged outcomes of statements of
+    the sender's gateways, by upstream, as of the moment of sending.
     """
 
     sender: ControlPeer
@@ -437,6 +443,7 @@
     contended: list[str]
     wanted: dict[str, int]
     acknowledged: dict[str, Position] = {}
+    upstream_counts: dict[str, UpstreamCounts] = {}
 
 
 # Between gateways.
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -259,11 +259,22 @@
 
 
 def ready_gateway(
-    version=1, connections=1, address="10.0.0.9:7000", needs_primary_leases=False, **changes
+    version=1,
+    connections=1,
+    address="10.0.0.9:7000",
+    needs_primary_leases=False,
+    uses_upstream_weights=False,
+    **changes,
 ):
     """Return a gateway with a configuration, three upstreams and open connections."""
     settings = GatewaySettings(
-        address, "b", "dc-a", REGIONS, [CONTROL], needs_primary_leases=needs_primary_leases
+        address,
+        "b",
+        "dc-a",
+        REGIONS,
+        [CONTROL],
+        needs_primary_leases=needs_primary_leases,
+        uses_upstream_weights=uses_upstream_weights,
     )
     gateway = Gateway(GatewayState(settings))
     gateway.tick()
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -144,8 +144,12 @@
         holders: bool = False,
         load: Load = DEFAULT_LOAD,
         fenced: bool = True,
+        weights: bool = False,
     ):
         self.load = load
+        self.weights = weights
+        self.unresponsive: set[str] = set()  # members that accept connections and answer nothing
+        self.failing: dict[str, float] = {}  # the share of statements that a member fails
         self.fenced = fenced
         self.used_slots: Counter[str] = Counter()
         self.waiting: dict[str, deque[tuple[Link, UpstreamStatement]]] = {}
@@ -219,6 +223,7 @@
             [CONTROL],
             open_timeout_ms=400,
             needs_primary_leases=not self.fenced,
+            uses_upstream_weights=self.weights,
         )
         return GatewayState(settings)
 
@@ -436,6 +441,8 @@
             return
         member = self.database.members[link.member]
         connection = link.connection
+        if message.statement.kind in WORK_KINDS and self._fails(link):
+            return
         result = run_without_slot(self.execution, member, connection, message)
         if result is None:
             fault = fault_before_work(connection, message.statement)
@@ -445,9 +452,17 @@
                 result = fail(connection, fault)
         self._complete(link, member, result)
 
+    def _fails(self, link: Link) -> bool:
+        """Fail a statement of a member that fails part of them; its connection is reset."""
+        share = self.failing.get(link.member)
+        if not share or self.random.random() >= share:
+            return False
+        self._break(link)
+        return True
+
     def _complete(self, link: Link, member: db.Member, result: Result) -> None:
         """Answer once a replica has received the commit; a former primary never answers."""
-        if link.is_closed:
+        if link.is_closed or link.member in self.unresponsive:
             return
         if result.commit is not None:
             replicated = is_commit_replicated(self.execution, member, result.commit)
