Control: weights of upstreams from the outcomes that gateways report

Gateways report outcomes with their polls, as changes since the last one and at most 12 upstreams. Control sums them over all control processes, lowers a weight at once and raises it in steps of 1 s, and tells gateways the upstreams with a lower weight or few free slots. A process whose gateways find an upstream failing shares it out of turn.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,7 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import departures, primary_leases, probes
+from . import departures, primary_leases, probes, upstream_weights
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -83,6 +83,7 @@
         share.gateways,
         share.contended,
         share.wanted,
+        share.upstream_counts,
     )
     _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
     effects: list[Effect] = []
@@ -127,6 +128,7 @@
         directory_state.gateway_centres[request.gateway] = request.data_centre
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
+    upstream_weights.record(state, now_ms, request)
     _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
     _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
     for upstream in request.refused_by:
@@ -152,6 +154,7 @@
         count_gateways(state, now_ms),
         _contended(state, now_ms),
         _neighbours(state, request.data_centre),
+        upstream_weights.answer_weights(state, now_ms),
     )
     effects: list[Effect] = []
     if primary_leases.are_granted(state):
@@ -164,7 +167,8 @@
 def check_sharing(state: ControlState, now_ms: int) -> list[Effect]:
     """Refuse reports that were not confirmed in time, and share recent reports when due.
 
-    A share is sent early when the failing primaries change or another upstream is contended.
+    A share is sent early when the failing primaries change, or another upstream is contended or
+    fails statements.
     """
     directory_state = state.directory_state
     effects: list[Effect] = []
@@ -182,6 +186,7 @@
     is_new = (
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
+        or upstream_weights.needs_early_share(state, now_ms)
     )
     if now_ms < directory_state.share_due_ms and not is_new:
         return effects
@@ -306,6 +311,7 @@
         sorted(_own_contended(state, now_ms)),
         _sum_counts(state.directory_state.wanted.values()),
         dict(state.directory_state.acknowledged),
+        upstream_weights.shared_counts(state, now_ms),
     )
 
 
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -28,6 +28,7 @@
     placement,
     primary_leases,
     replication,
+    upstream_weights,
     watch,
 )
 from .effects import Effect, LogEvent
@@ -84,7 +85,8 @@
     """Share the directory, monitor the primaries and replace those that fail."""
     if not state.settings.voter_target:
         return []
-    effects = directory.check_sharing(state, now_ms)
+    effects = upstream_weights.update(state, now_ms)
+    effects += directory.check_sharing(state, now_ms)
     effects += watch.check_primaries(state, now_ms)
     effects += primary_leases.check_leases(state, now_ms)
     return effects + failover.check_failovers(state, now_ms)
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -12,6 +12,7 @@
 from ..messages import ControlPeer, PrimaryHealth, PrimaryWaitNote
 from ..positions import ZERO, Position
 from ..primary_leases import PrimaryLeases
+from ..upstream_statistics import Tally, UpstreamCounts
 
 
 class ProbeKind(StrEnum):
@@ -214,6 +215,39 @@
     gateways: int = 0
     contended: list[str] = field(default_factory=list)
     wanted: dict[str, int] = field(default_factory=dict)
+    upstream_counts: dict[str, UpstreamCounts] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class GatheredWeight:
+    """An upstream's weight, from 0 to 1, and the share of its slots in use.
+
+    ``raised_ms`` is when the weight last changed, ``as_of_ms`` when the newest figure for it came,
+    and ``logged_weight`` the weight in the last log line.
+    """
+
+    weight: float = 1.0
+    load: float = 0.0
+    raised_ms: int = 0
+    as_of_ms: int = 0
+    logged_weight: float = 1.0
+
+
+@dataclass(slots=True)
+class GatheredWeights:
+    """What the gateways of this process reported of upstreams, and the weights of upstreams.
+
+    ``tallies`` are the sums by upstream. ``running`` holds, by upstream and gateway, the number of
+    statements in progress and when it was reported. ``reduced_shared`` are the upstreams whose
+    failures were shared, the last time out of turn at ``shared_early_ms``.
+    """
+
+    tallies: dict[str, Tally] = field(default_factory=dict)
+    running: dict[str, dict[str, tuple[int, int]]] = field(default_factory=dict)
+    weights: dict[str, GatheredWeight] = field(default_factory=dict)
+    reduced_shared: frozenset[str] = frozenset()
+    shared_early_ms: int = 0
+    update_due_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -228,7 +262,7 @@
     ``wanted`` hold what each gateway reported in its last poll, and when. ``acknowledged`` is the
     highest position at which any gateway is known to have acknowledged a commit, by service.
     ``own_acknowledged`` is that of the gateways that poll this process; ``acknowledged_due_ms`` is
-    the time before which it is not shared again.
+    the time before which it is not shared again. ``weights`` are the weights of upstreams.
     """
 
     boot: str = ""
@@ -248,3 +282,4 @@
     own_acknowledged: dict[str, Position] = field(default_factory=dict)
     acknowledged_shared: dict[str, Position] = field(default_factory=dict)
     acknowledged_due_ms: int = 0
+    weights: GatheredWeights = field(default_factory=GatheredWeights)
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -21,7 +21,7 @@
     ``voter_target`` processes vote. ``me`` holds the addresses of this process.
     ``primary_lease_ms`` is how long a lease on a primary lasts; without leases it is 0.
     ``fences_primaries`` is whether a primary stops to lead at the moment when another upstream is
-    promoted.
+    promoted. ``uses_upstream_weights`` is whether gateways are told weights of upstreams.
     """
 
     members: dict[str, str]
@@ -39,6 +39,7 @@
     snapshot_entries: int = 1_000
     entries_kept: int = 200
     batch_entries: int = 256
+    uses_upstream_weights: bool = False
 
 
 class Membership(NamedTuple):
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -38,7 +38,7 @@
 def check_poll(state: GatewayState, now_ms: int) -> list[Effect]:
     """Poll control when it is due; change to another process if the current one doesn't answer."""
     link = state.control
-    if now_ms < link.next_poll_ms:
+    if now_ms < link.next_poll_ms - upstream_health.poll_advance_ms(state):
         return []
     effects: list[Effect] = []
     last_received_ms = link.last_received_ms if link.last_received_ms is not None else 0
--- a/packages/core/src/endivewick_core/gateway/upstream_health.py
+++ b/packages/core/src/endivewick_core/gateway/upstream_health.py
@@ -22,8 +22,8 @@
 from .effects import Effect, LogEvent
 from .state import GatewayState, Request, Session, UpstreamPool
 
-TOLD_MAX_AGE_MS = 3_000  # older findings of control are ignored
-OWN_PRIOR = 2.0  # assumed successes: the first failure of a gateway leaves a weight of 0.2
+TOLD_MAX_AGE_MS = 3_000  # what control told longer ago is ignored; control ages its own findings
+OWN_PRIOR = 1.0  # assumed successes: the first failure of a gateway leaves a weight of 0.06
 # An upstream that has not answered anything for this long, plus SILENCE_FACTOR times its mean
 # latency, is taken for unresponsive. Another attempt then fits into an objective of 600 ms.
 SILENCE_MS = 120
@@ -41,6 +41,7 @@
 # A request that has waited for longer takes an idle connection of the next best upstream.
 ELSEWHERE_AFTER_MS = 50
 OPEN_ELSEWHERE_AFTER_MS = 150  # and after this long, a connection is opened there
+POLL_ADVANCE_MS = 150  # of a poll that reports failures; usual polls are 250 ms apart
 NOT_THE_UPSTREAM = UPSTREAM_DID_NOT_RUN | {Fault.BAD_REQUEST, Fault.ABORTED}
 
 
@@ -102,6 +103,17 @@
     return reported
 
 
+def poll_advance_ms(state: GatewayState) -> int:
+    """Return how much earlier the next poll is due, since it reports failures."""
+    if not state.settings.uses_upstream_weights:
+        return 0
+    for item in state.pools.values():
+        counts = item.health.unreported
+        if counts.failed or counts.lost or counts.unanswered:
+            return POLL_ADVANCE_MS
+    return 0
+
+
 def apply_told(state: GatewayState, sent_ms: int, weights: dict[str, UpstreamWeight]) -> None:
     """Store what control found; an upstream that it doesn't name has its full weight."""
     if not state.settings.uses_upstream_weights:
@@ -109,7 +121,7 @@
     for item in state.pools.values():
         told = weights.get(item.upstream)
         item.health.told = told
-        item.health.told_ms = sent_ms - told.age_ms if told is not None else sent_ms
+        item.health.told_ms = sent_ms
 
 
 def weight(state: GatewayState, now_ms: int, item: UpstreamPool) -> float:
@@ -227,6 +239,7 @@
             "unresponsive": is_unresponsive(state, now_ms, item),
             "told_percent": told.weight_percent if told is not None else None,
             "told_ms_ago": now_ms - item.health.told_ms if item.health.told_ms else None,
+            "told_age_ms": told.age_ms if told is not None else None,
         }
         outcome = f"{new:.2f}"
         effects.append(LogEvent("info", "upstream_weight_changed", "", "", inputs, outcome))
--- a/packages/core/src/endivewick_core/upstream_statistics.py
+++ b/packages/core/src/endivewick_core/upstream_statistics.py
@@ -1,13 +1,15 @@
 """Counts of statement outcomes by upstream: reported by gateways, summed by control and aged.
 
-All functions are pure. Counts lose half of their value in each ``HALF_LIFE_MS``, so that a sum
-describes the last seconds at any rate of statements.
+All functions are pure. Counts lose half of their value in each half-life, so that a sum describes
+the last seconds at any rate of statements. Successes age faster than failures: an upstream that has
+served well until now is found failing within a second, and a failure is remembered for longer.
 """
 
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-HALF_LIFE_MS = 2_000  # an upstream that recovered outweighs its failures within some seconds
+HALF_LIFE_MS = 2_000  # of failures and rejections: a recovered upstream is well within seconds
+SUCCESS_HALF_LIFE_MS = 500  # with 2,000 ms, a failing upstream had kept half of its reads for 2 s
 MAX_REPORTED_UPSTREAMS = 12  # in one poll; keeps the counts of a poll below 600 bytes
 MIN_WEIGHT = 0.02  # the share of reads by which a recovery is detected
 # A share f of failures leaves the weight (1 - f) ** FAILURE_EXPONENT: a tenth 0.66, a half 0.06.
@@ -93,7 +95,8 @@
     if passed_ms <= 0:
         return tally
     factor = 0.5 ** (passed_ms / HALF_LIFE_MS)
-    return Tally(now_ms, tally.succeeded * factor, tally.bad * factor, tally.rejected * factor)
+    succeeded = tally.succeeded * 0.5 ** (passed_ms / SUCCESS_HALF_LIFE_MS)
+    return Tally(now_ms, succeeded, tally.bad * factor, tally.rejected * factor)
 
 
 def add_counts(tally: Tally, now_ms: int, counts: UpstreamCounts) -> Tally:
