--- a/tests/test_weight_simulation.py
+++ b/tests/test_weight_simulation.py
@@ -7,7 +7,7 @@
 import pytest
 from endivewick_core.routes import Freshness
 from endivewick_core.statements import Fault
-from gateway_simulation import Load
+from gateway_simulation import DEFAULT_LOAD, Load
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 from weighted_simulation import READS, WeightedSimulation
@@ -149,3 +149,47 @@
             busiest[weights] += max(simulation.arrived.values()) / mean / 3
     assert_that(rejected[True], LessThan(0.85 * rejected[False]))
     assert_that(busiest[True], LessThan(busiest[False]))
+
+
+def make_unresponsive(simulation):
+    member = simulation.random.choice(sorted(simulation.database.members))
+    simulation.unresponsive.add(member)
+    simulation.schedule(
+        simulation.random.uniform(300, 2_000), lambda: simulation.unresponsive.discard(member)
+    )
+
+
+def make_failing(simulation):
+    member = simulation.random.choice(sorted(simulation.database.members))
+    simulation.failing[member] = simulation.random.uniform(0.1, 0.9)
+    simulation.schedule(
+        simulation.random.uniform(300, 3_000), lambda: simulation.failing.pop(member, None)
+    )
+
+
+@pytest.mark.parametrize("holders", [False, True], ids=["own", "holders"])
+@pytest.mark.parametrize("seed", range(12))
+def test_promises_hold_under_random_faults_with_weights(seed, holders):
+    """Guards against answers that are lost, doubled or stale since a request was moved.
+
+    The faults are those of test_gateway_search, and upstreams that answer nothing or fail.
+    """
+    simulation = WeightedSimulation(seed, 3, 9, load=DEFAULT_LOAD, weights=True)
+    simulation.holders = holders
+    simulation.run(1_500)
+    injected = []
+    for _ in range(30):
+        if simulation.random.random() < 0.3:
+            fault = simulation.random.choice((make_unresponsive, make_failing))
+            fault(simulation)
+            injected.append(fault.__name__)
+        else:
+            injected.append(simulation.inject_fault())
+        simulation.run(simulation.random.uniform(20, 500))
+    simulation.run(3_000)
+    before = [client.served for client in simulation.clients]
+    simulation.run(12_000)
+    served = [client.served for client in simulation.clients]
+    unserved = [now for now, known in zip(served, before, strict=True) if now == known]
+    broken = [f"{item.promise}: {item.text}" for item in simulation.recorder.violations]
+    assert_that((broken[:5], unserved), Equals(([], [])), f"faults: {injected}")
