--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -67,7 +67,7 @@
         limits.wanted(state),
         state.draining_since_ms is not None,
         dict(state.acknowledged),
-        upstream_health.take_report(state),
+        upstream_health.take_report(state, now_ms),
     )
     return [*effects, Send(link.address, question)]
 
--- a/packages/core/src/endivewick_core/gateway/overdue.py
+++ b/packages/core/src/endivewick_core/gateway/overdue.py
@@ -85,8 +85,12 @@
             continue
         item = state.pools.get(request.upstream)
         late_ms = OVERDUE_MS + OVERDUE_FACTOR * (item.latency_ms if item is not None else 0)
-        late_ms = upstream_health.overdue_ms(state, now_ms, request, late_ms)
-        moves = item is not None and upstream_health.is_unresponsive(state, now_ms, item)
+        moves = (
+            item is not None
+            and upstream_health.is_unresponsive(state, now_ms, item)
+            and not routing.needs_primary(state.sessions[request.session], request)
+        )
+        late_ms = upstream_health.overdue_ms(state, request, moves, late_ms)
         if now_ms - request.sent_ms < late_ms or (state.retry_budget < 1 and not moves):
             continue
         if not is_single_read(state.sessions[request.session], request):
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -305,7 +305,8 @@
 class GatewayState:
     """The whole state of a gateway.
 
-    ``retry_budget`` is how many overdue reads may be sent again now.
+    ``retry_budget`` is how many overdue reads may be sent again now. ``silence_checked_ms`` is when
+    upstreams that answer nothing were last looked for.
 
     ``unsent_messages`` are the messages to other gateways that could not be sent yet.
     ``remote_sessions`` maps the sessions of other gateways that this one runs statements for to
@@ -350,6 +351,7 @@
     queued: int = 0
     retry_budget: float = 10.0
     next_sweep_ms: int = 0
+    silence_checked_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
     follow_up: FollowUp = field(default_factory=FollowUp)
--- a/packages/core/src/endivewick_core/gateway/upstream_health.py
+++ b/packages/core/src/endivewick_core/gateway/upstream_health.py
@@ -28,6 +28,9 @@
 # latency, is taken for unresponsive. Another attempt then fits into an objective of 600 ms.
 SILENCE_MS = 120
 SILENCE_FACTOR = 2.5
+MAX_CHECK_GAP_MS = (
+    200  # after a longer gap this process was suspended, and not the upstreams silent
+)
 MAX_SILENCE_MS = 300  # also for an upstream whose mean latency is high
 UNRESPONSIVE_MS = 2_000  # how long an upstream is avoided after that; doubles while it is silent
 MAX_UNRESPONSIVE_MS = 8_000
@@ -42,6 +45,9 @@
 ELSEWHERE_AFTER_MS = 50
 OPEN_ELSEWHERE_AFTER_MS = 150  # and after this long, a connection is opened there
 POLL_ADVANCE_MS = 150  # of a poll that reports failures; usual polls are 250 ms apart
+# Between reports of an upstream without failures, so that all gateways together send at most 400 a
+# second for it. Up to 100 gateways report with each poll.
+REPORT_INTERVAL_MS_PER_GATEWAY = 2.5
 NOT_THE_UPSTREAM = UPSTREAM_DID_NOT_RUN | {Fault.BAD_REQUEST, Fault.ABORTED}
 
 
@@ -86,19 +92,26 @@
     _count(item, now_ms, UpstreamCounts(unanswered=1))
 
 
-def take_report(state: GatewayState) -> dict[str, UpstreamCounts]:
-    """Return the counts since the last poll, and count from zero again."""
+def take_report(state: GatewayState, now_ms: int) -> dict[str, UpstreamCounts]:
+    """Return the counts since the last report, and count from zero again.
+
+    Upstreams without failures are reported less often where there are many gateways.
+    """
     if not state.settings.uses_upstream_weights:
         return {}
     changed: dict[str, UpstreamCounts] = {}
+    interval_ms = REPORT_INTERVAL_MS_PER_GATEWAY * state.control.gateways
     for item in state.pools.values():
         health = item.health
+        if now_ms - health.reported_ms < interval_ms and not _has_failures(item):
+            continue
         if health.unreported != NO_COUNTS or item.running != health.reported_running:
             changed[item.upstream] = health.unreported._replace(running=max(0, item.running))
     reported = select_reported(changed)
     for upstream, counts in reported.items():
         health = state.pools[upstream].health
         health.unreported = NO_COUNTS
+        health.reported_ms = now_ms
         health.reported_running = counts.running
     return reported
 
@@ -107,11 +120,7 @@
     """Return how much earlier the next poll is due, since it reports failures."""
     if not state.settings.uses_upstream_weights:
         return 0
-    for item in state.pools.values():
-        counts = item.health.unreported
-        if counts.failed or counts.lost or counts.unanswered:
-            return POLL_ADVANCE_MS
-    return 0
+    return POLL_ADVANCE_MS if any(map(_has_failures, state.pools.values())) else 0
 
 
 def apply_told(state: GatewayState, sent_ms: int, weights: dict[str, UpstreamWeight]) -> None:
@@ -187,13 +196,15 @@
     return default
 
 
-def overdue_ms(state: GatewayState, now_ms: int, request: Request, default_ms: float) -> float:
-    """Return after how long the answer to a read is overdue."""
+def overdue_ms(state: GatewayState, request: Request, moves: bool, default_ms: float) -> float:
+    """Return after how long the answer to a read is overdue.
+
+    ``moves`` is set if its upstream answers nothing and another one may serve it.
+    """
     if not state.settings.uses_upstream_weights:
         return default_ms
-    item = state.pools.get(request.upstream)
-    if item is not None and is_unresponsive(state, now_ms, item):
-        return silence_ms(item)
+    if moves:
+        return silence_ms(state.pools[request.upstream])
     return min(default_ms, max(SILENCE_MS, OVERDUE_SHARE * request.route.objective_ms))
 
 
@@ -202,8 +213,13 @@
     found: list[UpstreamPool] = []
     if not state.settings.uses_upstream_weights:
         return found
+    was_suspended = now_ms - state.silence_checked_ms > MAX_CHECK_GAP_MS
+    state.silence_checked_ms = now_ms
     for item in state.pools.values():
         health = item.health
+        if was_suspended:
+            # Answers that came meanwhile are not read yet; what waits starts to wait now.
+            health.answered_ms = health.opened_ms = now_ms
         if now_ms < health.unresponsive_until_ms or _silent_ms(item, now_ms) < silence_ms(item):
             continue
         avoided_ms = min(MAX_UNRESPONSIVE_MS, UNRESPONSIVE_MS * 2**health.unresponsive_count)
@@ -247,10 +263,17 @@
 
 
 def count_reduced(state: GatewayState, now_ms: int) -> int:
-    """Return the number of upstreams whose weight is below one half."""
+    """Return the number of upstreams whose weight is below one half; 0 without weights."""
+    if not state.settings.uses_upstream_weights:
+        return 0
     return sum(1 for item in state.pools.values() if weight(state, now_ms, item) < 0.5)
 
 
+def _has_failures(item: UpstreamPool) -> bool:
+    counts = item.health.unreported
+    return bool(counts.failed or counts.lost or counts.unanswered)
+
+
 def _count(item: UpstreamPool, now_ms: int, counts: UpstreamCounts) -> None:
     health = item.health
     health.unreported = add(health.unreported, counts)
--- a/packages/core/src/endivewick_core/upstream_statistics.py
+++ b/packages/core/src/endivewick_core/upstream_statistics.py
@@ -65,7 +65,8 @@
 class UpstreamHealth:
     """What a gateway has seen of an upstream, and what control told of it at ``told_ms``.
 
-    ``unreported`` holds the counts since the last poll, and ``reported_running`` the level in it.
+    ``unreported`` holds the counts since the last report at ``reported_ms``, and
+    ``reported_running`` the level in that report.
     ``answered_ms`` is when the upstream last answered a statement, ``opened_ms`` when it last
     accepted a connection completely. While ``now < unresponsive_until_ms`` it is taken for an
     upstream that answers nothing; ``unresponsive_count`` counts such findings without an answer in
@@ -74,6 +75,7 @@
 
     unreported: UpstreamCounts = NO_COUNTS
     reported_running: int = 0
+    reported_ms: int = 0
     tally: Tally = field(default_factory=Tally)
     answered_ms: int = 0
     opened_ms: int = 0
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -25,6 +25,7 @@
 )
 from endivewick_core.gateway.reducer import has_waiting, is_drained, next_tick_ms, reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
+from endivewick_core.gateway.upstream_health import count_reduced
 from endivewick_core.messages import CODEC
 from endivewick_core.routes import Configuration
 from endivewick_core.upstream_links import (
@@ -185,6 +186,7 @@
             self._metrics.set_gauge("upstream_connections", len(state.connections))
             self._metrics.set_gauge("waiting_statements", state.queued)
             self._metrics.set_gauge("configuration_version", state.configuration.version)
+            self._metrics.set_gauge("upstreams_reduced", count_reduced(state, now_ms()))
 
     def _handle_readiness_request(self, request: Request, connection: Connection) -> None:
         if request.path != self._options.readiness_path:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -37,6 +37,8 @@
 from endivewick_platform import statement_codec as codec  # noqa: E402
 from endivewick_platform.configuration_codec import decode_configuration  # noqa: E402
 from endivewick_platform.control_codec import encode_redirect, parse_request  # noqa: E402
+from endivewick_platform.control_role import control_options  # noqa: E402
+from endivewick_platform.gateway_role import gateway_options  # noqa: E402
 from endivewick_platform.settings import (  # noqa: E402
     check_control,
     check_gateway,
@@ -346,6 +348,17 @@
     assert_that((settings.grace_ms, settings.lost_disks), Equals((6_000, 1)))
 
 
+@pytest.mark.parametrize(
+    ("policies", "is_on"),
+    [("", False), ('policies = ["tenants"]', False), ('policies = ["health"]', True)],
+)
+def test_weights_of_upstreams_are_on_only_with_the_policy_health(settings_file, policies, is_on):
+    """Guards against weights in a deployment whose platform doesn't call for them."""
+    settings = load_settings(settings_file(policies + SETTINGS))
+    assert_that(gateway_options(settings).settings.uses_upstream_weights, Equals(is_on))
+    assert_that(control_options(settings).control.uses_upstream_weights, Equals(is_on))
+
+
 def test_all_faults_of_the_settings_are_listed_with_their_ids(settings_file):
     text = SETTINGS.replace('zone = "dc-a"', 'zone = "dc-z"').replace('"10.2.0.9:8782"', '"x"')
     with pytest.raises(SettingsInvalid) as caught:
--- a/tests/test_upstream_weights.py
+++ b/tests/test_upstream_weights.py
@@ -89,6 +89,38 @@
     assert_that([item.error for item in gateway.answers], Equals([None] * 4))
 
 
+def test_a_gateway_that_was_suspended_takes_no_upstream_for_unresponsive():
+    """Pattern: a gateway's VM is frozen for a second; the answers have come but aren't read yet.
+
+    Otherwise it would find all upstreams unresponsive at once, and send its reads twice.
+    """
+    gateway = weighted_gateway()
+    gateway.session(1, "bounded")
+    request = gateway.send(1, K.READ)
+    gateway.tick(500)
+    item = gateway.state.pools[REPLICA]
+    assert_that(upstream_health.is_unresponsive(gateway.state, gateway.now_ms, item), Equals(False))
+    gateway.tick(40)
+    gateway.tick(180)
+    assert_that(upstream_health.is_unresponsive(gateway.state, gateway.now_ms, item), Equals(True))
+    assert_that(request, Equals("r1"))
+
+
+def test_a_read_that_only_the_primary_may_serve_is_not_sent_again_and_again():
+    """Pattern: the primary answers nothing; its reads have no other upstream to move to."""
+    gateway = weighted_gateway()
+    gateway.state.retry_budget = 0.0
+    gateway.session(1, "strict")
+    request = gateway.send(1, K.READ)
+    gateway.answer_own_statements()
+    drop(gateway, request)
+    run_without(gateway, PRIMARY, 600)
+    item = gateway.state.pools[PRIMARY]
+    assert_that(upstream_health.is_unresponsive(gateway.state, gateway.now_ms, item), Equals(True))
+    moved = [one for one in gateway.log_events if one.event == "placed_again"]
+    assert_that(moved, Equals([]))
+
+
 def test_a_transaction_that_waits_for_its_begin_leaves_an_unresponsive_upstream():
     """Pattern: an upstream is unresponsive while a read-only transaction begins.
 
@@ -265,17 +297,35 @@
     item = gateway.find_sent(request)
     gateway.reply(item, error=Error(Fault.FAILED, ""))
     gateway.answer_own_statements()
+    gateway.reply(gateway.find_sent(request))
+    gateway.answer_own_statements()
     gateway.tick(300)
     counts = gateway.messages[-1].message.upstream_counts
     assert_that(counts[REPLICA].succeeded, Equals(1))
     assert_that(counts[REPLICA].failed, Equals(1))
-    gateway.reply(gateway.find_sent(request))
-    gateway.answer_own_statements()
-    gateway.tick(300)
     gateway.tick(300)
     assert_that(gateway.messages[-1].message.upstream_counts, Equals({}))
 
 
+def test_many_gateways_report_healthy_upstreams_less_often_and_failures_at_once():
+    """Pattern: three thousand gateways poll four times a second; control's bytes are bounded."""
+    gateway = weighted_gateway()
+    gateway.session(1, "bounded")
+    serve_reads(gateway, 1, 1)
+    gateway.tick(300)
+    gateway.state.control.gateways = 3_000
+    gateway.messages.clear()
+    for _ in range(8):
+        serve_reads(gateway, 1, 1)
+        gateway.tick(300)
+    counts = [item.message.upstream_counts for item in gateway.messages if item.address == CONTROL]
+    assert_that([item for item in counts if REPLICA in item], Equals([]))
+    item = gateway.state.pools[REPLICA]
+    upstream_health.record_lost(item, gateway.now_ms, 1, Fault.ABORTED)
+    gateway.tick(300)
+    assert_that(gateway.messages[-1].message.upstream_counts[REPLICA].succeeded, GreaterThan(5))
+
+
 def test_failures_are_reported_before_the_next_poll_is_due():
     """Pattern: an upstream begins to fail; the other gateways should learn of it soon."""
     gateway = weighted_gateway(connections=3)
