--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -21,6 +21,7 @@
     primary_waits,
     routing,
     sessions,
+    upstream_health,
 )
 from .effects import ApplyDocument, Effect, LogEvent, Send
 from .events import ConfigurationReceived
@@ -37,7 +38,7 @@
 def check_poll(state: GatewayState, now_ms: int) -> list[Effect]:
     """Poll control when it is due; change to another process if the current one doesn't answer."""
     link = state.control
-    if now_ms < link.next_poll_ms:
+    if now_ms < link.next_poll_ms - upstream_health.poll_advance_ms(state):
         return []
     effects: list[Effect] = []
     last_received_ms = link.last_received_ms if link.last_received_ms is not None else 0
@@ -66,6 +67,7 @@
         limits.wanted(state),
         state.draining_since_ms is not None,
         dict(state.acknowledged),
+        upstream_health.take_report(state, now_ms),
     )
     return [*effects, Send(link.address, question)]
 
@@ -125,6 +127,7 @@
     for report, age_ms in answer.reports:
         merge_report(state.directory, sent_ms, report, age_ms)
         routing.add_pool(state, report.upstream, report.service)
+    upstream_health.apply_told(state, sent_ms, answer.upstream_weights)
     for note in answer.watermarks:
         history = state.watermarks.setdefault(note.service, WatermarkHistory())
         add_watermark(history, sent_ms - note.age_ms, Position(note.term, note.offset))
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -20,6 +20,7 @@
     TransactionState,
     UpstreamReply,
 )
+from ..upstream_statistics import UpstreamHealth
 from ..watermarks import WatermarkHistory
 from .effects import Send
 from .quota_state import QuotaState
@@ -57,6 +58,8 @@
     commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
+    # Whether outcomes are reported to control, and reads distributed by the weights of upstreams.
+    uses_upstream_weights: bool = False
 
 
 def distance(settings: GatewaySettings, data_centre: str) -> int:
@@ -218,6 +221,7 @@
     allowance: int = 0
     allowance_raised_ms: int = 0
     limit_reached_ms: int | None = None
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
 
 
 class TenantHolders(NamedTuple):
@@ -349,7 +353,8 @@
 class GatewayState:
     """The whole state of a gateway.
 
-    ``retry_budget`` is how many overdue reads may be sent again now.
+    ``retry_budget`` is how many overdue reads may be sent again now. ``silence_checked_ms`` is when
+    upstreams that answer nothing were last looked for.
 
     ``unsent_messages`` are the messages to other gateways that could not be sent yet.
     ``remote_sessions`` maps the sessions of other gateways that this one runs statements for to
@@ -394,6 +399,7 @@
     queued: int = 0
     retry_budget: float = 10.0
     next_sweep_ms: int = 0
+    silence_checked_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
     follow_up: FollowUp = field(default_factory=FollowUp)
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -150,8 +150,12 @@
         load: Load = DEFAULT_LOAD,
         fenced: bool = True,
         has_tenants: bool = False,
+        weights: bool = False,
     ):
         self.load = load
+        self.weights = weights
+        self.unresponsive: set[str] = set()  # members that accept connections and answer nothing
+        self.failing: dict[str, float] = {}  # the share of statements that a member fails
         self.fenced = fenced
         self.used_slots: Counter[str] = Counter()
         self.waiting: dict[str, deque[tuple[Link, UpstreamStatement]]] = {}
@@ -235,6 +239,7 @@
             [CONTROL],
             open_timeout_ms=400,
             needs_primary_leases=not self.fenced,
+            uses_upstream_weights=self.weights,
         )
         return GatewayState(settings)
 
@@ -453,6 +458,8 @@
         self._check_tenant(link, message)
         member = self.database.members[link.member]
         connection = link.connection
+        if message.statement.kind in WORK_KINDS and self._fails(link):
+            return
         result = run_without_slot(self.execution, member, connection, message)
         if result is None:
             fault = fault_before_work(connection, message.statement)
@@ -477,9 +484,17 @@
         )
         self.recorder.violations.append(Violation("tenant", text, self.recorder.events[-1]))
 
+    def _fails(self, link: Link) -> bool:
+        """Fail a statement of a member that fails part of them; its connection is reset."""
+        share = self.failing.get(link.member)
+        if not share or self.random.random() >= share:
+            return False
+        self._break(link)
+        return True
+
     def _complete(self, link: Link, member: db.Member, result: Result) -> None:
         """Answer once a replica has received the commit; a former primary never answers."""
-        if link.is_closed:
+        if link.is_closed or link.member in self.unresponsive:
             return
         if result.commit is not None:
             replicated = is_commit_replicated(self.execution, member, result.commit)
