--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -38,7 +38,8 @@
     Before the first configuration has arrived, its first statement is checked instead.
     """
     route = state.configuration.routes.get(event.workspace)
-    session = Session(event.session, event.workspace, event.key, last_active_ms=event.now_ms)
+    key = tenants.kept_key(event.key)
+    session = Session(event.session, event.workspace, key, last_active_ms=event.now_ms)
     if state.configuration.version and route is None:
         return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
     fault = tenants.startup_fault(state, session, route) if route is not None else None
--- a/packages/core/src/endivewick_core/gateway/tenants.py
+++ b/packages/core/src/endivewick_core/gateway/tenants.py
@@ -10,6 +10,8 @@
 from .state import GatewayState, Session
 
 PUBLIC = "public"  # the tenant of sessions on public routes whose key is unknown
+MAX_KEY_CHARACTERS = 200  # of a key in a configuration; a longer one is not kept
+CONFIGURATION_RETRY_MS = 500  # two polls, in which the other gateway learns the configuration
 LAST_PRIORITY = 1_000_000  # of public sessions, which no tenant is responsible for
 
 
@@ -45,6 +47,14 @@
     return known.priority if known is not None else LAST_PRIORITY
 
 
+def kept_key(key: str) -> str:
+    """Return the key to keep of a session; one that is too long for a key is unknown anyway.
+
+    A client could otherwise make each of its sessions hold a megabyte.
+    """
+    return key if len(key) <= MAX_KEY_CHARACTERS else ""
+
+
 def startup_fault(state: GatewayState, session: Session, route: Route) -> Error | None:
     """Set the tenant of a new session; return why its key is refused, or None."""
     return _identify(state, session, route)
@@ -110,10 +120,14 @@
 def _remote_fault(state: GatewayState, session: Session) -> Error | None:
     """Return why a statement of another gateway is refused.
 
-    That gateway has checked the key. Its configuration may be newer than the one in force here.
+    That gateway has checked the key. Its configuration may be newer than the one in force here. If
+    only one of them has tenants, the client is served once both gateways have the same.
     """
     if session.configuration_version > state.configuration.version:
         return None
+    if (state.configuration.tenants is None) == bool(session.tenant):
+        text = "the configuration has changed; the gateway of the session doesn't have it yet"
+        return Error(Fault.BUSY, text, CONFIGURATION_RETRY_MS)
     if _is_current(state.configuration, session.tenant):
         return None
     return _changed()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -411,6 +411,8 @@
         [TENANT, TENANT | {"api-keys": []}],
         [TENANT, {"name": "kern", "api-keys": ["8m82"]}],
         [TENANT | {"api-keys": ["8m82", "8m82"]}],
+        [TENANT | {"api-keys": ["8m82 "]}],
+        [TENANT | {"api-keys": ["8m82" * 51]}],
         [TENANT | {"name": "public"}],
         [TENANT | {"name": "endivewick"}],
         [TENANT | {"name": "a b"}],
--- a/tests/test_tenant_connections.py
+++ b/tests/test_tenant_connections.py
@@ -6,7 +6,7 @@
 from endivewick_core.gateway.control_link import is_ready
 from endivewick_core.messages import ForwardedReply, ForwardedStatement
 from endivewick_core.statements import Fault, StatementKind
-from gateway_driver import REPLICA, Gateway, ready_gateway, report
+from gateway_driver import REPLICA, Gateway, configuration, ready_gateway, report
 from test_forwarding import DataCentre
 from test_tenants import ALICE_KEY, BOB_KEY, NAMES, TENANTS, configure
 from testtools.assertions import assert_that
@@ -296,6 +296,20 @@
     assert_that(centre.holder.tenant_of[item.connection], Equals("carol"))
 
 
+@pytest.mark.parametrize("ingress_has_tenants", [True, False])
+def test_gateways_of_which_one_has_no_tenants_yet_keep_their_sessions(centre, ingress_has_tenants):
+    """The client's key is valid; the gateways learn of the configuration at different times."""
+    services = centre.holder.state.configuration.services
+    changed = centre.holder if ingress_has_tenants else centre.ingress
+    changed.handle(ev.ConfigurationReceived(changed.now_ms, configuration(3, limit=21)))
+    if not ingress_has_tenants:
+        configure(centre.holder, 4, services=services)
+    assert_that(forward(centre, 1, K.WRITE), Is(None))
+    centre.deliver()
+    assert_that(centre.ingress.answers[-1].error.fault, Is(Fault.BUSY))
+    assert_that(centre.ingress.closed_sessions, Equals([]))
+
+
 def test_a_statement_of_another_tenant_goes_on_in_no_transaction(centre):
     """A statement runs only on connections of its tenant, also if a message was lost."""
     centre.ingress.send(1, K.BEGIN)
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -222,6 +222,18 @@
             assert_that(text, Not(Contains(key)))
 
 
+def test_a_key_that_is_too_long_is_not_kept(gateway):
+    """Each session of a client could otherwise hold a megabyte."""
+    gateway.session(1, "open", "k" * 201)
+    assert_that(gateway.state.sessions[1].key, Equals(""))
+    gateway.session(2, "strict", "k" * 201)
+    assert_that(gateway.refused, HasLength(1))
+    tenants = {"alice": TENANTS["alice"]}
+    configure(gateway, 3, tenants=tenants, names={"k" * 200: "alice"})
+    gateway.session(3, "strict", "k" * 200)
+    assert_that(gateway.state.sessions[3].tenant, Equals("alice"))
+
+
 def test_a_refused_session_is_logged_with_its_reason(gateway):
     gateway.session(1, "strict", OTHER_KEY)
     refusals = [item for item in gateway.log_events if item.event == "refused"]
