--- a/tests/test_tenant_wire.py
+++ b/tests/test_tenant_wire.py
@@ -13,6 +13,7 @@
 from endivewick_node.clock import now_ms
 from endivewick_node.gateway_node import GatewayNode, GatewayOptions
 from gateway_driver import PRIMARY, REGIONS, SERVICE, report
+from loguru import logger
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
@@ -146,7 +147,16 @@
     client.close()
 
 
-def test_a_revoked_key_is_answered_and_the_connection_closed(process, capfd):
+@pytest.fixture
+def logged():
+    """Return the texts and fields of the lines that are logged."""
+    records = []
+    handler = logger.add(lambda line: records.append(repr(line.record)))
+    yield records
+    logger.remove(handler)
+
+
+def test_a_revoked_key_is_answered_and_the_connection_closed(process, logged):
     client = process.connect(KEY)
     process.read(client)
     process.configure(2, [])
@@ -155,7 +165,6 @@
     assert_that(lines[0], StartsWith(b"ERR NOAUTH "))
     assert_that(lines[1:], Equals([b"READY I -", b""]))
     client.close()
-    logged = capfd.readouterr()
-    assert_that(logged.out + logged.err, Contains("unauthenticated"))
+    assert_that(" ".join(logged), Contains("unauthenticated"))
     for key in (KEY, OTHER_KEY):
-        assert_that(logged.out + logged.err, Not(Contains(key)))
+        assert_that(" ".join(logged), Not(Contains(key)))
