Quotas: answers say how many operations wait on; undivided room and rates by usage

The exploration found operations that waited although control had answered them: the expected part of a question counted as outstanding. A share no longer takes the undivided room, which lost the undivided rate of a tenant that uses one data centre. Needs that wait too long are refused.

--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -37,8 +37,12 @@
 # it, and for one of its own rate, which is lost if the bucket is full.
 MIN_BURST_TOKENS = 2
 MIN_BURSTS_PPM = 700_000  # of all members together
-# A share's rate below its demand is used whatever the moment. The leader adds what lacks.
-MAX_SHARE_PER_DEMAND = 0.5
+# A share's rate, as a multiple of its demand, is the lower the nearer the tenant is to its limit: a
+# rate far below the demand is never lost to a full bucket, and the leader adds what lacks. Far from
+# the limit a higher rate serves while there is no leader.
+MIN_RATE_PER_DEMAND = 0.5
+FREE_RATE_FACTOR = 2.0
+TOKEN_WAIT_MS = 300  # an operation is refused if it is expected to wait longer for a token
 STOCK_TIME_S = 0.3  # one interval of requests: a share is filled up to the demand of this time
 
 
@@ -143,37 +147,53 @@
     leader.grants_given += 1
     serial = (leader.term << 32) + leader.grants_given
     free = rest(division, now_ms, holder)
-    wanted = _wanted(division, limit, report, members, free)
+    stock = max(1.0, report.demand_per_s * STOCK_TIME_S)
+    lacking = min(report.needed + stock - report.level, division.undivided.level)
+    wanted = _wanted(division, limit, holder, report, members, free, lacking)
     if not leader.is_complete:
         part = Part(
             min(wanted.rate_ppm, free.rate_ppm, held.rate_ppm),
             min(wanted.burst_ppm, free.burst_ppm, held.burst_ppm),
         )
         hold(division, holder, Grant(serial, part, until_ms))
-        return QuotaShare(serial, part.rate_ppm, part.burst_ppm, 0.0, -1)
+        return QuotaShare(serial, part.rate_ppm, part.burst_ppm, 0.0, retry_after_ms=-1)
     part = Part(min(wanted.rate_ppm, free.rate_ppm), min(wanted.burst_ppm, free.burst_ppm))
-    stock = max(1.0, report.demand_per_s * STOCK_TIME_S)
-    lacking = report.needed + stock - report.level
     grant = Grant(serial, part, until_ms)
     tokens = give(division, now_ms, limit, holder, grant, report.level, lacking)
-    retry_after_ms = 0
+    share = QuotaShare(serial, part.rate_ppm, part.burst_ppm, tokens)
     short = max(1, report.needed) - report.level - tokens
-    if short > ROUNDING:
-        retry_after_ms = _tokens_after_ms(division, min(1.0, short))
-    return QuotaShare(serial, part.rate_ppm, part.burst_ppm, tokens, retry_after_ms)
+    if short <= ROUNDING:
+        return share
+    retry_after_ms = _tokens_after_ms(division, min(1.0, short))
+    soon = division.undivided.rate_per_s * TOKEN_WAIT_MS / 1000 * _demand_share(division, holder)
+    if 0 < retry_after_ms <= TOKEN_WAIT_MS:
+        soon = max(soon, 1.0)
+    return share._replace(retry_after_ms=retry_after_ms, soon=soon)
+
+
+def _demand_share(division: Division, holder: str) -> float:
+    total_per_s = sum(division.demands.values())
+    return division.demands[holder] / total_per_s if total_per_s > 0 else 0.0
 
 
 def _wanted(
-    division: Division, limit: TokenLimit, report: ShareReport, members: int, free: Part
+    division: Division,
+    limit: TokenLimit,
+    holder: str,
+    report: ShareReport,
+    members: int,
+    free: Part,
+    tokens: float,
 ) -> Part:
-    """Return the part of a limit that a process's demand deserves."""
+    """Return the part of a limit that a process's demand deserves, with room for ``tokens``."""
     whole = capacity(limit)
     if whole <= 0:
         return Part()
-    total_per_s = sum(division.demands.values())
-    demand_share = report.demand_per_s / total_per_s if total_per_s > 0 else 0.0
-    by_demand = MAX_SHARE_PER_DEMAND * report.demand_per_s / limit.rate_per_s
-    rate_ppm = int(min(DIVIDED_RATE_PPM * demand_share, WHOLE_PPM * min(1.0, by_demand)))
+    demand_share = _demand_share(division, holder)
+    usage = sum(division.demands.values()) / limit.rate_per_s
+    rate_per_demand = max(MIN_RATE_PER_DEMAND, FREE_RATE_FACTOR * (1 - usage))
+    by_demand = min(1.0, rate_per_demand * report.demand_per_s / limit.rate_per_s)
+    rate_ppm = int(min(DIVIDED_RATE_PPM * demand_share, WHOLE_PPM * by_demand))
     # Rounded up, and one more for the rounding of levels, so that a whole token fits.
     one_token_ppm = int(WHOLE_PPM / whole) + 2
     min_burst_ppm = min(MIN_BURST_TOKENS * one_token_ppm, MIN_BURSTS_PPM // max(1, members))
@@ -181,8 +201,10 @@
         int(DIVIDED_BURST_PPM * demand_share), free.burst_ppm - KEPT_BURST_PPM
     )
     burst_ppm = max(min_burst_ppm, burst_by_demand_ppm)
-    urgent_ppm = int(one_token_ppm * (report.needed + report.level))
-    return Part(rate_ppm, min(WHOLE_PPM, max(burst_ppm, urgent_ppm if report.needed else 0)))
+    if report.needed:
+        # No more than the tokens need: what is left must hold what the undivided rate adds.
+        burst_ppm = max(burst_ppm, int(one_token_ppm * (report.level + max(0.0, tokens))))
+    return Part(rate_ppm, min(WHOLE_PPM, burst_ppm))
 
 
 def _tokens_after_ms(division: Division, tokens: float) -> int:
--- a/packages/core/src/endivewick_core/control/quota_state.py
+++ b/packages/core/src/endivewick_core/control/quota_state.py
@@ -23,7 +23,8 @@
 
     ``demand`` counts the tokens that gateways asked for, and fades. ``asked_ms`` is when the leader
     was last asked and has not answered yet. Until ``exhausted_until_ms`` the leader is known to
-    have no tokens; it has the next one at ``leader_token_ms``.
+    have no tokens; it has the next one at ``leader_token_ms``, and ``leader_soon`` more while an
+    operation waits.
     """
 
     bucket: Bucket
@@ -36,6 +37,7 @@
     asked_ms: int | None = None
     exhausted_until_ms: int = 0
     leader_token_ms: int | None = None
+    leader_soon: float = 0.0
     waiting: deque[WaitingNeed] = field(default_factory=deque)
 
 
--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -20,7 +20,7 @@
 from ..token_buckets import Bucket, Part, TokenLimit, add, resize, take
 from . import quota_shares, replication
 from .effects import Effect, LogEvent, Send
-from .quota_shares import SHARE_LEASE_MS
+from .quota_shares import SHARE_LEASE_MS, TOKEN_WAIT_MS
 from .quota_state import HeldShare, QuotaState, WaitingNeed
 from .state import ControlState, Role
 
@@ -34,7 +34,6 @@
 # How long a gateway's need waits here. Tokens expire 500 ms after the gateway asked for them.
 NEED_TIMEOUT_MS = 350
 EXHAUSTED_MS = 200  # how long a leader without a token isn't asked for one
-TOKEN_WAIT_MS = 300  # a need is refused if it is expected to wait longer for a token
 # Sent to clients of a tenant at its limit: at least this, at most the window in which the limit
 # counts.
 MIN_RETRY_AFTER_MS = 300
@@ -77,8 +76,8 @@
         bucket = _bucket(share, now_ms, limit)
         # Needs that came before wait for the same tokens.
         count = 0 if share.waiting else take(bucket, now_ms, need.waiting + need.expected)
-        if count:
-            answers[tenant] = TokenAnswer(count)
+        if count or need.expected:
+            answers[tenant] = TokenAnswer(count, max(0, need.waiting - count))
         if bucket.level < 1:
             state.quotas.short.add(tenant)
         if count < need.waiting:
@@ -135,6 +134,7 @@
         add(bucket, given.tokens)
         share.asked_ms = None
         share.leader_token_ms = None
+        share.leader_soon = given.soon
         share.exhausted_until_ms = 0
         if given.retry_after_ms:
             share.exhausted_until_ms = now_ms + EXHAUSTED_MS
@@ -148,7 +148,7 @@
     """Answer for a tenant that has no limit in the configuration here."""
     if is_current:
         return TokenAnswer(need.waiting + need.expected)
-    return TokenAnswer(0, 0, UNKNOWN_LIMIT_RETRY_MS)
+    return TokenAnswer(0, retry_after_ms=UNKNOWN_LIMIT_RETRY_MS)
 
 
 def _held_share(state: ControlState, now_ms: int, tenant: str) -> HeldShare:
@@ -194,12 +194,14 @@
         need = share.waiting[0]
         if now_ms - need.received_ms >= NEED_TIMEOUT_MS:
             share.waiting.popleft()
+            answer = TokenAnswer(0, 0, need.count, MIN_RETRY_AFTER_MS)
+            effects.append(_send_tokens(need, tenant, answer))
             continue
         tokens = take(bucket, now_ms, need.count)
         if not tokens:
             break
-        effects.append(_send_tokens(need, tenant, TokenAnswer(tokens)))
         need.count -= tokens
+        effects.append(_send_tokens(need, tenant, TokenAnswer(tokens, need.count)))
         if not need.count:
             share.waiting.popleft()
     if share.asked_ms is not None and now_ms - share.asked_ms >= LEADER_ANSWER_MS:
@@ -208,6 +210,7 @@
         # Without an answer of the leader, only the share's own rate serves what waits.
         share.exhausted_until_ms = now_ms + 1
         share.leader_token_ms = None
+        share.leader_soon = 0.0
     if share.waiting and now_ms < share.exhausted_until_ms:
         effects += _refuse_excess(now_ms, tenant, share, limit)
     if not share.waiting and bucket.level >= 1:
@@ -224,9 +227,8 @@
 
 def _refuse_excess(now_ms: int, tenant: str, share: HeldShare, limit: TokenLimit) -> list[Effect]:
     """Refuse the needs that neither the share nor the leader has tokens for soon."""
-    soon = int(share.bucket.level + share.bucket.rate_per_s * TOKEN_WAIT_MS / 1000)
-    if share.leader_token_ms is not None and share.leader_token_ms <= now_ms + TOKEN_WAIT_MS:
-        soon += 1
+    own = share.bucket.level + share.bucket.rate_per_s * TOKEN_WAIT_MS / 1000
+    soon = int(own + share.leader_soon)
     effects: list[Effect] = []
     refused = 0
     kept: list[WaitingNeed] = []
@@ -239,8 +241,9 @@
             if limit.rate_per_s > 0:
                 retry_after_ms = MIN_RETRY_AFTER_MS + int(1000 * refused / limit.rate_per_s)
             retry_after_ms = min(MAX_RETRY_AFTER_MS, retry_after_ms)
-            effects.append(_send_tokens(need, tenant, TokenAnswer(0, excess, retry_after_ms)))
             need.count -= excess
+            answer = TokenAnswer(0, need.count, excess, retry_after_ms)
+            effects.append(_send_tokens(need, tenant, answer))
         if need.count:
             kept.append(need)
     share.waiting.clear()
--- a/packages/core/src/endivewick_core/gateway/quotas.py
+++ b/packages/core/src/endivewick_core/gateway/quotas.py
@@ -86,11 +86,9 @@
         tokens = state.quotas.tenants.get(tenant)
         if tokens is None:
             continue
-        left = tokens.outstanding.get(answer.sequence, 0) - item.tokens - item.refused
-        if left > 0 and not item.retry_after_ms:
-            tokens.outstanding[answer.sequence] = left
-        else:
-            tokens.outstanding.pop(answer.sequence, None)
+        tokens.outstanding.pop(answer.sequence, None)
+        if item.pending and now_ms - sent_ms < REPEAT_MS:
+            tokens.outstanding[answer.sequence] = item.pending
         if item.tokens and now_ms < until_ms:
             quota_tokens.put(tokens, until_ms, item.tokens)
         effects += _serve_waiting(state, now_ms, tokens)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -521,10 +521,12 @@
     """The tokens for a tenant in response to a QuotaQuestion.
 
     Of the operations that wait, ``refused`` won't get a token, because the tenant is at its limit;
-    tokens for more of them are expected after ``retry_after_ms``.
+    tokens for more of them are expected after ``retry_after_ms``. Another answer follows for those
+    that are ``pending``.
     """
 
     tokens: int
+    pending: int = 0
     refused: int = 0
     retry_after_ms: int = 0
 
@@ -572,15 +574,17 @@
 class QuotaShare(NamedTuple):
     """A share of a tenant's limit, in millionths of its rate and burst, and ``tokens`` with it.
 
-    A share with a higher ``serial`` replaces it. ``retry_after_ms`` is when the leader has the next
-    token, where it gave fewer than needed; it is negative if the leader can't tell.
+    A share with a higher ``serial`` replaces it. If the leader gave fewer tokens than needed, it
+    has more after ``retry_after_ms``, negative if it can't tell, and the process can expect
+    ``soon`` more of it while an operation waits.
     """
 
     serial: int
     rate_ppm: int
     burst_ppm: int
     tokens: float
-    retry_after_ms: int
+    retry_after_ms: int = 0
+    soon: float = 0.0
 
 
 class QuotaShareAnswer(NamedTuple):
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -264,7 +264,7 @@
                 continue
             if process.is_control:
                 # Random numbers that differ between processes, so that elections end.
-                random = (hash(process.address) % 97 + world.now_ms % 89) / 200
+                random = (sum(process.address.encode()) * 37 % 97 + world.now_ms % 89) / 200
                 handle(world, process, ce.Tick(clock_ms(world, process), random))
             else:
                 handle(world, process, ge.Tick(clock_ms(world, process)))
