--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -19,7 +19,7 @@
     give,
     hold,
     refresh,
-    reserved,
+    remove_ended,
     rest,
 )
 from .effects import Effect, LogEvent
@@ -34,8 +34,10 @@
 DIVIDED_BURST_PPM = 300_000
 KEPT_BURST_PPM = 250_000  # kept undivided where processes have their minimum, while demand moves
 # Each member has room for one token that the leader fills up, so that an operation needn't wait for
-# it, and for one of its own rate, which is lost if the bucket is full.
+# it. With demand it also has room for one of its own rate, which is lost if the bucket is full.
 MIN_BURST_TOKENS = 2
+IDLE_BURST_TOKENS = 1
+MIN_DEMAND_PER_S = 0.02  # below this a share is idle
 MIN_BURSTS_PPM = 700_000  # of all members together
 # A share's rate, as a multiple of its demand, is the lower the nearer the tenant is to its limit: a
 # rate far below the demand is never lost to a full bucket, and the leader adds what lacks. Far from
@@ -82,7 +84,10 @@
     limits = state.replicated_state.configuration.limits
     divisions = state.quotas.leader.divisions
     for tenant, division in list(divisions.items()):
-        if tenant not in limits and reserved(division, now_ms) == Part():
+        if tenant in limits:
+            continue
+        remove_ended(division, now_ms)
+        if not division.grants:
             del divisions[tenant]
 
 
@@ -146,7 +151,7 @@
     division.demands[holder] = report.demand_per_s
     leader.grants_given += 1
     serial = (leader.term << 32) + leader.grants_given
-    free = rest(division, now_ms, holder)
+    free = rest(division, holder)
     stock = max(1.0, report.demand_per_s * STOCK_TIME_S)
     lacking = min(report.needed + stock - report.level, division.undivided.level)
     wanted = _wanted(division, limit, holder, report, members, free, lacking)
@@ -196,7 +201,9 @@
     rate_ppm = int(min(DIVIDED_RATE_PPM * demand_share, WHOLE_PPM * by_demand))
     # Rounded up, and one more for the rounding of levels, so that a whole token fits.
     one_token_ppm = int(WHOLE_PPM / whole) + 2
-    min_burst_ppm = min(MIN_BURST_TOKENS * one_token_ppm, MIN_BURSTS_PPM // max(1, members))
+    is_idle = report.demand_per_s < MIN_DEMAND_PER_S
+    room = IDLE_BURST_TOKENS if is_idle else MIN_BURST_TOKENS
+    min_burst_ppm = min(room * one_token_ppm, MIN_BURSTS_PPM // max(1, members))
     burst_by_demand_ppm = min(
         int(DIVIDED_BURST_PPM * demand_share), free.burst_ppm - KEPT_BURST_PPM
     )
--- a/packages/core/src/endivewick_core/control/quota_state.py
+++ b/packages/core/src/endivewick_core/control/quota_state.py
@@ -5,6 +5,8 @@
 
 from ..token_buckets import Bucket, Division, Part
 
+NEVER_MS = 1_000_000  # longer ago than any interval of requests
+
 
 @dataclass(slots=True)
 class WaitingNeed:
@@ -21,10 +23,10 @@
 class HeldShare:
     """This process's share of a tenant's limit, which it may use until ``until_ms``.
 
-    ``demand`` counts the tokens that gateways asked for, and fades. ``asked_ms`` is when the leader
-    was last asked and has not answered yet. Until ``exhausted_until_ms`` the leader is known to
-    have no tokens; it has the next one at ``leader_token_ms``, and ``leader_soon`` more while an
-    operation waits.
+    ``demand`` counts the tokens that gateways asked for, and fades. ``reported_ms`` is when the
+    leader was last asked for the share, and ``asked_ms`` the same while it has not answered. Until
+    ``exhausted_until_ms`` the leader is known to have no tokens; it has the next one at
+    ``leader_token_ms``, and ``leader_soon`` more while an operation waits.
     """
 
     bucket: Bucket
@@ -33,7 +35,7 @@
     until_ms: int = 0
     demand: float = 0.0
     demand_updated_ms: int = 0
-    renewal_due_ms: int = 0
+    reported_ms: int = -NEVER_MS
     asked_ms: int | None = None
     exhausted_until_ms: int = 0
     leader_token_ms: int | None = None
@@ -60,7 +62,8 @@
 class QuotaState:
     """The quotas at a control process.
 
-    ``shares`` are held by tenant. ``short`` are the tenants that need tokens of the leader at once.
+    ``shares`` are held by tenant. Shares that no operation waits for are filled up at
+    ``stock_due_ms``. ``short`` are the tenants that need tokens of the leader at once.
     ``sent_ms`` gives the time of each unanswered question by its sequence number, and
     ``full_sequence`` is the last question that reported every share. ``asked_term`` is the highest
     term whose leader was asked, ``reported_term`` the one whose leader knows every share held.
@@ -74,4 +77,5 @@
     asked_term: int = 0
     reported_term: int = 0
     renewal_due_ms: int = 0
+    stock_due_ms: int = 0
     leader: LeaderQuotas = field(default_factory=LeaderQuotas)
--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -20,15 +20,17 @@
 from ..token_buckets import Bucket, Part, TokenLimit, add, resize, take
 from . import quota_shares, replication
 from .effects import Effect, LogEvent, Send
-from .quota_shares import SHARE_LEASE_MS, TOKEN_WAIT_MS
+from .quota_shares import MIN_DEMAND_PER_S, SHARE_LEASE_MS, TOKEN_WAIT_MS
 from .quota_state import HeldShare, QuotaState, WaitingNeed
 from .state import ControlState, Role
 
 RENEWAL_INTERVAL_MS = 300
-# For shares without demand, which bounds what control sends for tenants that are idle.
-IDLE_RENEWAL_INTERVAL_MS = 1_200
+# For shares with little or no demand, which bounds what control sends for many small tenants.
+SMALL_RENEWAL_INTERVAL_MS = 900
+IDLE_RENEWAL_INTERVAL_MS = 1_500
+SMALL_DEMAND_PER_S = 2.0
+STOCK_INTERVAL_MS = 60  # between requests of the leader for shares that no operation waits for
 DEMAND_TIME_S = 3.0  # over which demand is averaged; a tenant with 1 operation/s still shows one
-MIN_DEMAND_PER_S = 0.02  # below this a share is idle
 # After so long a question to the leader is lost; a round trip between regions takes 40 ms.
 LEADER_ANSWER_MS = 150
 # How long a gateway's need waits here. Tokens expire 500 ms after the gateway asked for them.
@@ -284,10 +286,14 @@
 def _due_renewals(quotas: QuotaState, now_ms: int) -> list[str]:
     due: list[str] = []
     for tenant, share in quotas.shares.items():
-        is_idle = _demand_per_s(share, now_ms) < MIN_DEMAND_PER_S
-        if is_idle and now_ms < share.renewal_due_ms:
-            continue
-        due.append(tenant)
+        demand_per_s = _demand_per_s(share, now_ms)
+        interval_ms = RENEWAL_INTERVAL_MS
+        if demand_per_s < SMALL_DEMAND_PER_S:
+            interval_ms = SMALL_RENEWAL_INTERVAL_MS
+        if demand_per_s < MIN_DEMAND_PER_S:
+            interval_ms = IDLE_RENEWAL_INTERVAL_MS
+        if now_ms - share.reported_ms >= interval_ms:
+            due.append(tenant)
     return due
 
 
@@ -295,9 +301,10 @@
     """Request shares of the tenants that are due, and of those that need tokens at once."""
     quotas = state.quotas
     tenants = set(due)
+    fills_up = now_ms >= quotas.stock_due_ms
     for tenant in quotas.short:
         share = quotas.shares[tenant]
-        if share.asked_ms is not None:
+        if share.asked_ms is not None or not (share.waiting or fills_up):
             continue
         has_token = share.leader_token_ms is not None and now_ms >= share.leader_token_ms
         if has_token or now_ms >= share.exhausted_until_ms:
@@ -305,6 +312,8 @@
     address = _leader_address(state)
     if not tenants or not address:
         return []
+    if fills_up:
+        quotas.stock_due_ms = now_ms + STOCK_INTERVAL_MS
     is_full = quotas.reported_term != state.term
     if is_full:
         tenants.update(name for name, share in quotas.shares.items() if share.serial)
@@ -341,7 +350,7 @@
     limit = state.replicated_state.configuration.limits[tenant]
     bucket = _bucket(share, now_ms, limit)
     share.asked_ms = now_ms
-    share.renewal_due_ms = now_ms + IDLE_RENEWAL_INTERVAL_MS
+    share.reported_ms = now_ms
     return ShareReport(
         share.serial,
         share.part.rate_ppm,
--- a/packages/core/src/endivewick_core/token_buckets.py
+++ b/packages/core/src/endivewick_core/token_buckets.py
@@ -55,12 +55,15 @@
 class Division:
     """A limit that is divided: its undivided rest, and the grants that may be in use by holder.
 
-    A holder may use any of its grants, since an answer may be lost or late. ``demands`` is what
-    each holder lately needed, in tokens per second.
+    A holder may use any of its grants, since an answer may be lost or late; ``used`` is the largest
+    one of each. No grant ends before ``next_end_ms``. ``demands`` is what each holder lately
+    needed, in tokens per second.
     """
 
     undivided: Bucket = field(default_factory=Bucket)
     grants: dict[str, list[Grant]] = field(default_factory=dict)
+    used: dict[str, Part] = field(default_factory=dict)
+    next_end_ms: int = 0
     demands: dict[str, float] = field(default_factory=dict)
 
 
@@ -99,33 +102,56 @@
     return tokens
 
 
-def reserved(division: Division, now_ms: int, but_holder: str = "") -> Part:
+def reserved(division: Division, but_holder: str = "") -> Part:
     """Return the sum of what holders may use, with ``but_holder`` left out."""
     rate_ppm = burst_ppm = 0
-    for holder, grants in division.grants.items():
-        if holder == but_holder:
-            continue
-        live = [grant.part for grant in grants if now_ms <= grant.until_ms]
-        rate_ppm += max((part.rate_ppm for part in live), default=0)
-        burst_ppm += max((part.burst_ppm for part in live), default=0)
+    for holder, part in division.used.items():
+        if holder != but_holder:
+            rate_ppm += part.rate_ppm
+            burst_ppm += part.burst_ppm
     return Part(rate_ppm, burst_ppm)
 
 
-def rest(division: Division, now_ms: int, but_holder: str = "") -> Part:
+def rest(division: Division, but_holder: str = "") -> Part:
     """Return the part that no holder may use, with ``but_holder`` left out."""
-    used = reserved(division, now_ms, but_holder)
-    return Part(max(0, WHOLE_PPM - used.rate_ppm), max(0, WHOLE_PPM - used.burst_ppm))
+    part = reserved(division, but_holder)
+    return Part(max(0, WHOLE_PPM - part.rate_ppm), max(0, WHOLE_PPM - part.burst_ppm))
 
 
 def hold(division: Division, holder: str, grant: Grant) -> None:
     """Reserve a part that a holder may use."""
     division.grants.setdefault(holder, []).append(grant)
+    division.next_end_ms = min(division.next_end_ms, grant.until_ms)
+    _update_used(division, holder)
 
 
 def confirm(division: Division, holder: str, serial: int) -> None:
     """Free the parts of grants that a holder has replaced by the one with this serial."""
     grants = division.grants.get(holder, [])
     division.grants[holder] = [grant for grant in grants if grant.serial >= serial]
+    _update_used(division, holder)
+
+
+def remove_ended(division: Division, now_ms: int) -> None:
+    """Remove the grants that have ended, and the holders without one."""
+    if now_ms <= division.next_end_ms:
+        return
+    for holder, grants in list(division.grants.items()):
+        division.grants[holder] = [grant for grant in grants if now_ms <= grant.until_ms]
+        _update_used(division, holder)
+        if not division.grants[holder]:
+            del division.grants[holder], division.used[holder]
+            division.demands.pop(holder, None)
+    ends_ms = [grant.until_ms for grants in division.grants.values() for grant in grants]
+    division.next_end_ms = min(ends_ms, default=now_ms)
+
+
+def _update_used(division: Division, holder: str) -> None:
+    rate_ppm = burst_ppm = 0
+    for grant in division.grants[holder]:
+        rate_ppm = max(rate_ppm, grant.part.rate_ppm)
+        burst_ppm = max(burst_ppm, grant.part.burst_ppm)
+    division.used[holder] = Part(rate_ppm, burst_ppm)
 
 
 def refresh(division: Division, now_ms: int, limit: TokenLimit, holds_back: bool) -> None:
@@ -133,13 +159,8 @@
 
     While the owner ``holds_back``, it may not know of all grants, so nothing is undivided.
     """
-    for holder, grants in list(division.grants.items()):
-        live = [grant for grant in grants if now_ms <= grant.until_ms]
-        division.grants[holder] = live
-        if not live:
-            del division.grants[holder]
-            division.demands.pop(holder, None)
-    part = Part() if holds_back else rest(division, now_ms)
+    remove_ended(division, now_ms)
+    part = Part() if holds_back else rest(division)
     resize(division.undivided, now_ms, limit, part)
 
 
@@ -161,5 +182,5 @@
     given = max(0.0, min(tokens, undivided.level, room))
     undivided.level -= given
     hold(division, holder, grant)
-    resize(undivided, now_ms, limit, rest(division, now_ms))
+    resize(undivided, now_ms, limit, rest(division))
     return given
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -60,7 +60,8 @@
 
     ``runs`` holds when each operation ran, by tenant, ``refused`` and ``waits`` when each was
     refused and how long each waited. ``cuts`` are pairs of addresses that don't reach each other.
-    ``lose`` decides which messages are lost. ``limits`` holds the limits by configuration version.
+    ``lose`` decides which messages are lost; answers about shares to ``lost_to`` always are.
+    ``limits`` holds the limits by configuration version.
     """
 
     now_ms: int
@@ -71,6 +72,7 @@
     messages: list[tuple[int, int, str, str, Any]] = field(default_factory=list)
     cuts: set[frozenset[str]] = field(default_factory=set)
     lose: Any = None
+    lost_to: str = ""
     next_number: int = 1
     runs: dict[str, list[int]] = field(default_factory=dict)
     refused: dict[str, list[int]] = field(default_factory=dict)
@@ -210,6 +212,8 @@
         return
     if world.lose is not None and world.lose(process, message):
         return
+    if address == world.lost_to and isinstance(message, QuotaShareAnswer):
+        return
     due_ms = world.now_ms + world.latencies_ms[(process.centre, target.centre)]
     world.next_number += 1
     item = (due_ms, world.next_number, process.address, address, message)
