--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -11,7 +11,7 @@
 from endivewick_core.commands import COMMANDS, PutConfiguration
 from endivewick_core.control import events as ce
 from endivewick_core.control.quota_shares import SHARE_LEASE_MS
-from endivewick_core.messages import QuotaQuestion, TokenNeed
+from endivewick_core.messages import QuotaQuestion, QuotaShare, QuotaShareAnswer, TokenNeed
 from endivewick_core.replicated_state import (
     ReplicatedState,
     apply_command,
@@ -287,6 +287,45 @@
         assert_that(sum(item.part.burst_ppm for item in shares), LessThan(1_000_001))
 
 
+def test_the_answer_of_an_earlier_leader_is_dropped_once_the_next_one_was_asked():
+    """The next leader may have given what the earlier one still gives."""
+    world = start_world({TENANT: (20, 20)}, controls=3, gateways=3)
+    follower = [item for item in controls_of(world) if item is not leader_of(world)][0]
+    quotas = follower.state.quotas
+    share = quotas.shares[TENANT]
+    before = share.serial
+    for term_offset, adopts in ((-1, False), (0, True)):
+        quotas.sequence += 1
+        now_ms = world.now_ms + follower.offset_ms
+        quotas.sent_ms[quotas.sequence] = now_ms
+        given = QuotaShare(before + 1_000, 10, 10, 0.0)
+        answer = QuotaShareAnswer(
+            follower.state.directory_state.boot,
+            quotas.asked_term + term_offset,
+            quotas.sequence,
+            {TENANT: given},
+        )
+        receive(world, follower, answer)
+        assert_that(share.serial == before + 1_000, Equals(adopts))
+
+
+def test_answers_that_overtake_each_other_leave_the_newest_share():
+    """The leader has freed what the older one gave, once the newer one was confirmed."""
+    world = start_world({TENANT: (20, 20)}, controls=3, gateways=3)
+    follower = [item for item in controls_of(world) if item is not leader_of(world)][0]
+    quotas = follower.state.quotas
+    share = quotas.shares[TENANT]
+    newest = share.serial + 1_000
+    for serial, rate_ppm in ((newest, 10), (newest - 1, 500_000), (newest, 700_000)):
+        quotas.sequence += 1
+        quotas.sent_ms[quotas.sequence] = world.now_ms + follower.offset_ms
+        given = QuotaShare(serial, rate_ppm, 10, 0.0)
+        boot = follower.state.directory_state.boot
+        answer = QuotaShareAnswer(boot, quotas.asked_term, quotas.sequence, {TENANT: given})
+        receive(world, follower, answer)
+    assert_that(share.part.rate_ppm, Equals(10))
+
+
 def test_log_entries_of_earlier_versions_decode_without_limits():
     """A control process must read the log that it wrote before it was updated."""
     earlier = msgspec.msgpack.encode([1, "PutConfiguration", [7, ["orders"], b"document"]])
