--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -20,21 +20,22 @@
 from ..token_buckets import Bucket, Part, TokenLimit, add, resize, take
 from . import quota_shares, replication
 from .effects import Effect, LogEvent, Send
-from .quota_shares import SHARE_LEASE_MS
+from .quota_shares import MIN_DEMAND_PER_S, SHARE_LEASE_MS, TOKEN_WAIT_MS
 from .quota_state import HeldShare, QuotaState, WaitingNeed
 from .state import ControlState, Role
 
 RENEWAL_INTERVAL_MS = 300
-# For shares without demand, which bounds what control sends for tenants that are idle.
-IDLE_RENEWAL_INTERVAL_MS = 1_200
+# For shares with little or no demand, which bounds what control sends for many small tenants.
+SMALL_RENEWAL_INTERVAL_MS = 900
+IDLE_RENEWAL_INTERVAL_MS = 1_500
+SMALL_DEMAND_PER_S = 2.0
+STOCK_INTERVAL_MS = 60  # between requests of the leader for shares that no operation waits for
 DEMAND_TIME_S = 3.0  # over which demand is averaged; a tenant with 1 operation/s still shows one
-MIN_DEMAND_PER_S = 0.02  # below this a share is idle
 # After so long a question to the leader is lost; a round trip between regions takes 40 ms.
 LEADER_ANSWER_MS = 150
 # How long a gateway's need waits here. Tokens expire 500 ms after the gateway asked for them.
 NEED_TIMEOUT_MS = 350
 EXHAUSTED_MS = 200  # how long a leader without a token isn't asked for one
-TOKEN_WAIT_MS = 300  # a need is refused if it is expected to wait longer for a token
 # Sent to clients of a tenant at its limit: at least this, at most the window in which the limit
 # counts.
 MIN_RETRY_AFTER_MS = 300
@@ -77,8 +78,8 @@
         bucket = _bucket(share, now_ms, limit)
         # Needs that came before wait for the same tokens.
         count = 0 if share.waiting else take(bucket, now_ms, need.waiting + need.expected)
-        if count:
-            answers[tenant] = TokenAnswer(count)
+        if count or need.expected:
+            answers[tenant] = TokenAnswer(count, max(0, need.waiting - count))
         if bucket.level < 1:
             state.quotas.short.add(tenant)
         if count < need.waiting:
@@ -135,6 +136,7 @@
         add(bucket, given.tokens)
         share.asked_ms = None
         share.leader_token_ms = None
+        share.leader_soon = given.soon
         share.exhausted_until_ms = 0
         if given.retry_after_ms:
             share.exhausted_until_ms = now_ms + EXHAUSTED_MS
@@ -148,7 +150,7 @@
     """Answer for a tenant that has no limit in the configuration here."""
     if is_current:
         return TokenAnswer(need.waiting + need.expected)
-    return TokenAnswer(0, 0, UNKNOWN_LIMIT_RETRY_MS)
+    return TokenAnswer(0, retry_after_ms=UNKNOWN_LIMIT_RETRY_MS)
 
 
 def _held_share(state: ControlState, now_ms: int, tenant: str) -> HeldShare:
@@ -194,12 +196,14 @@
         need = share.waiting[0]
         if now_ms - need.received_ms >= NEED_TIMEOUT_MS:
             share.waiting.popleft()
+            answer = TokenAnswer(0, 0, need.count, MIN_RETRY_AFTER_MS)
+            effects.append(_send_tokens(need, tenant, answer))
             continue
         tokens = take(bucket, now_ms, need.count)
         if not tokens:
             break
-        effects.append(_send_tokens(need, tenant, TokenAnswer(tokens)))
         need.count -= tokens
+        effects.append(_send_tokens(need, tenant, TokenAnswer(tokens, need.count)))
         if not need.count:
             share.waiting.popleft()
     if share.asked_ms is not None and now_ms - share.asked_ms >= LEADER_ANSWER_MS:
@@ -208,6 +212,7 @@
         # Without an answer of the leader, only the share's own rate serves what waits.
         share.exhausted_until_ms = now_ms + 1
         share.leader_token_ms = None
+        share.leader_soon = 0.0
     if share.waiting and now_ms < share.exhausted_until_ms:
         effects += _refuse_excess(now_ms, tenant, share, limit)
     if not share.waiting and bucket.level >= 1:
@@ -224,9 +229,8 @@
 
 def _refuse_excess(now_ms: int, tenant: str, share: HeldShare, limit: TokenLimit) -> list[Effect]:
     """Refuse the needs that neither the share nor the leader has tokens for soon."""
-    soon = int(share.bucket.level + share.bucket.rate_per_s * TOKEN_WAIT_MS / 1000)
-    if share.leader_token_ms is not None and share.leader_token_ms <= now_ms + TOKEN_WAIT_MS:
-        soon += 1
+    own = share.bucket.level + share.bucket.rate_per_s * TOKEN_WAIT_MS / 1000
+    soon = int(own + share.leader_soon)
     effects: list[Effect] = []
     refused = 0
     kept: list[WaitingNeed] = []
@@ -239,8 +243,9 @@
             if limit.rate_per_s > 0:
                 retry_after_ms = MIN_RETRY_AFTER_MS + int(1000 * refused / limit.rate_per_s)
             retry_after_ms = min(MAX_RETRY_AFTER_MS, retry_after_ms)
-            effects.append(_send_tokens(need, tenant, TokenAnswer(0, excess, retry_after_ms)))
             need.count -= excess
+            answer = TokenAnswer(0, need.count, excess, retry_after_ms)
+            effects.append(_send_tokens(need, tenant, answer))
         if need.count:
             kept.append(need)
     share.waiting.clear()
@@ -281,10 +286,14 @@
 def _due_renewals(quotas: QuotaState, now_ms: int) -> list[str]:
     due: list[str] = []
     for tenant, share in quotas.shares.items():
-        is_idle = _demand_per_s(share, now_ms) < MIN_DEMAND_PER_S
-        if is_idle and now_ms < share.renewal_due_ms:
-            continue
-        due.append(tenant)
+        demand_per_s = _demand_per_s(share, now_ms)
+        interval_ms = RENEWAL_INTERVAL_MS
+        if demand_per_s < SMALL_DEMAND_PER_S:
+            interval_ms = SMALL_RENEWAL_INTERVAL_MS
+        if demand_per_s < MIN_DEMAND_PER_S:
+            interval_ms = IDLE_RENEWAL_INTERVAL_MS
+        if now_ms - share.reported_ms >= interval_ms:
+            due.append(tenant)
     return due
 
 
@@ -292,9 +301,10 @@
     """Request shares of the tenants that are due, and of those that need tokens at once."""
     quotas = state.quotas
     tenants = set(due)
+    fills_up = now_ms >= quotas.stock_due_ms
     for tenant in quotas.short:
         share = quotas.shares[tenant]
-        if share.asked_ms is not None:
+        if share.asked_ms is not None or not (share.waiting or fills_up):
             continue
         has_token = share.leader_token_ms is not None and now_ms >= share.leader_token_ms
         if has_token or now_ms >= share.exhausted_until_ms:
@@ -302,6 +312,8 @@
     address = _leader_address(state)
     if not tenants or not address:
         return []
+    if fills_up:
+        quotas.stock_due_ms = now_ms + STOCK_INTERVAL_MS
     is_full = quotas.reported_term != state.term
     if is_full:
         tenants.update(name for name, share in quotas.shares.items() if share.serial)
@@ -338,7 +350,7 @@
     limit = state.replicated_state.configuration.limits[tenant]
     bucket = _bucket(share, now_ms, limit)
     share.asked_ms = now_ms
-    share.renewal_due_ms = now_ms + IDLE_RENEWAL_INTERVAL_MS
+    share.reported_ms = now_ms
     return ShareReport(
         share.serial,
         share.part.rate_ppm,
