--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 test: check
 	$(BIN)/python -m pytest -n $(WORKERS)
+	$(BIN)/python -m pytest -n 0 -m alone
 
 check: install
 	$(BIN)/black --quiet --check packages platform tests
