--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -28,6 +28,9 @@
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
 FRAMES_PER_TURN = 200
+# The largest message is a batch of entries of the log, some of them with a compressed configuration
+# of up to 1 MiB. zmq closes the connection of a peer that announces a larger one.
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
 
 
 class Transport:
@@ -44,6 +47,7 @@
         self._router: zmq.Socket[bytes] = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.RCVHWM, QUEUED_FRAMES_LIMIT)
+        self._router.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
         try:
             self._router.bind(f"tcp://{self._address}")
         except zmq.ZMQError as error:
