HTTP: byte budget, no reading ahead, linear buffers, limits of connections

A connection isn't read from while its responses are unread or enough requests wait. Metrics ports are swept too. Accepting pauses without a free descriptor; the listening socket stayed readable before.

--- a/packages/node/src/endivewick_node/control_node.py
+++ b/packages/node/src/endivewick_node/control_node.py
@@ -52,6 +52,7 @@
 from .http_server import Connection, HttpServer, Request, Response, failure_response
 from .logs import log, log_rate_limited
 from .metrics import Metrics, open_metrics
+from .peer_budget import DEFAULT_BUDGET_BYTES, PeerBudget
 from .platform_adapter import PlatformAdapter
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
 from .sockets import Poller
@@ -108,7 +109,8 @@
 
     ``initial_voters`` are the addresses of the first voters when the whole system starts for the
     first time, and empty otherwise. ``platform`` is set if the process keeps a directory of
-    upstreams.
+    upstreams. ``budget_bytes`` is what all connections to the HTTP addresses may hold together.
+    Requests below ``large_body_prefix`` carry configurations.
     """
 
     control: ControlSettings
@@ -121,6 +123,8 @@
     statsd: "StatsdSection | None" = None
     tls: ssl.SSLContext | None = None
     platform: PlatformAdapter | None = None
+    budget_bytes: int = DEFAULT_BUDGET_BYTES
+    large_body_prefix: str = "/v1/contracts"
 
 
 def control_options(settings: "Settings", tls: ssl.SSLContext | None) -> ControlOptions:
@@ -177,7 +181,16 @@
         self._operator_key = options.operator_key
         self._transport = Transport(options.cluster, self._count_dropped_message)
         self._poller = Poller()
-        self._server = HttpServer(options.http, self._handle_request, self._poller, options.tls)
+        self._budget = PeerBudget(options.budget_bytes, self._count_closed_peer)
+        self._server = HttpServer(
+            options.http,
+            self._handle_request,
+            self._poller,
+            options.tls,
+            self._budget,
+            options.large_body_prefix,
+            "operators",
+        )
         self._waiting_connections: dict[int, Connection] = {}
         self._next_request_number = 1
         self._stopped = trio.Event()
@@ -186,7 +199,9 @@
         if options.platform is not None:
             self._upstreams = UpstreamConnections(options.platform.wire, self._poller, self._reduce)
             self._prometheus = PrometheusMetrics()
-            serve_metrics(self._prometheus, options.platform.metrics_address, self._poller)
+            self._metrics_server = serve_metrics(
+                self._prometheus, options.platform.metrics_address, self._poller, self._budget
+            )
 
     def _start_as_initial_voter(self, initial_voters: tuple[str, ...]) -> None:
         """Start as one of the initial voters, which all of them know from their settings."""
@@ -206,6 +221,8 @@
             self._nursery = nursery
             nursery.start_soon(self._poller.run)
             nursery.start_soon(self._server.reject_slow_requests)
+            if self._platform is not None:
+                nursery.start_soon(self._metrics_server.reject_slow_requests)
             nursery.start_soon(self._transport.receive, self._receive)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._export_metrics)
@@ -361,6 +378,11 @@
         fields = {} if effect.inputs is None else {"inputs": effect.inputs}
         log_rate_limited(effect.level, effect.name, effect.text, **fields)
 
+    def _count_closed_peer(self, event: str) -> None:
+        self._metrics.count(f"notes.{event}")
+        if self._platform is not None:
+            self._prometheus.count_event(event)
+
     def _count_dropped_message(self) -> None:
         self._metrics.count("messages.dropped")
 
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -41,6 +41,7 @@
 from .event_failures import CONNECTION_CLOSED_TEXT, log_failure
 from .http_server import Connection, HttpServer, Request, Response
 from .logs import log, log_rate_limited
+from .peer_budget import DEFAULT_BUDGET_BYTES, PeerBudget
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
 from .session_server import SessionServer
 from .sockets import Poller
@@ -52,6 +53,7 @@
     # Importing pydantic takes a fifth of a gateway's start-up time, and gateways don't use it.
     from .conf import ClusterSection
 
+READINESS_CONNECTION_LIMIT = 64  # load balancers probe from a few addresses
 GAUGE_INTERVAL_MS = 1_000  # gauges change slowly
 # Events of one session, upstream connection or process; see ``event_failures``.
 PEER_EVENTS = (
@@ -69,6 +71,7 @@
     ``decode_configuration`` parses an operator's document. The load balancer requests
     ``readiness_path`` to find out whether to send new sessions to this gateway. ``routes`` maps
     the message addresses of other processes to the addresses at which this one reaches them.
+    ``budget_bytes`` is what all connections of clients may hold together.
     """
 
     settings: GatewaySettings
@@ -81,6 +84,7 @@
     wire: StatementWire
     decode_configuration: Callable[[bytes], Result[Configuration, Failure]]
     routes: dict[str, str]
+    budget_bytes: int = DEFAULT_BUDGET_BYTES
 
 
 class GatewayNode:
@@ -95,13 +99,20 @@
         section: ClusterSection = {"address": options.settings.address, "routes": options.routes}
         self._transport = Transport(section, self._count_dropped_message)
         self._upstreams = UpstreamConnections(options.wire, self._poller, self._reduce)
+        budget = PeerBudget(options.budget_bytes, self._metrics.count_event)
         self._sessions = SessionServer(
             options.session_address, options.session_limit, options.wire, self._poller, self._reduce
         )
         self._readiness = HttpServer(
-            {"address": options.readiness_address}, self._handle_readiness_request, self._poller
+            {"address": options.readiness_address, "connection_limit": READINESS_CONNECTION_LIMIT},
+            self._handle_readiness_request,
+            self._poller,
+            budget=budget,
+            port="readiness",
+        )
+        self._metrics_server = serve_metrics(
+            self._metrics, options.metrics_address, self._poller, budget
         )
-        serve_metrics(self._metrics, options.metrics_address, self._poller)
         self._stopped = trio.Event()
         self._statements_waiting = trio.Event()
 
@@ -110,6 +121,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poller.run)
             nursery.start_soon(self._readiness.reject_slow_requests)
+            nursery.start_soon(self._metrics_server.reject_slow_requests)
             nursery.start_soon(self._transport.receive, self._receive)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._export_gauges)
--- a/packages/node/src/endivewick_node/prometheus_metrics.py
+++ b/packages/node/src/endivewick_node/prometheus_metrics.py
@@ -3,15 +3,23 @@
 docs/reference/metrics.md lists every name, with its labels, unit and meaning.
 """
 
+from typing import TYPE_CHECKING
+
 from endivewick_core.gateway.effects import StatementServed
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from .http_server import Connection, HttpServer, Request, Response
+from .peer_budget import PeerBudget
 from .sockets import Poller
 
+if TYPE_CHECKING:
+    # Importing pydantic takes a fifth of a gateway's start-up time, and gateways don't use it.
+    from .conf import HttpSection
+
 # The range is from a local read to the longest statement timeout that is common in contracts.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.0, 4.0)
 WORKSPACES_LIMIT = 500  # workspaces beyond it share one series
+CONNECTION_LIMIT = 32  # one or two collectors ask for metrics
 
 
 class PrometheusMetrics:
@@ -70,10 +78,13 @@
         return generate_latest(self._registry)
 
 
-def serve_metrics(metrics: PrometheusMetrics, address: str, poller: Poller) -> None:
-    """Serve the metrics at ``address`` for as long as ``poller`` runs."""
+def serve_metrics(
+    metrics: PrometheusMetrics, address: str, poller: Poller, budget: PeerBudget
+) -> HttpServer:
+    """Serve the metrics at ``address`` for as long as ``poller`` runs; return the server."""
 
     def respond(request: Request, connection: Connection) -> None:
         connection.respond(Response(200, metrics.render()))
 
-    HttpServer({"address": address}, respond, poller)
+    section: HttpSection = {"address": address, "connection_limit": CONNECTION_LIMIT}
+    return HttpServer(section, respond, poller, budget=budget, port="metrics")
--- a/packages/node/src/endivewick_node/proxy_node.py
+++ b/packages/node/src/endivewick_node/proxy_node.py
@@ -31,6 +31,7 @@
 from .logs import log
 from .metrics import Metrics, Series, open_metrics
 from .operator_key import check_key
+from .peer_budget import PeerBudget
 from .proxy_api import parse_request
 from .sockets import Poller
 from .transport import Transport
@@ -82,7 +83,10 @@
         self._metrics: Metrics = open_metrics(settings.get("statsd"))
         self._transport = Transport(settings["cluster"], self._count_dropped_message)
         self._poller = Poller()
-        self._server = HttpServer(settings["http"], self._handle_request, self._poller, tls)
+        budget = PeerBudget(count_event=lambda event: self._metrics.count(f"notes.{event}"))
+        self._server = HttpServer(
+            settings["http"], self._handle_request, self._poller, tls, budget, port="callers"
+        )
         self._client = UpstreamClient(
             self._poller,
             self._on_upstream_opened,
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -83,7 +83,7 @@
 
     def _accept(self, events: int) -> None:
         for _ in range(ACCEPTS_PER_TURN):
-            stream = sockets.accept_nonblocking(self._listener)
+            stream = sockets.accept_nonblocking(self._listener, self._poller)
             if stream is None:
                 return
             if len(self._connections) >= self._connection_limit:
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -22,6 +22,8 @@
 KEEPALIVE_PROBES = 3
 READABLE = select.EPOLLIN | select.EPOLLRDHUP
 WRITABLE = select.EPOLLOUT
+BROKEN = select.EPOLLHUP | select.EPOLLERR
+EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 EventCallback = Callable[[int], None]
 
@@ -89,8 +91,12 @@
     return listener
 
 
-def accept_nonblocking(listener: socket.socket) -> socket.socket | None:
-    """Accept and return the next pending connection, or return None if there is none."""
+def accept_nonblocking(listener: socket.socket, poller: Poller) -> socket.socket | None:
+    """Accept and return the next pending connection, or return None if there is none.
+
+    Without a free descriptor or memory the poller stops to report the listening socket, which
+    would stay readable; ``resume_accept`` undoes that.
+    """
     while True:
         try:
             connection, _ = listener.accept()
@@ -98,12 +104,19 @@
             return None
         except ConnectionError:
             continue
-        except OSError:
+        except OSError as error:
+            if error.errno in EXHAUSTED_ERRORS:
+                poller.change(listener, 0)
             return None
         configure(connection)
         return connection
 
 
+def resume_accept(listener: socket.socket, poller: Poller) -> None:
+    """Report pending connections again."""
+    poller.change(listener, READABLE)
+
+
 def configure(connection: socket.socket) -> None:
     """Make a connection non-blocking and disable Nagle's algorithm."""
     connection.setblocking(False)
@@ -162,15 +175,19 @@
 
 
 class Writer:
-    """Writes to one socket; buffers what it doesn't accept until it is writable."""
+    """Writes to one socket; buffers what it doesn't accept until it is writable.
+
+    It also sets which events the poller reports: reading can be paused.
+    """
 
-    __slots__ = ("_poller", "_stream", "_unsent")
+    __slots__ = ("_poller", "_stream", "_unsent", "_is_reading")
 
     def __init__(self, poller: Poller, stream: socket.socket) -> None:
         """Write to ``stream``, which ``poller`` watches."""
         self._poller = poller
         self._stream = stream
-        self._unsent = b""
+        self._unsent = bytearray()
+        self._is_reading = True
 
     @property
     def has_unsent(self) -> bool:
@@ -182,6 +199,17 @@
         """Return the number of buffered bytes."""
         return len(self._unsent)
 
+    @property
+    def is_reading(self) -> bool:
+        """Return whether the poller reports received bytes."""
+        return self._is_reading
+
+    def set_reading(self, is_reading: bool) -> None:
+        """Pause or resume the reports of received bytes; errors are always reported."""
+        if is_reading != self._is_reading:
+            self._is_reading = is_reading
+            self._change_mask()
+
     def write(self, data: bytes) -> bool:
         """Write or buffer ``data``; return False if the stream is broken."""
         if self._unsent:
@@ -191,16 +219,22 @@
         if sent < 0:
             return False
         if sent < len(data):
-            self._unsent = data[sent:]
-            self._poller.change(self._stream, READABLE | WRITABLE)
+            self._unsent += memoryview(data)[sent:]
+            self._change_mask()
         return True
 
     def write_unsent(self) -> bool:
         """Write buffered bytes to a writable socket; return False if the stream is broken."""
-        sent = write_nonblocking(self._stream, self._unsent)
+        with memoryview(self._unsent) as unsent:
+            sent = write_nonblocking(self._stream, unsent)
         if sent < 0:
             return False
-        self._unsent = self._unsent[sent:]
+        # Removing the head of a bytearray doesn't copy the rest.
+        del self._unsent[:sent]
         if not self._unsent:
-            self._poller.change(self._stream, READABLE)
+            self._change_mask()
         return True
+
+    def _change_mask(self) -> None:
+        mask = READABLE if self._is_reading else 0
+        self._poller.change(self._stream, mask | (WRITABLE if self._unsent else 0))
