Clients: backpressure, byte budget and time limits for sessions

A session isn't read from while an answer is unread or 16 statements wait; messages that were received stay bytes until then. What a session holds counts against the process's budget: incomplete and waiting statements, unread answers, stored values and prepared statements. An incomplete message, a missing startup message and an unread answer have 30 s. A session stores 2 MiB at most. Names in error texts are cut: each refusal repeated up to 1 MiB. client_unreadable lines are bounded and counted.

--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -21,8 +21,13 @@
 from .state import GatewayState, Session
 
 MAX_WAITING_STATEMENTS = 32  # statements that a client may pipeline on one session
-MAX_PREPARED_STATEMENTS = 256  # of one session; bounds its memory to some kilobytes
-MAX_VALUES = 64  # of one session; bounds its memory to some kilobytes
+MAX_PREPARED_STATEMENTS = 256  # of one session
+MAX_VALUES = 64  # of one session
+# Of the names and texts that one session stores: one statement of the largest size, 1 MiB, and as
+# much again in smaller ones.
+MAX_STORED_BYTES = 2 * 1024 * 1024
+
+SHOWN_NAME_CHARACTERS = 100  # of a client's name in an error text
 
 UPSTREAM_KINDS = frozenset(
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
@@ -137,12 +142,15 @@
         session.has_written = False
         session.statements_run = 0
     if statement.kind is StatementKind.SET:
+        session.stored_bytes += _stored_change(session, statement)
         session.values[statement.name] = statement.argument
     if statement.kind is StatementKind.PREPARE:
+        session.stored_bytes += _stored_change(session, statement)
         prepared = PreparedStatement(statement.argument, statement.is_write)
         session.prepared[statement.name] = prepared
     if statement.kind is StatementKind.DEALLOCATE:
-        del session.prepared[statement.name]
+        prepared = session.prepared.pop(statement.name)
+        session.stored_bytes -= len(statement.name) + len(prepared.shape)
     return answers.answer_local(session)
 
 
@@ -160,7 +168,10 @@
     if kind is StatementKind.BEGIN and session.workspace not in state.configuration.routes:
         return _unknown_workspace(session.workspace)
     if kind is StatementKind.DEALLOCATE and statement.name not in session.prepared:
-        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+        return Error(
+            Fault.UNKNOWN_STATEMENT,
+            f"no prepared statement {statement.name[:SHOWN_NAME_CHARACTERS]}",
+        )
     if kind is StatementKind.PREPARE and len(session.prepared) >= MAX_PREPARED_STATEMENTS:
         return Error(
             Fault.BAD_REQUEST,
@@ -168,9 +179,31 @@
         )
     if kind is StatementKind.SET and len(session.values) >= MAX_VALUES:
         return Error(Fault.BAD_REQUEST, f"a session may have {MAX_VALUES} values at most")
+    if kind in (StatementKind.SET, StatementKind.PREPARE):
+        if session.stored_bytes + _stored_change(session, statement) > MAX_STORED_BYTES:
+            text = f"a session may store {MAX_STORED_BYTES} bytes of values and statements at most"
+            return Error(Fault.BAD_REQUEST, text)
     return None
 
 
+def held_bytes(session: Session) -> int:
+    """Return the size of what a session stores and of its statements that have no answer yet."""
+    waiting = sum(len(item.text) + len(item.argument) for item in session.waiting)
+    current = session.current.statement if session.current is not None else None
+    running = len(current.text) + len(current.argument) if current is not None else 0
+    return session.stored_bytes + waiting + running
+
+
+def _stored_change(session: Session, statement: Statement) -> int:
+    """Return by how many bytes a SET or PREPARE changes what the session stores."""
+    known = 0
+    if statement.kind is StatementKind.SET and statement.name in session.values:
+        known = len(statement.name) + len(session.values[statement.name])
+    if statement.kind is StatementKind.PREPARE and statement.name in session.prepared:
+        known = len(statement.name) + len(session.prepared[statement.name].shape)
+    return len(statement.name) + len(statement.argument) - known
+
+
 def _run_upstream(
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
@@ -201,7 +234,10 @@
     if statement.kind is StatementKind.EXECUTE and statement.name not in session.prepared:
         if session.state is TransactionState.OPEN:
             session.state = TransactionState.FAILED
-        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+        return Error(
+            Fault.UNKNOWN_STATEMENT,
+            f"no prepared statement {statement.name[:SHOWN_NAME_CHARACTERS]}",
+        )
     if is_write(session, statement) and session.state is TransactionState.OPEN:
         if session.is_read_only:
             session.state = TransactionState.FAILED
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -103,7 +103,8 @@
     ``connection`` is pinned while a transaction runs upstream. ``holder`` is the gateway that runs
     the session's transaction, where that is another one. ``origin`` is set for a session of another
     gateway: that gateway's address and boot, and its number for the session.
-    ``origin_request_serial`` is that gateway's number for the current statement.
+    ``origin_request_serial`` is that gateway's number for the current statement. ``stored_bytes``
+    is the size of the names and texts in ``values`` and ``prepared``.
     """
 
     number: int
@@ -119,6 +120,7 @@
     current: Request | None = None
     connection: int | None = None
     waiting: deque[Statement] = field(default_factory=deque)
+    stored_bytes: int = 0
     last_active_ms: int = 0
     holder: str = ""
     origin: tuple[str, str, int] | None = None
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -11,6 +11,7 @@
 from endivewick_core.documents import decompress
 from endivewick_core.exceptions import UNKNOWN_PATH, Failure, failure_body
 from endivewick_core.gateway import effects as fx
+from endivewick_core.gateway import sessions
 from endivewick_core.gateway.control_link import is_ready
 from endivewick_core.gateway.events import (
     ConfigurationReceived,
@@ -43,7 +44,7 @@
 from .logs import log, log_rate_limited
 from .peer_budget import DEFAULT_BUDGET_BYTES, PeerBudget
 from .prometheus_metrics import PrometheusMetrics, serve_metrics
-from .session_server import SessionServer
+from .session_server import Load, SessionServer
 from .sockets import Poller
 from .statement_wire import StatementWire
 from .transport import Transport
@@ -101,7 +102,13 @@
         self._upstreams = UpstreamConnections(options.wire, self._poller, self._reduce)
         budget = PeerBudget(options.budget_bytes, self._metrics.count_event)
         self._sessions = SessionServer(
-            options.session_address, options.session_limit, options.wire, self._poller, self._reduce
+            options.session_address,
+            options.session_limit,
+            options.wire,
+            self._poller,
+            self._reduce,
+            self._load_of,
+            budget,
         )
         self._readiness = HttpServer(
             {"address": options.readiness_address, "connection_limit": READINESS_CONNECTION_LIMIT},
@@ -120,6 +127,7 @@
         """Serve until a planned stop has ended every session."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poller.run)
+            nursery.start_soon(self._sessions.close_slow_clients)
             nursery.start_soon(self._readiness.reject_slow_requests)
             nursery.start_soon(self._metrics_server.reject_slow_requests)
             nursery.start_soon(self._transport.receive, self._receive)
@@ -239,6 +247,12 @@
     def _record_served(self, effect: fx.StatementServed) -> None:
         self._metrics.record_statement(effect)
 
+    def _load_of(self, number: int) -> Load:
+        session = self._state.sessions.get(number)
+        if session is None:
+            return Load(0, 0)
+        return Load(len(session.waiting), sessions.held_bytes(session))
+
     def _count_dropped_message(self) -> None:
         self._metrics.count_event("message_dropped")
 
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -4,14 +4,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from typing import NamedTuple
 
+import trio
 from endivewick_core.gateway.effects import AnswerStatement
 from endivewick_core.gateway.events import SessionClosed, SessionOpened, StatementReceived
 from endivewick_core.statements import Error, Fault, Statement
 
 from . import sockets
 from .clock import now_ms
-from .logs import log
+from .logs import log_rate_limited
+from .peer_budget import Account, PeerBudget
 from .statement_wire import ClientReader, Quit, Startup, StatementWire, WireFault
 
 ACCEPTS_PER_TURN = 64
@@ -19,6 +22,12 @@
 CLIENT_ACK_TIMEOUT_MS = 10_000
 # A connection is closed when the client leaves more answers unread.
 UNREAD_ANSWERS_LIMIT_BYTES = 4 * 1024 * 1024
+# A session with so many statements waiting is not read from; the reducer closes one at 32.
+PAUSE_AT_WAITING = 16
+# A message or an answer of 1 MiB takes 4 s at 2 Mbit/s, the bandwidth of the smallest VM.
+INCOMPLETE_TIMEOUT_MS = 30_000
+UNREAD_TIMEOUT_MS = 30_000
+SWEEP_INTERVAL_MS = 250
 
 SessionEvent = SessionOpened | StatementReceived | SessionClosed
 
@@ -28,14 +37,27 @@
     """A client's connection; ``has_workspace`` is set by its startup message.
 
     ``is_closing`` is set once nothing more is read; the remaining answers may still be written.
+    ``incomplete_since_ms`` is since when a message is incomplete or the startup message is missing,
+    and ``unsent_since_ms`` since when answers are unread; 0 if there are none.
     """
 
     number: int
     stream: socket.socket
     writer: sockets.Writer
     read: ClientReader
+    account: Account
     has_workspace: bool = False
     is_closing: bool = False
+    is_handling: bool = False
+    incomplete_since_ms: int = 0
+    unsent_since_ms: int = 0
+
+
+class Load(NamedTuple):
+    """A session's number of waiting statements, and the bytes of all that it holds."""
+
+    waiting: int
+    held_bytes: int
 
 
 class SessionServer:
@@ -48,8 +70,15 @@
         wire: StatementWire,
         poller: sockets.Poller,
         handle: Callable[[SessionEvent], None],
+        load_of: Callable[[int], Load],
+        budget: PeerBudget,
     ) -> None:
-        """Bind ``address``; refuse connections beyond ``limit`` and pass events to ``handle``."""
+        """Bind ``address``; refuse connections beyond ``limit`` and pass events to ``handle``.
+
+        ``load_of`` returns the load of a session by its number.
+        """
+        self._load_of = load_of
+        self._budget = budget
         self._wire = wire
         self._poller = poller
         self._connection_limit = limit
@@ -59,6 +88,23 @@
         self._listener = sockets.listen(address, "gateway.address")
         poller.add(self._listener, sockets.READABLE, self._accept)
 
+    async def close_slow_clients(self) -> None:
+        """Periodically close connections that are over a time limit, until cancelled.
+
+        Also accept connections again after a pause.
+        """
+        while True:
+            await trio.sleep(SWEEP_INTERVAL_MS / 1000)
+            sockets.resume_accept(self._listener, self._poller)
+            at_ms = now_ms()
+            for client in list(self._connections.values()):
+                if 0 < client.unsent_since_ms < at_ms - UNREAD_TIMEOUT_MS:
+                    self._close_for(client, "unread_answers")
+                    continue
+                is_late = 0 < client.incomplete_since_ms < at_ms - INCOMPLETE_TIMEOUT_MS
+                if is_late and client.writer.is_reading:
+                    self._close_for(client, "incomplete_message")
+
     def accept_session(self, number: int) -> None:
         """Notify a client that its session is open."""
         self._write(number, self._wire.encode_accepted())
@@ -80,6 +126,8 @@
         client.is_closing = True
         if not client.writer.has_unsent:
             self._close(client)
+            return
+        self._update(client)
 
     def _accept(self, events: int) -> None:
         for _ in range(ACCEPTS_PER_TURN):
@@ -94,11 +142,18 @@
                 stream.close()
                 continue
             sockets.set_ack_timeout(stream, CLIENT_ACK_TIMEOUT_MS)
-            writer = sockets.Writer(self._poller, stream)
-            client = ClientConnection(self._next_number, stream, writer, self._wire.read_client())
-            self._next_number += 1
-            self._connections[client.number] = client
-            self._poller.add(stream, sockets.READABLE, partial(self._on_event, client))
+            self._add_client(stream)
+
+    def _add_client(self, stream: socket.socket) -> None:
+        writer = sockets.Writer(self._poller, stream)
+        account = Account(lambda reason: self._close_for(client, reason))
+        client = ClientConnection(
+            self._next_number, stream, writer, self._wire.read_client(), account
+        )
+        client.incomplete_since_ms = now_ms()
+        self._next_number += 1
+        self._connections[client.number] = client
+        self._poller.add(stream, sockets.READABLE, partial(self._on_event, client))
 
     def _on_event(self, client: ClientConnection, events: int) -> None:
         if events & sockets.WRITABLE and client.writer.has_unsent:
@@ -108,7 +163,18 @@
             if client.is_closing and not client.writer.has_unsent:
                 self._close(client)
                 return
-        if events & ~sockets.WRITABLE and not client.is_closing:
+            self._update(client)
+        if client.number not in self._connections:
+            return
+        if client.writer.end_wake():
+            self._handle_received(client, b"")
+            self._update(client)
+            if client.number not in self._connections:
+                return
+        if events & sockets.BROKEN and not client.writer.is_reading:
+            self._disconnect(client)
+            return
+        if events & ~sockets.WRITABLE and client.writer.is_reading and not client.is_closing:
             self._read(client)
 
     def _read(self, client: ClientConnection) -> None:
@@ -118,10 +184,51 @@
         if not data:
             self._disconnect(client)
             return
-        for message in client.read(data):
-            if client.is_closing:
-                return
-            self._handle_message(client, message)
+        self._handle_received(client, data)
+        self._update(client)
+
+    def _handle_received(self, client: ClientConnection, data: bytes) -> None:
+        """Handle received messages until the client has to read answers or to wait."""
+        if client.is_handling:
+            return
+        client.is_handling = True
+        while not client.is_closing and self._may_handle(client):
+            messages = client.read(data, 1)
+            data = b""
+            if not messages:
+                if not client.read.held_bytes and client.has_workspace:
+                    client.incomplete_since_ms = 0
+                elif not client.incomplete_since_ms:
+                    client.incomplete_since_ms = now_ms()
+                break
+            client.incomplete_since_ms = 0 if client.has_workspace else client.incomplete_since_ms
+            self._handle_message(client, messages[0])
+        client.is_handling = False
+
+    def _may_handle(self, client: ClientConnection) -> bool:
+        if client.writer.has_unsent:
+            return False
+        return self._load_of(client.number).waiting < PAUSE_AT_WAITING
+
+    def _update(self, client: ClientConnection) -> None:
+        """Pause or resume reading, and record what the connection holds."""
+        if client.number not in self._connections or client.is_handling:
+            return
+        if client.writer.has_unsent != bool(client.unsent_since_ms):
+            client.unsent_since_ms = now_ms() if client.writer.has_unsent else 0
+        was_reading = client.writer.is_reading
+        client.writer.set_reading(self._may_handle(client))
+        if client.writer.is_reading and not was_reading and client.read.held_bytes:
+            # Messages that were received before the pause are handled in a turn of their own: this
+            # one may be in the middle of the effects of another event.
+            client.writer.wake()
+        load = self._load_of(client.number)
+        held_bytes = client.read.held_bytes + client.writer.unsent_bytes + load.held_bytes
+        self._budget.update(client.account, held_bytes, now_ms())
+
+    def _close_for(self, client: ClientConnection, reason: str) -> None:
+        self._budget.report("clients", reason, client.account)
+        self._disconnect(client)
 
     def _handle_message(self, client: ClientConnection, message: object) -> None:
         if isinstance(message, Startup) and not client.has_workspace:
@@ -139,7 +246,8 @@
             if isinstance(message, WireFault)
             else "unexpected message in this state of the session"
         )
-        log("warning", "client_unreadable", text)
+        self._budget.count_event("client_unreadable")
+        log_rate_limited("warning", "client_unreadable", text)
         error = Error(Fault.BAD_REQUEST, text)
         self._write(client.number, self._wire.encode_refused(error))
         self._disconnect(client)
@@ -148,8 +256,13 @@
         client = self._connections.get(number)
         if client is None:
             return
-        if not client.writer.write(data) or client.writer.unsent_bytes > UNREAD_ANSWERS_LIMIT_BYTES:
+        if not client.writer.write(data):
             self._disconnect(client)
+            return
+        if client.writer.unsent_bytes > UNREAD_ANSWERS_LIMIT_BYTES:
+            self._close_for(client, "unread_answers")
+            return
+        self._update(client)
 
     def _disconnect(self, client: ClientConnection) -> None:
         if client.number in self._connections:
@@ -159,4 +272,5 @@
     def _close(self, client: ClientConnection) -> None:
         client.is_closing = True
         self._connections.pop(client.number, None)
+        self._budget.remove(client.account)
         self._poller.close(client.stream)
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -180,7 +180,7 @@
     It also sets which events the poller reports: reading can be paused.
     """
 
-    __slots__ = ("_poller", "_stream", "_unsent", "_is_reading")
+    __slots__ = ("_poller", "_stream", "_unsent", "_is_reading", "_is_woken")
 
     def __init__(self, poller: Poller, stream: socket.socket) -> None:
         """Write to ``stream``, which ``poller`` watches."""
@@ -188,6 +188,7 @@
         self._stream = stream
         self._unsent = bytearray()
         self._is_reading = True
+        self._is_woken = False
 
     @property
     def has_unsent(self) -> bool:
@@ -210,6 +211,19 @@
             self._is_reading = is_reading
             self._change_mask()
 
+    def wake(self) -> None:
+        """Let the poller report the socket as writable in its next turn, until ``end_wake``."""
+        self._is_woken = True
+        self._change_mask()
+
+    def end_wake(self) -> bool:
+        """Undo ``wake``; return whether it was in effect."""
+        if not self._is_woken:
+            return False
+        self._is_woken = False
+        self._change_mask()
+        return True
+
     def write(self, data: bytes) -> bool:
         """Write or buffer ``data``; return False if the stream is broken."""
         if self._unsent:
@@ -237,4 +251,6 @@
 
     def _change_mask(self) -> None:
         mask = READABLE if self._is_reading else 0
-        self._poller.change(self._stream, mask | (WRITABLE if self._unsent else 0))
+        self._poller.change(
+            self._stream, mask | (WRITABLE if self._unsent or self._is_woken else 0)
+        )
--- a/packages/node/src/endivewick_node/statement_wire.py
+++ b/packages/node/src/endivewick_node/statement_wire.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from endivewick_core.gateway.effects import AnswerStatement
 from endivewick_core.statements import Error, Statement, UpstreamReply, UpstreamStatement
@@ -40,7 +40,19 @@
 
 ClientMessage = Startup | Statement | Quit | WireFault
 UpstreamMessage = Accepted | Refused | UpstreamReply | WireFault
-ClientReader = Callable[[bytes], list[ClientMessage]]
+
+
+class ClientReader(Protocol):
+    """Parses the bytes received from one client, and keeps what it has not returned yet."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that are kept."""
+
+    def __call__(self, data: bytes, limit: int = ...) -> list[ClientMessage]:
+        """Return the next messages, ``limit`` at most; later calls return the others."""
+
+
 UpstreamReader = Callable[[bytes], list[UpstreamMessage]]
 
 
