--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -113,7 +113,8 @@
     the session's transaction, where that is another one. ``origin`` is set for a session of another
     gateway: that gateway's address and boot, and its number for the session.
     ``origin_request_serial`` is that gateway's number for the current statement, and
-    ``configuration_version`` the newest configuration that it had.
+    ``configuration_version`` the newest configuration that it had. ``stored_bytes`` is the size of
+    the names and texts in ``values`` and ``prepared``.
 
     ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
@@ -133,6 +134,7 @@
     current: Request | None = None
     connection: int | None = None
     waiting: deque[Statement] = field(default_factory=deque)
+    stored_bytes: int = 0
     last_active_ms: int = 0
     holder: str = ""
     origin: tuple[str, str, int] | None = None
