Gateway: a read that has one upstream left doesn't hold up those behind it

With weights, four queued reads may have to wait before the rest of the queue does, and a read that only an unresponsive upstream is left to tries the others again.

--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -110,7 +110,8 @@
     if queue is None:
         return []
     effects = _dispatch_heap(state, now_ms, queue.primary)
-    return effects + _dispatch_heap(state, now_ms, queue.reads)
+    max_blocked = upstream_health.max_blocked_reads(state)
+    return effects + _dispatch_heap(state, now_ms, queue.reads, max_blocked)
 
 
 def end_transaction(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
@@ -191,8 +192,12 @@
         item.failure_rate *= FAILURE_RATE_DECAY
 
 
-def _dispatch_heap(state: GatewayState, now_ms: int, heap: list[QueuedRequest]) -> list[Effect]:
+def _dispatch_heap(
+    state: GatewayState, now_ms: int, heap: list[QueuedRequest], max_blocked: int = 1
+) -> list[Effect]:
+    """Route queued requests until ``max_blocked`` of them have to wait for a connection."""
     effects: list[Effect] = []
+    blocked = 0
     waiting: list[QueuedRequest] = []
     while heap:
         item = heapq.heappop(heap)
@@ -209,7 +214,8 @@
             effects += refuse(state, now_ms, request, result.refusal)
             continue
         waiting.append(item)
-        if not result.needs_lease:
+        blocked += not result.needs_lease
+        if blocked >= max_blocked:
             break
     for item in waiting:
         heapq.heappush(heap, item)
@@ -289,9 +295,10 @@
         cost_ms = _cost_ms(state, item, is_primary)
         cost_ms = upstream_health.read_cost_ms(state, now_ms, item, session, request, cost_ms)
         candidates.append((cost_ms, len(candidates), item))
-    if not candidates:
+    if not upstream_health.has_responsive(state, now_ms, [item for _, _, item in candidates]):
         if upstream_health.forget_tried(state, now_ms, request):
             return _try_read(state, now_ms, session, request, position)
+    if not candidates:
         result = _try_primary(state, now_ms, session, request)
         # A replica that is only backed off may serve the read a moment later.
         return result._replace(refusal=None) if has_replica else result
--- a/packages/core/src/endivewick_core/gateway/upstream_health.py
+++ b/packages/core/src/endivewick_core/gateway/upstream_health.py
@@ -44,6 +44,9 @@
 # A request that has waited for longer takes an idle connection of the next best upstream.
 ELSEWHERE_AFTER_MS = 50
 OPEN_ELSEWHERE_AFTER_MS = 150  # and after this long, a connection is opened there
+# A read that has only an unresponsive upstream left must not hold up the reads behind it. More than
+# this many would cost a gateway with a full queue too much time in each tick.
+MAX_BLOCKED_READS = 4
 POLL_ADVANCE_MS = 150  # of a poll that reports failures; usual polls are 250 ms apart
 # Between reports of an upstream without failures, so that all gateways together send at most 400 a
 # second for it. Up to 100 gateways report with each poll.
@@ -173,6 +176,16 @@
     return now_ms - request.received_ms >= after_ms
 
 
+def max_blocked_reads(state: GatewayState) -> int:
+    """Return how many queued reads may have to wait before the rest of the queue does."""
+    return MAX_BLOCKED_READS if state.settings.uses_upstream_weights else 1
+
+
+def has_responsive(state: GatewayState, now_ms: int, items: list[UpstreamPool]) -> bool:
+    """Tell whether any of these upstreams isn't taken for one that answers nothing."""
+    return any(not is_unresponsive(state, now_ms, item) for item in items)
+
+
 def forget_tried(state: GatewayState, now_ms: int, request: Request) -> bool:
     """Let a request try again every upstream, if only an unresponsive primary is left to it."""
     primary = state.pools.get(state.primaries.get(request.route.service, ""))
--- a/tests/test_upstream_weights.py
+++ b/tests/test_upstream_weights.py
@@ -255,7 +255,7 @@
     gateway.session(1, "bounded")
     primary = gateway.state.pools[PRIMARY]
     primary.health.unresponsive_until_ms = gateway.now_ms + 5_000
-    primary.busy_backoff_until_ms = gateway.now_ms + 5_000
+    primary.idle.clear()
     request = gateway.send(1, K.READ)
     for _ in range(2):
         gateway.reply(gateway.find_sent(request), error=Error(Fault.LAGGING, ""))
@@ -264,6 +264,24 @@
     assert_that(gateway.find_sent(request).upstream, Equals(REPLICA))
 
 
+def test_a_read_that_has_one_upstream_left_does_not_hold_up_those_behind_it():
+    """Pattern: a queued read was refused by both replicas, and the primary is full."""
+    gateway = weighted_gateway()
+    pools = gateway.state.pools
+    gateway.session(1, "bounded")
+    gateway.session(2, "bounded")
+    pools[PRIMARY].busy_backoff_until_ms = gateway.now_ms + 5_000
+    for upstream in (REPLICA, FAR_REPLICA):
+        pools[upstream].lagging_backoff_until_ms = gateway.now_ms + 5_000
+    gateway.send(1, K.READ)
+    second = gateway.send(2, K.READ)
+    next(iter(gateway.state.requests.values())).tried.update({REPLICA, FAR_REPLICA})
+    for upstream in (REPLICA, FAR_REPLICA):
+        pools[upstream].lagging_backoff_until_ms = 0
+    gateway.tick(20)
+    assert_that(gateway.find_sent(second), Not(Is(None)))
+
+
 def test_a_gateway_follows_what_control_found_and_ignores_old_findings():
     """Pattern: others see an upstream fail; control's word of it is then not renewed."""
     gateway = weighted_gateway(connections=2)
