--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from collections import Counter
 from typing import NamedTuple
 
 from ..positions import Position
@@ -116,7 +117,8 @@
     if queue is None:
         return []
     effects = _dispatch_heap(state, now_ms, queue.primary)
-    return effects + _dispatch_heap(state, now_ms, queue.reads)
+    max_blocked = upstream_health.max_blocked_reads(state)
+    return effects + _dispatch_heap(state, now_ms, queue.reads, max_blocked)
 
 
 def end_transaction(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
@@ -190,10 +192,13 @@
         item.failure_rate *= FAILURE_RATE_DECAY
 
 
-def _dispatch_heap(state: GatewayState, now_ms: int, heap: list[QueuedRequest]) -> list[Effect]:
+def _dispatch_heap(
+    state: GatewayState, now_ms: int, heap: list[QueuedRequest], max_blocked: int = 1
+) -> list[Effect]:
+    """Route queued requests until ``max_blocked`` of a tenant have to wait for a connection."""
     effects: list[Effect] = []
     waiting: list[QueuedRequest] = []
-    blocked: set[str] = set()
+    blocked: Counter[str] = Counter()
     while heap:
         item = heapq.heappop(heap)
         state.queued -= 1
@@ -202,10 +207,11 @@
             fair_queue.note_removed(item)
             continue
         if quota_tokens.has_expired(request, now_ms):
+            fair_queue.note_removed(item)
             state.follow_up.tokenless.append(request)
             continue
         session = state.sessions[request.session]
-        if session.tenant in blocked and session.connection is None:
+        if blocked[session.tenant] >= max_blocked and session.connection is None:
             waiting.append(item)
             continue
         result = _try_route(state, now_ms, session, request)
@@ -218,11 +224,12 @@
             effects += refuse(state, now_ms, request, result.refusal)
             continue
         waiting.append(item)
-        if not result.needs_lease:
-            # Requests of other tenants may have connections that this one can't use.
-            if not session.tenant:
-                break
-            blocked.add(session.tenant)
+        if result.needs_lease:
+            continue
+        blocked[session.tenant] += 1
+        # Requests of other tenants may have connections that this one can't use.
+        if not session.tenant and blocked[""] >= max_blocked:
+            break
     for item in waiting:
         heapq.heappush(heap, item)
     state.queued += len(waiting)
@@ -312,9 +319,10 @@
             if not tenant_connections.has_room(state, now_ms, item, request):
                 cost_ms += item.latency_ms  # until a connection is released
         candidates.append((cost_ms, len(candidates), item))
-    if not candidates:
+    if not upstream_health.has_responsive(state, now_ms, [item for _, _, item in candidates]):
         if upstream_health.forget_tried(state, now_ms, request):
             return _try_read(state, now_ms, session, request, position)
+    if not candidates:
         result = _try_primary(state, now_ms, session, request)
         # A replica that is only backed off may serve the read a moment later.
         return result._replace(refusal=None) if has_replica else result
