--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,7 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import departures, primary_leases, probes, upstream_weights
+from . import departures, primary_leases, probes, quota_reserves, upstream_weights
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -122,6 +122,7 @@
     """Record a gateway's poll, and respond with what has changed since its last one."""
     directory_state = state.directory_state
     directory_state.gateway_contact_ms[request.gateway] = now_ms
+    quota_reserves.note_contact(state, now_ms, request.gateway)
     if request.is_draining:
         directory_state.gateway_centres.pop(request.gateway, None)
     else:
--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -2,8 +2,8 @@
 
 Shares are leases, given in proportion to demand. A part of each limit stays undivided, for
 processes whose share is too small at a moment. A new leader reserves the shares that the others
-report; until all members have reported, or every share that it doesn't know has ended, it gives no
-tokens and raises no share.
+report, and gives no tokens and raises no share before. Members that don't report soon may hold all
+that the others left, which is reserved until every share of an earlier leader has ended.
 """
 
 from ..messages import QuotaShare, QuotaShareAnswer, QuotaShareQuestion, ShareReport
@@ -27,7 +27,11 @@
 from .quota_state import LeaderQuotas
 from .state import ControlState, Role
 
-SHARE_LEASE_MS = 4_000
+SHARE_LEASE_MS = 6_000  # longer than most changes of leader
+REPORT_TIME_MS = (
+    700  # in which members that reach a new leader have reported: two of their requests
+)
+UNREPORTED = "unreported"  # stands for the members that have not reported
 CLOCK_MARGIN_MS = 100  # that the leader waits longer, since its clock may be faster
 # What is divided by demand. The rest serves processes whose demand has just begun or varies.
 DIVIDED_RATE_PPM = 750_000
@@ -70,7 +74,11 @@
         limit = limits.get(tenant)
         if limit is None:
             continue
-        division = leader.divisions.setdefault(tenant, Division())
+        division = leader.divisions.get(tenant)
+        if division is None:
+            division = leader.divisions[tenant] = Division()
+            if now_ms <= leader.unknown_until_ms:
+                _reserve_unreported(leader, division)
         shares[tenant] = _share(leader, division, now_ms, limit, holder, report, len(members))
     reply = QuotaShareAnswer(question.boot, state.term, question.sequence, shares)
     return reply, effects
@@ -123,14 +131,25 @@
     assert state.leader_state is not None
     led_ms = now_ms - state.leader_state.since_ms
     missing = sorted(members - leader.reported)
-    if missing and led_ms <= SHARE_LEASE_MS + state.settings.lease_margin_ms:
+    if missing and led_ms < REPORT_TIME_MS:
         return []
     leader.is_complete = True
+    lease_ms = SHARE_LEASE_MS + state.settings.lease_margin_ms
+    if missing and led_ms <= lease_ms:
+        leader.unknown_until_ms = state.leader_state.since_ms + lease_ms
+        for division in leader.divisions.values():
+            _reserve_unreported(leader, division)
     inputs: dict[str, object] = {"led_ms": led_ms, "missing": missing, "term": state.term}
-    text = "every held share is known or has ended; tokens are given again"
+    text = "every share that may be held is reserved; the rest is given again"
     return [LogEvent("info", "quotas_divided", text, inputs)]
 
 
+def _reserve_unreported(leader: LeaderQuotas, division: Division) -> None:
+    """Reserve all that the reported shares leave, for members that have not reported."""
+    grant = Grant(0, rest(division, UNREPORTED), leader.unknown_until_ms)
+    hold(division, UNREPORTED, grant)
+
+
 def _share(
     leader: LeaderQuotas,
     division: Division,
--- a/packages/core/src/endivewick_core/control/quota_state.py
+++ b/packages/core/src/endivewick_core/control/quota_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ..quota_usage import Usage
 from ..token_buckets import Bucket, Division, Part
 
 NEVER_MS = 1_000_000  # longer ago than any interval of requests
@@ -43,16 +44,31 @@
     waiting: deque[WaitingNeed] = field(default_factory=deque)
 
 
+@dataclass(slots=True)
+class SilentGateway:
+    """The tokens that a gateway was given, by tenant, and when it was last heard from.
+
+    While it is silent, ``owed`` is its rate by tenant, reserved until ``reserved_ms``.
+    """
+
+    contact_ms: int
+    reserved_ms: int
+    usage: dict[str, Usage] = field(default_factory=dict)
+    owed: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class LeaderQuotas:
     """How this leader divides the limits, in one term.
 
     ``reported`` are the members that have reported every share that they hold. ``is_complete`` is
-    set once no share is held that this leader doesn't know.
+    set once every share that may be held is reserved. Until ``unknown_until_ms``, members that have
+    not reported may hold what the others left.
     """
 
     term: int = 0
     is_complete: bool = False
+    unknown_until_ms: int = 0
     reported: set[str] = field(default_factory=set)
     divisions: dict[str, Division] = field(default_factory=dict)
     grants_given: int = 0
@@ -67,6 +83,9 @@
     ``sent_ms`` gives the time of each unanswered question by its sequence number, and
     ``full_sequence`` is the last question that reported every share. ``asked_term`` is the highest
     term whose leader was asked, ``reported_term`` the one whose leader knows every share held.
+
+    ``gateways`` are those that were given tokens. ``reserve_debts`` are the tokens by tenant that
+    silent gateways may have used and that the shares could not cover yet.
     """
 
     shares: dict[str, HeldShare] = field(default_factory=dict)
@@ -79,3 +98,5 @@
     renewal_due_ms: int = 0
     stock_due_ms: int = 0
     leader: LeaderQuotas = field(default_factory=LeaderQuotas)
+    gateways: dict[str, SilentGateway] = field(default_factory=dict)
+    reserve_debts: dict[str, float] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -18,7 +18,7 @@
     TokenNeed,
 )
 from ..token_buckets import Bucket, Part, TokenLimit, add, resize, take
-from . import quota_shares, replication
+from . import quota_reserves, quota_shares, replication
 from .effects import Effect, LogEvent, Send
 from .quota_shares import MIN_DEMAND_PER_S, SHARE_LEASE_MS, TOKEN_WAIT_MS
 from .quota_state import HeldShare, QuotaState, WaitingNeed
@@ -56,6 +56,7 @@
     if now_ms >= quotas.renewal_due_ms:
         quotas.renewal_due_ms = now_ms + RENEWAL_INTERVAL_MS
         _update_tenants(state, now_ms)
+        _reserve_for_silent(state, now_ms)
         quota_shares.remove_unlimited(state, now_ms)
         due = _due_renewals(quotas, now_ms)
     return effects + _ask_leader(state, now_ms, due)
@@ -78,6 +79,7 @@
         bucket = _bucket(share, now_ms, limit)
         # Needs that came before wait for the same tokens.
         count = 0 if share.waiting else take(bucket, now_ms, need.waiting + need.expected)
+        quota_reserves.note_given(state, now_ms, question.gateway, tenant, count)
         if count or need.expected:
             answers[tenant] = TokenAnswer(count, max(0, need.waiting - count))
         if bucket.level < 1:
@@ -203,6 +205,7 @@
         if not tokens:
             break
         need.count -= tokens
+        quota_reserves.note_given(state, now_ms, need.gateway, tenant, tokens)
         effects.append(_send_tokens(need, tenant, TokenAnswer(tokens, need.count)))
         if not need.count:
             share.waiting.popleft()
@@ -283,6 +286,29 @@
             del quotas.sent_ms[sequence]
 
 
+def _reserve_for_silent(state: ControlState, now_ms: int) -> None:
+    """Take from the shares what gateways that are not heard from may have used."""
+    quotas = state.quotas
+    limits = state.replicated_state.configuration.limits
+    due = quota_reserves.due_reserves(state, now_ms)
+    for tenant in due.keys() | quotas.reserve_debts.keys():
+        limit = limits.get(tenant)
+        if limit is None:
+            quotas.reserve_debts.pop(tenant, None)
+            continue
+        share = _held_share(state, now_ms, tenant)
+        _demand_per_s(share, now_ms)
+        share.demand += due.get(tenant, 0.0)
+        debt = due.get(tenant, 0.0) + quotas.reserve_debts.pop(tenant, 0.0)
+        bucket = _bucket(share, now_ms, limit)
+        paid = min(debt, bucket.level)
+        bucket.level -= paid
+        # A debt of more than a window's excess could not be made good in time.
+        debt = min(debt - paid, limit.rate_per_s)
+        if debt > 0:
+            quotas.reserve_debts[tenant] = debt
+
+
 def _due_renewals(quotas: QuotaState, now_ms: int) -> list[str]:
     due: list[str] = []
     for tenant, share in quotas.shares.items():
--- a/packages/core/src/endivewick_core/gateway/quota_state.py
+++ b/packages/core/src/endivewick_core/gateway/quota_state.py
@@ -3,6 +3,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ..quota_usage import Usage
+from ..token_buckets import Bucket
+
 
 @dataclass(slots=True)
 class TenantTokens:
@@ -12,6 +15,8 @@
     ``outstanding`` is how many tokens were asked for and not answered, by the question's sequence
     number. ``demand`` counts the operations, and fades. At ``refused_ms`` control last had no
     token; until ``refused_until_ms`` it is not asked, and clients are told ``retry_after_ms``.
+    ``usage`` counts the tokens of control that were used, and ``reserve`` serves while no control
+    process answers.
     """
 
     stock: deque[int] = field(default_factory=deque)
@@ -23,6 +28,8 @@
     refused_until_ms: int = 0
     retry_after_ms: int = 0
     ask_due_ms: int = 0
+    usage: Usage = field(default_factory=Usage)
+    reserve: Bucket | None = None
 
 
 @dataclass(slots=True)
--- a/packages/core/src/endivewick_core/gateway/quota_tokens.py
+++ b/packages/core/src/endivewick_core/gateway/quota_tokens.py
@@ -6,6 +6,7 @@
 
 import math
 
+from ..quota_usage import add_usage
 from .quota_state import TenantTokens
 from .state import GatewayState, Request, Session
 
@@ -37,6 +38,7 @@
     if not tokens.stock:
         return False
     request.token_until_ms = tokens.stock.popleft()
+    add_usage(tokens.usage, now_ms, 1)
     return True
 
 
--- a/packages/core/src/endivewick_core/gateway/quotas.py
+++ b/packages/core/src/endivewick_core/gateway/quotas.py
@@ -7,7 +7,7 @@
 
 from ..messages import QuotaAnswer, QuotaQuestion, TokenNeed
 from ..statements import Error, Fault, TransactionState
-from . import quota_tokens, routing
+from . import quota_reserves, quota_tokens, routing
 from .effects import Effect, LogEvent, Send
 from .quota_state import TenantTokens
 from .state import GatewayState, Request, Session
@@ -66,7 +66,7 @@
             effects += _start_unlimited(state, now_ms, tokens)
             continue
         if tokens.waiting:
-            effects += _serve_waiting(state, now_ms, tokens)
+            effects += _serve_waiting(state, now_ms, tenant, tokens)
     return effects + _ask(state, now_ms, list(quotas.tenants))
 
 
@@ -91,7 +91,7 @@
             tokens.outstanding[answer.sequence] = item.pending
         if item.tokens and now_ms < until_ms:
             quota_tokens.put(tokens, until_ms, item.tokens)
-        effects += _serve_waiting(state, now_ms, tokens)
+        effects += _serve_waiting(state, now_ms, tenant, tokens)
         if item.refused:
             tokens.refused_ms = now_ms
             tokens.refused_until_ms = now_ms + REFUSED_MS
@@ -119,7 +119,7 @@
 def _take_or_wait(
     state: GatewayState, now_ms: int, tenant: str, tokens: TenantTokens, request: Request
 ) -> list[Effect]:
-    if not tokens.waiting and quota_tokens.take(tokens, now_ms, request):
+    if not tokens.waiting and _take(state, now_ms, tenant, tokens, request):
         effects = routing.route_request(state, now_ms, request)
         return effects + _ask(state, now_ms, [tenant])
     if now_ms < tokens.refused_until_ms:
@@ -134,7 +134,18 @@
     return _ask(state, now_ms, [tenant])
 
 
-def _serve_waiting(state: GatewayState, now_ms: int, tokens: TenantTokens) -> list[Effect]:
+def _take(
+    state: GatewayState, now_ms: int, tenant: str, tokens: TenantTokens, request: Request
+) -> bool:
+    """Take a token of the stock, or of the reserve while no control process answers."""
+    if quota_tokens.take(tokens, now_ms, request):
+        return True
+    return quota_reserves.take_reserved(state, now_ms, tenant, tokens, request)
+
+
+def _serve_waiting(
+    state: GatewayState, now_ms: int, tenant: str, tokens: TenantTokens
+) -> list[Effect]:
     """Start the operations that there are tokens for, oldest first."""
     effects: list[Effect] = []
     while tokens.waiting:
@@ -142,7 +153,7 @@
         if request is None:
             tokens.waiting.popleft()
             continue
-        if not quota_tokens.take(tokens, now_ms, request):
+        if not _take(state, now_ms, tenant, tokens, request):
             break
         tokens.waiting.popleft()
         effects += routing.route_request(state, now_ms, request)
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -96,7 +96,8 @@
     route = Route("shop", SERVICE, Freshness.BOUNDED, 800, 600, 1, 1_500)
     tenants = {name: Tenant(name, 0, *limit) for name, limit in limits.items()}
     services = {SERVICE: Service(SERVICE, 10_000, 1)}  # so that no statement is forwarded
-    return Configuration(version, {"shop": route}, services, 3_000, tenants)
+    names = {name: name for name in limits}  # each key is its tenant's name
+    return Configuration(version, {"shop": route}, services, 3_000, tenants, names)
 
 
 def start_world(limits, controls=3, gateways=3, tick_ms=20, remote_ms=20, settle_ms=6_000):
@@ -249,8 +250,7 @@
         world.next_number += 1
         number = world.next_number
         world.tenants[(process.address, number)] = (tenant, world.now_ms)
-        handle(world, process, ge.SessionOpened(clock_ms(world, process), number, "shop"))
-        process.state.sessions[number].tenant = tenant
+        handle(world, process, ge.SessionOpened(clock_ms(world, process), number, "shop", tenant))
         statement = Statement(StatementKind.READ, f"r{number}", "read a")
         event = ge.StatementReceived(clock_ms(world, process), number, statement)
         handle(world, process, event)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -21,13 +21,12 @@
 
 def limited_gateway(rate_per_s=5.0, **changes):
     tenants = {TENANT: Tenant(TENANT, 0, rate_per_s, 5), OTHER: Tenant(OTHER, 0, None, 0)}
-    return ready_gateway(tenants=tenants, **changes)
+    names = {TENANT: TENANT, OTHER: OTHER}  # each key is its tenant's name
+    return ready_gateway(tenants=tenants, tenant_names=names, **changes)
 
 
 def open_session(gateway, number, workspace="session", tenant=TENANT):
-    gateway.session(number, workspace)
-    gateway.state.sessions[number].tenant = tenant
-    return number
+    return gateway.session(number, workspace, tenant)
 
 
 def questions(gateway):
