Weights of upstreams: an optional feature, off unless the settings list it

The test checks the same switch through the field endivewick-features, and that policies don't switch it on.

--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -16,6 +16,7 @@
 from endivewick_core.control.state import ControlSettings, ControlState, Membership, Role
 from endivewick_core.gateway import effects as gx
 from endivewick_core.gateway import events as ge
+from endivewick_core.gateway import fair_queue
 from endivewick_core.gateway.reducer import reduce as reduce_gateway
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import (
@@ -227,6 +228,7 @@
     for queue in state.queues.values():
         for heap in (queue.primary, queue.reads):
             for item in heap:
+                fair_queue.note_removed(item)
                 request = item.request
                 if request.serial not in state.requests:
                     continue
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -350,12 +350,17 @@
 
 
 @pytest.mark.parametrize(
-    ("policies", "is_on"),
-    [("", False), ('policies = ["tenants"]', False), ('policies = ["health"]', True)],
+    ("features", "is_on"),
+    [
+        ("", False),
+        ('policies = ["health", "weights"]', False),
+        ('endivewick-features = ["other"]', False),
+        ('endivewick-features = ["weights"]', True),
+    ],
 )
-def test_weights_of_upstreams_are_on_only_with_the_policy_health(settings_file, policies, is_on):
-    """Guards against weights in a deployment whose platform doesn't call for them."""
-    settings = load_settings(settings_file(policies + SETTINGS))
+def test_weights_of_upstreams_are_on_only_as_a_feature(settings_file, features, is_on):
+    """Guards against weights in a deployment whose settings don't call for them."""
+    settings = load_settings(settings_file(features + SETTINGS))
     assert_that(gateway_options(settings).settings.uses_upstream_weights, Equals(is_on))
     assert_that(control_options(settings).control.uses_upstream_weights, Equals(is_on))
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -10,7 +10,7 @@
 from endivewick_core.codec import decode, encode
 from endivewick_core.commands import COMMANDS, PutConfiguration
 from endivewick_core.control import events as ce
-from endivewick_core.control.quota_shares import SHARE_LEASE_MS
+from endivewick_core.control.quota_shares import SHARE_LEASE_MS, UNREPORTED
 from endivewick_core.messages import QuotaQuestion, QuotaShare, QuotaShareAnswer, TokenNeed
 from endivewick_core.replicated_state import (
     ReplicatedState,
@@ -18,7 +18,7 @@
     decode_replicated_state,
     encode_replicated_state,
 )
-from endivewick_core.token_buckets import TokenLimit
+from endivewick_core.token_buckets import WHOLE_PPM, TokenLimit
 from endivewick_node.http_server import Request
 from endivewick_platform import control_codec
 from quota_model import (
@@ -226,8 +226,8 @@
     assert_that(leader_of(world).address != leader.address, Equals(True))
 
 
-def test_a_new_leader_holds_back_until_every_member_has_reported():
-    """A share that it doesn't know may still be in use."""
+def test_a_new_leader_reserves_what_members_that_have_not_reported_may_hold():
+    """A share that it doesn't know may still be in use; what the others hold is divided again."""
     world = start_world(LIMITS, controls=3, gateways=6)
     run(world, 3_000, flood())
     first = leader_of(world)
@@ -236,11 +236,13 @@
     second = leader_of(world)
     assert_that(second is not first, Equals(True))
     quotas = second.state.quotas.leader
-    assert_that((quotas.term, quotas.is_complete), Equals((second.state.term, False)))
-    assert_that(quotas.divisions["high"].undivided.level, Equals(0.0))
+    assert_that((quotas.term, quotas.is_complete), Equals((second.state.term, True)))
+    unreported = quotas.divisions["high"].used[UNREPORTED]
+    assert_that(unreported.rate_ppm, GreaterThan(WHOLE_PPM // 10))
+    reserved_ppm = sum(part.rate_ppm for part in quotas.divisions["high"].used.values())
+    assert_that(reserved_ppm, Equals(WHOLE_PPM))
     thaw(world, first.address)
     run(world, 800, flood())
-    assert_that(quotas.is_complete, Equals(True))
     run(world, 5_000, flood())
     assert_within_limits(world, LIMITS)
 
