Coordinate the opening of connections and order waiting requests by priority (policy pool)

After all processes lost power, 36 gateways opened 7,002 connections where 636 fit. Where the settings list the policy pool, a gateway opens one connection for each upstream until control has counted the gateways, then its equal share, and above it only a drawn part of what no gateway claims. Refused gateways return with growing delay and jitter, those with requests of the highest priority first. Gateways with a share of one connection use connection holders.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,7 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import departures, primary_leases, probes
+from . import connection_demand, departures, primary_leases, probes
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -83,6 +83,7 @@
         share.gateways,
         share.contended,
         share.wanted,
+        share.demand,
     )
     _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
     effects: list[Effect] = []
@@ -127,6 +128,7 @@
         directory_state.gateway_centres[request.gateway] = request.data_centre
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
+    connection_demand.record(state, now_ms, request.gateway, request.demand)
     _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
     _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
     for upstream in request.refused_by:
@@ -152,6 +154,7 @@
         count_gateways(state, now_ms),
         _contended(state, now_ms),
         _neighbours(state, request.data_centre),
+        connection_demand.total(state, now_ms, count_gateways(state, now_ms), request.demand),
     )
     effects: list[Effect] = []
     if primary_leases.are_granted(state):
@@ -179,9 +182,11 @@
     )
     contended = _own_contended(state, now_ms)
     effects += _share_acknowledged(state, now_ms, failing)
+    own_gateways = _count_own_gateways(state, now_ms)
     is_new = (
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
+        or connection_demand.must_share(state, now_ms, own_gateways)
     )
     if now_ms < directory_state.share_due_ms and not is_new:
         return effects
@@ -221,6 +226,7 @@
             del last_contact_ms[address]
             state.directory_state.writes_failing.pop(address, None)
             state.directory_state.wanted.pop(address, None)
+            state.directory_state.demand.pop(address, None)
             state.directory_state.gateway_centres.pop(address, None)
     return len(last_contact_ms)
 
@@ -306,6 +312,7 @@
         sorted(_own_contended(state, now_ms)),
         _sum_counts(state.directory_state.wanted.values()),
         dict(state.directory_state.acknowledged),
+        connection_demand.own(state),
     )
 
 
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..directory import Directory
-from ..messages import ControlPeer, PrimaryHealth, PrimaryWaitNote
+from ..messages import ConnectionDemand, ControlPeer, PrimaryHealth, PrimaryWaitNote
 from ..positions import ZERO, Position
 from ..primary_leases import PrimaryLeases
 
@@ -214,6 +214,7 @@
     gateways: int = 0
     contended: list[str] = field(default_factory=list)
     wanted: dict[str, int] = field(default_factory=dict)
+    demand: dict[str, ConnectionDemand] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -228,7 +229,10 @@
     ``wanted`` hold what each gateway reported in its last poll, and when. ``acknowledged`` is the
     highest position at which any gateway is known to have acknowledged a commit, by service.
     ``own_acknowledged`` is that of the gateways that poll this process; ``acknowledged_due_ms`` is
-    the time before which it is not shared again.
+    the time before which it is not shared again. ``demand`` is each gateway's demand for
+    connections, recorded since ``demand_since_ms``; ``gateway_counts`` are the changes of the
+    number of gateways, with their times. ``gateways_shared`` is how many gateways the other control
+    processes were told of, which is not repeated before ``gateways_due_ms``.
     """
 
     boot: str = ""
@@ -248,3 +252,8 @@
     own_acknowledged: dict[str, Position] = field(default_factory=dict)
     acknowledged_shared: dict[str, Position] = field(default_factory=dict)
     acknowledged_due_ms: int = 0
+    demand: dict[str, dict[str, ConnectionDemand]] = field(default_factory=dict)
+    demand_since_ms: int | None = None
+    gateway_counts: deque[tuple[int, int]] = field(default_factory=deque)
+    gateways_shared: int = 0
+    gateways_due_ms: int = 0
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -35,6 +35,8 @@
     lease_margin_ms: int = 100
     primary_lease_ms: int = 0
     fences_primaries: bool = True
+    # Whether gateways open connections as the demand of all gateways together allows.
+    coordinates_connections: bool = False
     join_interval_ms: int = 500
     snapshot_entries: int = 1_000
     entries_kept: int = 200
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -12,6 +12,7 @@
 from ..watermarks import WatermarkHistory, add_watermark
 from . import (
     commit_confirmations,
+    connection_admission,
     forwarding,
     holders,
     limits,
@@ -66,6 +67,7 @@
         limits.wanted(state),
         state.draining_since_ms is not None,
         dict(state.acknowledged),
+        connection_admission.demand(state),
     )
     return [*effects, Send(link.address, question)]
 
@@ -117,6 +119,7 @@
     link.boot, link.revision = answer.control_boot, answer.revision
     link.peers = answer.controls or link.peers
     link.gateways = max(1, answer.gateways)
+    effects += connection_admission.record_answer(state, now_ms, answer)
     if tuple(answer.neighbours) != link.neighbours:
         link.neighbours = tuple(answer.neighbours)
         link.ranked_holders.clear()
@@ -210,6 +213,8 @@
             continue
         if not holders.holds(state, item.service):
             continue
+        if not connection_admission.may_preopen(state, now_ms, item):
+            continue
         effects += pool.open_connection(state, now_ms, item)
     return effects
 
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -1,17 +1,16 @@
 """Connection holders: the gateways that run statements for others if connections are scarce.
 
 Every gateway has its own connections while its share of an upstream's connection limit is at least
-``MIN_SHARE``. Below that, a few gateways of each data centre hold connections for the others. They
-are chosen per service by rendezvous hashing over the gateways that control received polls from
-lately. All gateways of a data centre receive the same list, so they disagree only for about the
-time of a poll.
+``GatewaySettings.min_connection_share``. Below that, a few gateways of each data centre hold
+connections for the others. They are chosen per service by rendezvous hashing over the gateways that
+control received polls from lately. All gateways of a data centre receive the
+same list, so they disagree only for about the time of a poll.
 """
 
 import xxhash
 
 from .state import GatewayState
 
-MIN_SHARE = 1  # a gateway with less than one connection can't serve by itself
 MIN_HOLDER_CONNECTIONS = 4  # of one holder, for all gateways that it holds connections for
 HOLDER_BACKOFF_MS = 2_000  # how long the next holder is used instead of one that did not answer
 RESERVED_CONNECTIONS = 4  # of an upstream's connection limit, for the probes of control
@@ -37,12 +36,14 @@
 
 def are_needed(state: GatewayState, service: str) -> bool:
     """Tell whether there are too few connections for each gateway to have its own."""
-    return _equal_share(state, service) < MIN_SHARE and bool(state.control.neighbours)
+    return _equal_share(state, service) < state.settings.min_connection_share and bool(
+        state.control.neighbours
+    )
 
 
 def holds(state: GatewayState, service: str) -> bool:
     """Tell whether this gateway has its own connections for a service."""
-    if _equal_share(state, service) >= MIN_SHARE:
+    if _equal_share(state, service) >= state.settings.min_connection_share:
         return True
     return state.settings.address in rank_gateways(state, service)[: _holder_count(state, service)]
 
--- a/packages/core/src/endivewick_core/gateway/limits.py
+++ b/packages/core/src/endivewick_core/gateway/limits.py
@@ -5,7 +5,7 @@
 the number of connections that each gateway wants.
 """
 
-from . import holders
+from . import connection_admission, holders
 from .state import GatewayState, UpstreamPool
 
 INITIAL_CONNECTIONS = 2  # opened at once if wanted; more follow in steps
@@ -33,6 +33,8 @@
     demand is at least one.
     """
     equal = holders.share(state, pool.service)
+    if state.settings.coordinates_connections:
+        return equal
     total = state.control.contended.get(pool.upstream, 0)
     if not equal or not total:
         return equal
@@ -55,6 +57,8 @@
     """
     # A gateway that runs another gateway's statements needs one connection, whatever its share.
     own = max(1, share(state, pool))
+    if state.settings.coordinates_connections:
+        return connection_admission.limit(state, now_ms, pool, own)
     if pool.upstream in state.control.contended or holders.are_needed(state, pool.service):
         pool.allowance = own
         return own
--- a/packages/core/src/endivewick_core/gateway/maintenance.py
+++ b/packages/core/src/endivewick_core/gateway/maintenance.py
@@ -1,6 +1,6 @@
 """Maintenance of idle connections: closing unused ones and renewing their transactions."""
 
-from . import limits, pool, routing
+from . import connection_admission, limits, pool, routing
 from .effects import Effect, LogEvent
 from .state import GatewayState, UpstreamPool
 
@@ -23,7 +23,7 @@
                 break
             exceeds_share = len(item.connections) > share
             limit_ms = state.settings.idle_connection_timeout_ms if usable else 0
-            if exceeds_share:
+            if exceeds_share and not connection_admission.keeps_excess(state, item):
                 limit_ms = min(limit_ms, state.settings.excess_idle_timeout_ms)
             if now_ms - connection.idle_since_ms >= limit_ms:
                 effects += pool.close(state, connection)
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, primary_leases
+from . import connection_admission, limits, primary_leases
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -59,13 +59,17 @@
     if len(pool.connections) >= limits.allowance(state, now_ms, pool):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
-    if opening >= min(MAX_OPENING_CONNECTIONS, max(1, wanted)):
+    max_opening = connection_admission.max_opening(state, pool, MAX_OPENING_CONNECTIONS)
+    if opening >= min(max_opening, max(1, wanted)):
         return []
     connection = Connection(state.next_connection, pool.upstream, now_ms, last_received_ms=now_ms)
     state.next_connection += 1
     pool.connections[connection.number] = connection
     state.connections[connection.number] = connection
-    return [OpenConnection(connection.number, entry.report.address, pool.service, pool.upstream)]
+    opening_effect = OpenConnection(
+        connection.number, entry.report.address, pool.service, pool.upstream
+    )
+    return [*connection_admission.log_opening(state, now_ms, pool), opening_effect]
 
 
 def take_idle(pool: UpstreamPool, session: Session) -> Connection | None:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -14,7 +14,15 @@
     UpstreamReply,
 )
 from ..watermarks import WatermarkHistory, add_watermark
-from . import answers, commit_confirmations, forwarding, pool, primary_leases, routing
+from . import (
+    answers,
+    commit_confirmations,
+    connection_admission,
+    forwarding,
+    pool,
+    primary_leases,
+    routing,
+)
 from .effects import CloseConnection, Effect, LogEvent
 from .events import ConnectionBroke, ConnectionOpened, ConnectionReplied
 from .requests import commits_writes, is_single_read
@@ -53,6 +61,7 @@
     connection.last_received_ms = event.now_ms
     item = state.pools[connection.upstream]
     item.connect_failures = 0
+    item.opening.refusals = 0
     if pool.is_primary(state, item):
         state.unreachable_since_ms.pop(item.service, None)
     return pool.release(state, event.now_ms, connection)
@@ -111,10 +120,9 @@
             item.limit_reached_ms = now_ms
         elif pool.is_primary(state, item):
             state.unreachable_since_ms.setdefault(item.service, now_ms)
-        item.connect_backoff_until_ms = now_ms + _connect_backoff_ms(
-            state, item.connect_failures, event.error.fault
-        )
+        item.connect_backoff_until_ms = now_ms + _connect_backoff_ms(state, item, event.error.fault)
     inputs: dict[str, object] = {
+        **connection_admission.describe_refusals(state, now_ms, item),
         "upstream": connection.upstream,
         "service": item.service,
         "was_open": connection.is_open,
@@ -410,9 +418,12 @@
     return effects
 
 
-def _connect_backoff_ms(state: GatewayState, connect_failures: int, fault: Fault) -> int:
+def _connect_backoff_ms(state: GatewayState, item: UpstreamPool, fault: Fault) -> int:
     if fault is Fault.TOO_MANY_CONNECTIONS:
-        return state.settings.connection_limit_backoff_ms
+        return connection_admission.refused_backoff_ms(state, item)
     if fault is Fault.MOVED:
         return MOVED_BACKOFF_MS
-    return min(MAX_CONNECT_BACKOFF_MS, CONNECT_BACKOFF_MS * 2 ** min(connect_failures, 5))
+    backoff_ms = CONNECT_BACKOFF_MS * 2 ** min(item.connect_failures, 5)
+    return connection_admission.connect_backoff_ms(
+        state, item, min(MAX_CONNECT_BACKOFF_MS, backoff_ms)
+    )
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,7 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits
+from . import answers, forwarding, holders, pool, primary_leases, primary_waits, queue_order
 from .effects import Effect, LogEvent
 from .requests import commits_writes
 from .state import (
@@ -57,6 +57,13 @@
 
 def route_request(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Send a request upstream, or queue it until a connection is available."""
+    if queue_order.precedes(state, request):
+        before = dispatch_queued(state, now_ms, request.route.service)
+        return before + _route_now(state, now_ms, request)
+    return _route_now(state, now_ms, request)
+
+
+def _route_now(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     session = state.sessions[request.session]
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
@@ -101,8 +108,10 @@
     queue = state.queues.get(service)
     if queue is None:
         return []
-    effects = _dispatch_heap(state, now_ms, queue.primary)
-    return effects + _dispatch_heap(state, now_ms, queue.reads)
+    effects: list[Effect] = []
+    for heap in queue_order.order_heaps(state, queue.primary, queue.reads):
+        effects += _dispatch_heap(state, now_ms, heap)
+    return effects
 
 
 def end_transaction(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..directory import Directory
-from ..messages import ControlPeer
+from ..messages import ConnectionDemand, ControlPeer
 from ..positions import Position
 from ..primary_leases import PrimaryLeases
 from ..routes import EMPTY, Configuration, Route
@@ -56,6 +56,11 @@
     commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
+    # Whether connections are opened, and waiting requests refused, as all gateways together allow.
+    coordinates_connections: bool = False
+    # With fewer connections for each gateway, connection holders run statements for the others; a
+    # gateway with less than one connection can't serve by itself.
+    min_connection_share: int = 1
 
 
 def distance(settings: GatewaySettings, data_centre: str) -> int:
@@ -176,6 +181,26 @@
     last_received_ms: int = 0
 
 
+@dataclass(slots=True)
+class OpeningState:
+    """What ``connection_admission`` knows about one upstream.
+
+    ``extra`` is how many connections above its share this gateway may have, as drawn at
+    ``drawn_ms`` for the ``draws``-th time. ``reported_unmet`` is how many it wanted above what it
+    claimed, at its last poll. ``refusals`` counts the consecutive openings that were
+    refused for the connection limit. ``known_since_ms`` is since when the pool could be opened to.
+    ``hold_ms`` is the mean time for which a request occupies a connection.
+    """
+
+    extra: int = 0
+    drawn_ms: int = 0
+    draws: int = 0
+    reported_unmet: int = 0
+    refusals: int = 0
+    known_since_ms: int | None = None
+    hold_ms: float = 0.0
+
+
 @dataclass(slots=True)
 class UpstreamPool:
     """A gateway's connections to one upstream, and the upstream's recent latency and failures.
@@ -202,6 +227,7 @@
     allowance: int = 0
     allowance_raised_ms: int = 0
     limit_reached_ms: int | None = None
+    opening: OpeningState = field(default_factory=OpeningState)
 
 
 @dataclass(slots=True)
@@ -217,7 +243,9 @@
     ``leader_contact_ms`` is when the polled control processes last had contact with their leader.
 
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
-    gateways want together.
+    gateways want together. ``demand`` is the demand of all gateways for connections, received at
+    ``demand_received_ms``; None until control knows it. ``first_answer_ms`` is when control first
+    answered.
     """
 
     address: str = ""
@@ -234,6 +262,9 @@
     boot: str = ""
     revision: int = 0
     gateways: int = 1
+    demand: dict[str, ConnectionDemand] | None = None
+    demand_received_ms: int = 0
+    first_answer_ms: int | None = None
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked_holders: dict[str, list[str]] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -325,6 +325,17 @@
     gateways_failing: int
 
 
+class ConnectionDemand(NamedTuple):
+    """How many connections to an upstream are claimed, and how many more are wanted.
+
+    It is one gateway's, or the sum over many. A gateway claims its share and what it has above it.
+    ``unmet`` is what it wants above that.
+    """
+
+    claimed: int
+    unmet: int
+
+
 class DirectoryQuestion(NamedTuple):
     """A gateway's request to a control process for everything that changed since ``revision``.
 
@@ -334,7 +345,8 @@
     limit was reached, and ``writes_failing`` the services whose writes have had no response for
     some time. ``wanted`` is the number of connections that the gateway wants, by upstream.
     ``acknowledged`` is the highest position at which the gateway has acknowledged a commit, by
-    service.
+    service. ``demand`` is the gateway's demand for connections by upstream; it is empty where
+    openings are not coordinated.
     """
 
     gateway: str
@@ -348,6 +360,7 @@
     wanted: dict[str, int]
     is_draining: bool
     acknowledged: dict[str, Position] = {}
+    demand: dict[str, ConnectionDemand] = {}
 
 
 class DirectoryAnswer(NamedTuple):
@@ -360,7 +373,9 @@
     with the control leader; it is 0 from the leader. ``gateways`` is the number of gateways that
     share the connections of each upstream. ``contended`` maps each upstream that recently refused
     connections to a gateway to the number of connections that all gateways want from it.
-    ``neighbours`` lists the gateways in the receiver's data centre.
+    ``neighbours`` lists the gateways in the receiver's data centre. ``demand`` is the demand of all
+    gateways for connections to the upstreams that some gateway wants more of; it is None while the
+    number of gateways isn't known yet, and where openings are not coordinated.
     """
 
     sequence: int
@@ -375,6 +390,7 @@
     gateways: int
     contended: dict[str, int]
     neighbours: list[str]
+    demand: dict[str, ConnectionDemand] | None = None
 
 
 class PrimaryLeaseNote(NamedTuple):
@@ -426,7 +442,8 @@
     the directory from the sender, ``contended`` names the upstreams that recently refused
     connections to them, and ``wanted`` is the number of connections that they want together, by
     upstream. ``acknowledged`` is the highest position at which any gateway is known to have
-    acknowledged a commit, by service.
+    acknowledged a commit, by service. ``demand`` is the demand for connections of those gateways
+    together, by upstream.
     """
 
     sender: ControlPeer
@@ -437,6 +454,7 @@
     contended: list[str]
     wanted: dict[str, int]
     acknowledged: dict[str, Position] = {}
+    demand: dict[str, ConnectionDemand] = {}
 
 
 # Between gateways.
