Refuse requests that can't be served in time, and bound what waits at an upstream (policy pool)

A request is refused at once if half of its expected wait (requests ahead, connections, mean time for which a request occupies one) exceeds its time left; the time to come back is spread over six steps. A full queue gives way to a higher priority. A gateway keeps its share of an upstream's slots and three statements there; the rest waits in its queue.

Each check was removed once, and a test of tests/test_load_shedding.py failed each time: refusal at arrival, check of waiting ones, half of the estimate, spread, spread at the timeout, unknown times, measured times, connections of all upstreams or the primary, open transactions, displacement and its limit, the bound, the bound for reads, after BUSY, lost answers, dispatch after an answer, both switches.

Not run: make check and the whole test suite.

--- a/packages/core/src/endivewick_core/gateway/connection_admission.py
+++ b/packages/core/src/endivewick_core/gateway/connection_admission.py
@@ -16,7 +16,7 @@
 from ..messages import ConnectionDemand, DirectoryAnswer
 from . import holders
 from .effects import Effect, LogEvent
-from .state import GatewayState, UpstreamPool
+from .state import GatewayState, Purpose, UpstreamPool
 
 # A draw is visible to all gateways after a poll (250 ms) and a share between control processes
 # (1,000 ms).
@@ -34,6 +34,12 @@
 # a connection although all upstreams were up again.
 MAX_CONNECT_BACKOFF_MS = 500
 HIGHEST_PRIORITY = 0
+# Statements of one gateway that wait at an upstream, besides its share of the slots. With fewer,
+# one busy data centre could not use the slots that the others leave.
+QUEUED_AT_UPSTREAM = 3
+# A statement is not counted as running after the answer to one that was sent so much later. Its own
+# answer is probably lost, and would count until its connection is closed.
+LOST_ANSWER_MS = 250
 
 
 def limit(state: GatewayState, now_ms: int, pool: UpstreamPool, share: int) -> int:
@@ -59,6 +65,41 @@
     return limit
 
 
+def is_full(state: GatewayState, pool: UpstreamPool) -> bool:
+    """Tell whether an upstream has enough statements of this gateway, so that others wait here.
+
+    Here the queue has an order. The bound is this gateway's share of the slots and a small queue,
+    of which an upstream that refuses statements for lack of capacity gets less. The statements of
+    open transactions are not bound.
+    """
+    if not state.settings.coordinates_connections:
+        return False
+    entry = state.directory.entries.get(pool.upstream)
+    slots = entry.report.slots if entry is not None else 1
+    queued = max(0, QUEUED_AT_UPSTREAM - pool.consecutive_busy_count)
+    bound = math.ceil(slots / holders.count(state, pool.service)) + queued
+    if pool.running < bound:
+        return False
+    lost_before_ms = pool.opening.newest_answered_ms - LOST_ANSWER_MS
+    running = sum(
+        1
+        for connection in pool.connections.values()
+        for pending in connection.pending
+        if pending.purpose is Purpose.WORK and pending.sent_ms >= lost_before_ms
+    )
+    return running >= bound
+
+
+def record_answer_time(state: GatewayState, pool: UpstreamPool, sent_ms: int) -> None:
+    """Record the answer to a statement sent at ``sent_ms``, and let waiting requests be dispatched.
+
+    The answer may leave its connection in use, which then causes no dispatch.
+    """
+    pool.opening.newest_answered_ms = max(pool.opening.newest_answered_ms, sent_ms)
+    if state.settings.coordinates_connections and state.queued:
+        state.follow_up.services.append(pool.service)
+
+
 def demand(state: GatewayState) -> dict[str, ConnectionDemand]:
     """Return this gateway's demand for connections by upstream, as it is reported to control."""
     if not state.settings.coordinates_connections:
--- a/packages/core/src/endivewick_core/gateway/holders.py
+++ b/packages/core/src/endivewick_core/gateway/holders.py
@@ -41,6 +41,13 @@
     )
 
 
+def count(state: GatewayState, service: str) -> int:
+    """Return how many gateways have their own connections for a service."""
+    if not are_needed(state, service):
+        return max(1, state.control.gateways)
+    return max(1, len(state.settings.regions)) * _holder_count(state, service)
+
+
 def holds(state: GatewayState, service: str) -> bool:
     """Tell whether this gateway has its own connections for a service."""
     if _equal_share(state, service) >= state.settings.min_connection_share:
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,7 +19,7 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import connection_admission, limits, primary_leases
+from . import connection_admission, limits, load_shedding, primary_leases
 from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
@@ -105,6 +105,7 @@
     Nothing is sent behind a write or a COMMIT before its answer: if that answer is lost, the
     refusal of the next statement would be taken for the refusal of the write, which has run.
     """
+    load_shedding.record_taken(now_ms, connection)
     single = session.state is TransactionState.IDLE
     batch: Batch = []
     if single and (request.is_write or wait_for is not None):
@@ -204,6 +205,7 @@
     pool = state.pools[connection.upstream]
     connection.session = None
     connection.idle_since_ms = now_ms
+    load_shedding.record_released(now_ms, pool, connection)
     above = pool.upstream in state.control.contended and limits.is_above_share(state, pool)
     if above or not accepts_work(state, pool):
         return close(state, connection)
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -78,6 +78,7 @@
     effects += sessions.check_idle(state, now_ms)
     effects += sessions.check_unconfigured(state, now_ms)
     effects += control_link.preopen_connections(state, now_ms)
+    effects += routing.shed_overdue(state, now_ms)
     for service in list(state.queues):
         effects += routing.dispatch_queued(state, now_ms, service)
     if now_ms >= state.next_sweep_ms:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -19,6 +19,7 @@
     commit_confirmations,
     connection_admission,
     forwarding,
+    load_shedding,
     pool,
     primary_leases,
     routing,
@@ -268,6 +269,7 @@
 ) -> list[Effect]:
     item = state.pools[connection.upstream]
     item.running -= 1
+    connection_admission.record_answer_time(state, item, pending.sent_ms)
     request = pending.request
     if request is not None and request.changes_data:
         state.unanswered_write_since_ms.pop(item.service, None)
@@ -403,7 +405,8 @@
             "no upstream accepted the statement in time; "
             f"last refusal: {request.last_refusal or 'none'}"
         )
-        error = Error(Fault.BUSY, text, routing.RETRY_AFTER_MS)
+        retry_after_ms = load_shedding.retry_after_ms(state, request, routing.RETRY_AFTER_MS)
+        error = Error(Fault.BUSY, text, retry_after_ms)
         return routing.refuse(state, now_ms, request, error)
     error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
     if commit_confirmations.is_waiting(state, request):
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -12,7 +12,17 @@
 from ..routes import Freshness
 from ..statements import Error, Fault, TransactionState
 from ..watermarks import required_position
-from . import answers, forwarding, holders, pool, primary_leases, primary_waits, queue_order
+from . import (
+    answers,
+    connection_admission,
+    forwarding,
+    holders,
+    load_shedding,
+    pool,
+    primary_leases,
+    primary_waits,
+    queue_order,
+)
 from .effects import Effect, LogEvent
 from .requests import commits_writes
 from .state import (
@@ -86,17 +96,34 @@
 def enqueue(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Queue a request until a connection is available, or refuse it if the queue is full."""
     session = state.sessions[request.session]
+    effects: list[Effect] = []
     if state.queued >= state.settings.queue_limit:
-        error = Error(Fault.BUSY, "too many statements are queued in this gateway", RETRY_AFTER_MS)
-        return refuse(state, now_ms, request, error)
+        displaced = load_shedding.find_displaced(state, request)
+        refused = displaced or request
+        retry_after_ms = load_shedding.retry_after_ms(state, refused, RETRY_AFTER_MS)
+        error = Error(Fault.BUSY, "too many statements are queued in this gateway", retry_after_ms)
+        effects += refuse(state, now_ms, refused, error)
+        if displaced is None:
+            return effects
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
     priority = request.route.priority
     if session.connection is not None:
         priority = PINNED_PRIORITY
-    item = QueuedRequest(priority, request.serial, request)
-    heapq.heappush(queue.primary if needs_primary(session, request) else queue.reads, item)
+    heap = queue.primary if needs_primary(session, request) else queue.reads
+    shed = load_shedding.refusal(state, now_ms, session, request, heap, RETRY_AFTER_MS)
+    if shed is not None:
+        return [*effects, shed[1], *refuse(state, now_ms, request, shed[0])]
+    heapq.heappush(heap, QueuedRequest(priority, request.serial, request))
     state.queued += 1
-    return []
+    return effects
+
+
+def shed_overdue(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Refuse the waiting requests that can't be served before their deadline any more."""
+    effects: list[Effect] = []
+    for request, error, log_event in load_shedding.find_overdue(state, now_ms, RETRY_AFTER_MS):
+        effects += [log_event, *refuse(state, now_ms, request, error)]
+    return effects
 
 
 def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
@@ -282,7 +309,7 @@
             continue
         is_primary = pool.is_primary(state, item)
         has_replica = has_replica or not is_primary
-        if now_ms < item.busy_backoff_until_ms:
+        if now_ms < item.busy_backoff_until_ms or connection_admission.is_full(state, item):
             continue
         if not is_primary and now_ms < item.lagging_backoff_until_ms:
             continue
@@ -325,6 +352,8 @@
     item = state.pools.get(upstream)
     if item is None or not pool.accepts_work(state, item) or now_ms < item.busy_backoff_until_ms:
         return RoutingResult(False, [])
+    if connection_admission.is_full(state, item):
+        return RoutingResult(False, [])
     if wait_for is None:
         if now_ms < item.read_only_backoff_until_ms:
             return RoutingResult(False, [])
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -161,7 +161,7 @@
     read takes one round trip and can't run on an upstream that is no longer the primary.
     ``is_used`` is set once a session ran statements in the transaction, and ``is_dirty`` once
     values must be reset before the next session. ``next_request`` waits for the answers to the
-    statements that prepare the connection for it.
+    statements that prepare the connection for it. ``taken_ms`` is since when a session occupies it.
     """
 
     number: int
@@ -178,6 +178,7 @@
     pending: deque[PendingStatement] = field(default_factory=deque)
     next_request: Request | None = None
     idle_since_ms: int = 0
+    taken_ms: int | None = None
     last_received_ms: int = 0
 
 
@@ -187,9 +188,10 @@
 
     ``extra`` is how many connections above its share this gateway may have, as drawn at
     ``drawn_ms`` for the ``draws``-th time. ``reported_unmet`` is how many it wanted above what it
-    claimed, at its last poll. ``refusals`` counts the consecutive openings that were
-    refused for the connection limit. ``known_since_ms`` is since when the pool could be opened to.
-    ``hold_ms`` is the mean time for which a request occupies a connection.
+    claimed, at its last poll. ``refusals`` counts the consecutive openings that were refused for
+    the connection limit. ``known_since_ms`` is since when the pool could be opened to.
+    ``newest_answered_ms`` is when the newest answered statement was sent. ``hold_ms`` is the mean
+    of the ``holds`` times for which a request occupied a connection.
     """
 
     extra: int = 0
@@ -198,6 +200,8 @@
     reported_unmet: int = 0
     refusals: int = 0
     known_since_ms: int | None = None
+    newest_answered_ms: int = 0
+    holds: int = 0
     hold_ms: float = 0.0
 
 
@@ -377,6 +381,7 @@
     queued: int = 0
     retry_budget: float = 10.0
     next_sweep_ms: int = 0
+    next_shedding_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
     follow_up: FollowUp = field(default_factory=FollowUp)
--- a/tests/opening_simulation.py
+++ b/tests/opening_simulation.py
@@ -162,6 +162,9 @@
     def _accept(self, link: Link) -> None:
         if link.is_closed:
             return
+        if not self.database.members[link.member].is_up:
+            self._break(link, Fault.ABORTED)
+            return
         held = sum(
             item.member == link.member and item.connection.number in self.accepted
             for item in self.links.values()
