--- a/packages/core/src/endivewick_core/gateway/connection_admission.py
+++ b/packages/core/src/endivewick_core/gateway/connection_admission.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from ..messages import ConnectionDemand, DirectoryAnswer
+from ..statements import Fault
 from . import holders
 from .effects import Effect, LogEvent
 from .state import GatewayState, Purpose, UpstreamPool
@@ -27,12 +28,16 @@
 # After so long without figures, control doesn't coordinate openings; the equal share still holds.
 UNKNOWN_DEMAND_MS = 5_000
 PREOPEN_SPREAD_MS = 1_000  # openings that no request waits for are spread over this time
+PREOPEN_RETRY_MS = 1_500  # after a refusal; half of the time for which dead connections count
 # An upstream counts the connections of a gateway without power for 3,000 ms. With a longest delay
 # of 1,200 ms, a third of its connections were open again 750 ms after that.
 MAX_REFUSED_BACKOFF_MS = 450
-# After a restart of upstreams, the 2,000 ms of gateways that don't coordinate left requests without
-# a connection although all upstreams were up again.
-MAX_CONNECT_BACKOFF_MS = 500
+# After a restart requests failed without a connection for seconds although all was well again: a
+# delay of 2,000 ms is longer than their timeout.
+MAX_COORDINATED_BACKOFF_MS = 500
+CONNECT_BACKOFF_MS = 100  # base of the pause after failed connections; doubles with each failure
+MAX_CONNECT_BACKOFF_MS = 2_000  # so that an upstream that recovered is found in time
+MOVED_BACKOFF_MS = 1_000  # after another upstream answered; a report corrects the address
 HIGHEST_PRIORITY = 0
 # Statements of one gateway that wait at an upstream, besides its share of the slots. With fewer,
 # one busy data centre could not use the slots that the others leave.
@@ -118,7 +123,8 @@
     """Record the demand and the number of all gateways that control answered with.
 
     While the number still grows, as many gateways are expected in each data centre as in this one,
-    so that connection holders are chosen before each gateway opens connections of its own.
+    so that connection holders are chosen before each gateway opens connections of its own. A
+    control process that has just started knows fewer than the one before.
     """
     if not state.settings.coordinates_connections:
         return []
@@ -127,9 +133,10 @@
         link.first_answer_ms = now_ms
     if answer.demand is None:
         expected = len(answer.neighbours) * max(1, len(state.settings.regions))
-        link.gateways = max(link.gateways, expected)
+        link.gateways = max(link.gateways, expected, link.counted_gateways)
         if link.demand is not None:
             return []  # Another control process, started lately; the equal share still holds.
+    link.counted_gateways = link.gateways if answer.demand is not None else 0
     is_first = link.demand is None and answer.demand is not None
     link.demand = answer.demand
     link.demand_received_ms = now_ms
@@ -171,17 +178,32 @@
     """Tell whether to open a connection that no request waits for yet.
 
     After a start of all gateways such openings are spread out, so that those for waiting requests
-    come first.
+    come first. A gateway without any connection isn't ready, so it goes on trying after a refusal.
     """
     if not state.settings.coordinates_connections:
         return True
     if pool.opening.known_since_ms is None:
         pool.opening.known_since_ms = now_ms
+    if pool.opening.refusals and pool.limit_reached_ms is not None and state.connections:
+        return now_ms - pool.limit_reached_ms >= PREOPEN_RETRY_MS
     delay_ms = PREOPEN_SPREAD_MS * _fraction(state, pool, "preopen")
-    return not pool.opening.refusals and now_ms - pool.opening.known_since_ms >= delay_ms
+    return now_ms - pool.opening.known_since_ms >= delay_ms
 
 
-def refused_backoff_ms(state: GatewayState, pool: UpstreamPool) -> int:
+def connect_backoff_ms(state: GatewayState, pool: UpstreamPool, fault: Fault) -> int:
+    """Return how long no connection is opened after an opening that failed with ``fault``."""
+    if fault is Fault.TOO_MANY_CONNECTIONS:
+        return _refused_backoff_ms(state, pool)
+    if fault is Fault.MOVED:
+        return MOVED_BACKOFF_MS
+    backoff_ms = CONNECT_BACKOFF_MS * 2 ** min(pool.connect_failures, 5)
+    if not state.settings.coordinates_connections:
+        return min(MAX_CONNECT_BACKOFF_MS, backoff_ms)
+    jitter = 0.5 + 0.5 * _fraction(state, pool, f"failed {pool.connect_failures}")
+    return int(min(MAX_COORDINATED_BACKOFF_MS, backoff_ms) * jitter)
+
+
+def _refused_backoff_ms(state: GatewayState, pool: UpstreamPool) -> int:
     """Return how long no connection is opened after one more refusal for the connection limit.
 
     The delay doubles with each refusal in a row. It is between 0.5 and 1 times the delay if a
@@ -197,14 +219,6 @@
     return int(min(base_ms, MAX_REFUSED_BACKOFF_MS) * factor)
 
 
-def connect_backoff_ms(state: GatewayState, pool: UpstreamPool, backoff_ms: int) -> int:
-    """Return the delay after an opening that failed for another reason, with jitter."""
-    if not state.settings.coordinates_connections:
-        return backoff_ms
-    jitter = 0.5 + 0.5 * _fraction(state, pool, f"failed {pool.connect_failures}")
-    return int(min(backoff_ms, MAX_CONNECT_BACKOFF_MS) * jitter)
-
-
 def describe_refusals(state: GatewayState, now_ms: int, pool: UpstreamPool) -> dict[str, object]:
     """Return, for a log line, the refusals in a row and the delay until the next opening."""
     if not state.settings.coordinates_connections or not pool.opening.refusals:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -48,9 +48,6 @@
 FORWARDED_REFUSAL_MARGIN_MS = 120  # a tick, and the way to a gateway under load
 ABANDONED_ANSWER_TIMEOUT_MS = 1_000  # for an answer that no session waits for any more
 ANSWER_TIMEOUT_MARGIN_MS = 250  # so that a timeout is reported before its connection is closed
-CONNECT_BACKOFF_MS = 100  # base of the pause after failed connections; doubles with each failure
-MAX_CONNECT_BACKOFF_MS = 2_000  # so that an upstream that recovered is found in time
-MOVED_BACKOFF_MS = 1_000  # after another upstream answered; a report corrects the address
 
 
 def handle_opened(state: GatewayState, event: ConnectionOpened) -> list[Effect]:
@@ -121,7 +118,9 @@
             item.limit_reached_ms = now_ms
         elif pool.is_primary(state, item):
             state.unreachable_since_ms.setdefault(item.service, now_ms)
-        item.connect_backoff_until_ms = now_ms + _connect_backoff_ms(state, item, event.error.fault)
+        item.connect_backoff_until_ms = now_ms + connection_admission.connect_backoff_ms(
+            state, item, event.error.fault
+        )
     inputs: dict[str, object] = {
         **connection_admission.describe_refusals(state, now_ms, item),
         "upstream": connection.upstream,
@@ -419,14 +418,3 @@
     if connection is not None:
         effects += pool.close(state, connection)
     return effects
-
-
-def _connect_backoff_ms(state: GatewayState, item: UpstreamPool, fault: Fault) -> int:
-    if fault is Fault.TOO_MANY_CONNECTIONS:
-        return connection_admission.refused_backoff_ms(state, item)
-    if fault is Fault.MOVED:
-        return MOVED_BACKOFF_MS
-    backoff_ms = CONNECT_BACKOFF_MS * 2 ** min(item.connect_failures, 5)
-    return connection_admission.connect_backoff_ms(
-        state, item, min(MAX_CONNECT_BACKOFF_MS, backoff_ms)
-    )
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -249,7 +249,7 @@
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
     gateways want together. ``demand`` is the demand of all gateways for connections, received at
     ``demand_received_ms``; None until control knows it. ``first_answer_ms`` is when control first
-    answered.
+    answered, and ``counted_gateways`` the number of gateways that came with ``demand``.
     """
 
     address: str = ""
@@ -269,6 +269,7 @@
     demand: dict[str, ConnectionDemand] | None = None
     demand_received_ms: int = 0
     first_answer_ms: int | None = None
+    counted_gateways: int = 0
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked_holders: dict[str, list[str]] = field(default_factory=dict)
--- a/tests/test_connection_openings.py
+++ b/tests/test_connection_openings.py
@@ -17,6 +17,7 @@
 )
 from endivewick_core.routes import Freshness
 from endivewick_core.statements import Fault, StatementKind
+from endivewick_core.upstream_links import ConnectionOpened
 from gateway_driver import PRIMARY, REPLICA, configuration, ready_gateway, route
 from gateway_simulation import Load
 from opening_simulation import OpeningSimulation, total
@@ -271,6 +272,55 @@
     assert_that(max(first) - min(first), GreaterThan(300))
 
 
+def test_a_gateway_without_any_connection_goes_on_trying_though_no_request_waits():
+    """Pattern: all upstreams are full of dead connections as a gateway starts.
+
+    Without a connection it isn't ready, and gets no requests that would make it try again.
+    """
+    gateway = coordinated_gateway()
+    poll(gateway, gateways=3, demand={})
+    tried = 0
+    for _ in range(150):
+        for number in list(gateway.opening):
+            tried += 1
+            gateway.opening.remove(number)
+            gateway.break_connection(number, Fault.TOO_MANY_CONNECTIONS)
+        gateway.tick(20)
+    assert_that(tried, GreaterThan(9))
+    assert_that(tried, LessThan(30))
+
+
+def test_a_full_upstream_that_no_request_waits_for_is_tried_again_seldom():
+    """Pattern: 36 gateways have connections, but none to one upstream, which is full."""
+    gateway = coordinated_gateway()
+    poll(gateway, gateways=3, demand={})
+    tried = 0
+    for _ in range(300):
+        for number in list(gateway.opening):
+            gateway.opening.remove(number)
+            if gateway.upstream_of[number] != REPLICA:
+                gateway.handle(ConnectionOpened(gateway.now_ms, number))
+                gateway.answer_own_statements()
+                continue
+            tried += 1
+            gateway.break_connection(number, Fault.TOO_MANY_CONNECTIONS)
+        gateway.tick(20)
+    assert_that(tried, GreaterThan(2))
+    assert_that(tried, LessThan(7))
+
+
+def test_a_control_process_that_has_just_started_does_not_enlarge_the_shares():
+    """Pattern: a control process restarts, and has heard of one gateway only."""
+    gateway = coordinated_gateway()
+    poll(gateway, gateways=8, demand={})
+    poll(gateway, gateways=1)
+    share = limits.share(gateway.state, gateway.state.pools[PRIMARY])
+    assert_that(share, Equals(17 // 8))
+    poll(gateway, gateways=4, demand={})
+    share = limits.share(gateway.state, gateway.state.pools[PRIMARY])
+    assert_that(share, Equals(17 // 4))
+
+
 def test_connections_above_the_share_stay_while_no_gateway_wants_them():
     """Pattern: a load that comes and goes every few seconds opens no connections each time.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -37,6 +37,8 @@
 from endivewick_platform import statement_codec as codec  # noqa: E402
 from endivewick_platform.configuration_codec import decode_configuration  # noqa: E402
 from endivewick_platform.control_codec import encode_redirect, parse_request  # noqa: E402
+from endivewick_platform.control_role import control_options  # noqa: E402
+from endivewick_platform.gateway_role import gateway_options  # noqa: E402
 from endivewick_platform.settings import (  # noqa: E402
     check_control,
     check_gateway,
@@ -346,6 +348,20 @@
     assert_that((settings.grace_ms, settings.lost_disks), Equals((6_000, 1)))
 
 
+@pytest.mark.parametrize("policies", [None, [], ["quota"], ["quota", "pool"]])
+def test_connections_are_coordinated_where_the_policies_say_so(settings_file, policies):
+    """Deployments without the policy must be served exactly as before."""
+    line = "" if policies is None else f"policies = {policies}\n"
+    settings = load_settings(settings_file(SETTINGS.replace("[zones]", f"{line}[zones]")))
+    gateway = gateway_options(settings).settings
+    is_on = "pool" in (policies or [])
+    assert_that(gateway.coordinates_connections, Equals(is_on))
+    assert_that(gateway.min_connection_share, Equals(2 if is_on else 1))
+    settings = settings._replace(platform_address="10.0.0.1:80")
+    control = control_options(settings).control
+    assert_that(control.coordinates_connections, Equals(is_on))
+
+
 def test_all_faults_of_the_settings_are_listed_with_their_ids(settings_file):
     text = SETTINGS.replace('zone = "dc-a"', 'zone = "dc-z"').replace('"10.2.0.9:8782"', '"x"')
     with pytest.raises(SettingsInvalid) as caught:
