--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,7 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import connection_demand, departures, primary_leases, probes
+from . import connection_demand, departures, primary_leases, probes, upstream_weights
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -84,6 +84,7 @@
         share.contended,
         share.wanted,
         share.demand,
+        share.upstream_counts,
     )
     _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
     effects: list[Effect] = []
@@ -129,6 +130,7 @@
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
     connection_demand.record(state, now_ms, request.gateway, request.demand)
+    upstream_weights.record(state, now_ms, request)
     _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
     _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
     for upstream in request.refused_by:
@@ -155,6 +157,7 @@
         _contended(state, now_ms),
         _neighbours(state, request.data_centre),
         connection_demand.total(state, now_ms, count_gateways(state, now_ms), request.demand),
+        upstream_weights.answer_weights(state, now_ms),
     )
     effects: list[Effect] = []
     if primary_leases.are_granted(state):
@@ -167,7 +170,8 @@
 def check_sharing(state: ControlState, now_ms: int) -> list[Effect]:
     """Refuse reports that were not confirmed in time, and share recent reports when due.
 
-    A share is sent early when the failing primaries change or another upstream is contended.
+    A share is sent early when the failing primaries change, or another upstream is contended or
+    fails statements.
     """
     directory_state = state.directory_state
     effects: list[Effect] = []
@@ -187,6 +191,7 @@
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
         or connection_demand.must_share(state, now_ms, own_gateways)
+        or upstream_weights.needs_early_share(state, now_ms)
     )
     if now_ms < directory_state.share_due_ms and not is_new:
         return effects
@@ -313,6 +318,7 @@
         _sum_counts(state.directory_state.wanted.values()),
         dict(state.directory_state.acknowledged),
         connection_demand.own(state),
+        upstream_weights.shared_counts(state, now_ms),
     )
 
 
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -13,6 +13,9 @@
     PrimaryLeaseAnswer,
     PrimaryLeaseQuestion,
     ProxyHeartbeat,
+    QuotaQuestion,
+    QuotaShareAnswer,
+    QuotaShareQuestion,
     SnapshotRequest,
     VoteReply,
     VoteRequest,
@@ -27,7 +30,9 @@
     operators,
     placement,
     primary_leases,
+    quotas,
     replication,
+    upstream_weights,
     watch,
 )
 from .effects import Effect, LogEvent
@@ -56,6 +61,9 @@
     DirectoryShareReceived: directory.handle_share_received,
     PrimaryLeaseQuestion: primary_leases.handle_question,
     PrimaryLeaseAnswer: primary_leases.handle_answer,
+    QuotaQuestion: quotas.handle_question,
+    QuotaShareQuestion: quotas.handle_share_question,
+    QuotaShareAnswer: quotas.handle_share_answer,
 }
 
 _EVENT_HANDLERS: dict[type, Any] = {
@@ -84,9 +92,11 @@
     """Share the directory, monitor the primaries and replace those that fail."""
     if not state.settings.voter_target:
         return []
-    effects = directory.check_sharing(state, now_ms)
+    effects = upstream_weights.update(state, now_ms)
+    effects += directory.check_sharing(state, now_ms)
     effects += watch.check_primaries(state, now_ms)
     effects += primary_leases.check_leases(state, now_ms)
+    effects += quotas.check_quotas(state, now_ms)
     return effects + failover.check_failovers(state, now_ms)
 
 
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -10,6 +10,7 @@
 from ..messages import ControlPeer, Member, ProxyHeartbeat
 from ..replicated_state import ReplicatedState
 from .log import Log
+from .quota_state import QuotaState
 from .service_state import DirectoryState, FailoverState, LeaseState, WatchState
 
 
@@ -21,7 +22,7 @@
     ``voter_target`` processes vote. ``me`` holds the addresses of this process.
     ``primary_lease_ms`` is how long a lease on a primary lasts; without leases it is 0.
     ``fences_primaries`` is whether a primary stops to lead at the moment when another upstream is
-    promoted.
+    promoted. ``uses_upstream_weights`` is whether gateways are told weights of upstreams.
     """
 
     members: dict[str, str]
@@ -41,6 +42,7 @@
     snapshot_entries: int = 1_000
     entries_kept: int = 200
     batch_entries: int = 256
+    uses_upstream_weights: bool = False
 
 
 class Membership(NamedTuple):
@@ -167,6 +169,7 @@
     watch: WatchState = field(default_factory=WatchState)
     failover: FailoverState = field(default_factory=FailoverState)
     primary_leases: LeaseState = field(default_factory=LeaseState)
+    quotas: QuotaState = field(default_factory=QuotaState)
 
     @property
     def membership(self) -> Membership:
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -22,6 +22,7 @@
     primary_waits,
     routing,
     sessions,
+    upstream_health,
 )
 from .effects import ApplyDocument, Effect, LogEvent, Send
 from .events import ConfigurationReceived
@@ -38,7 +39,7 @@
 def check_poll(state: GatewayState, now_ms: int) -> list[Effect]:
     """Poll control when it is due; change to another process if the current one doesn't answer."""
     link = state.control
-    if now_ms < link.next_poll_ms:
+    if now_ms < link.next_poll_ms - upstream_health.poll_advance_ms(state):
         return []
     effects: list[Effect] = []
     last_received_ms = link.last_received_ms if link.last_received_ms is not None else 0
@@ -68,6 +69,7 @@
         state.draining_since_ms is not None,
         dict(state.acknowledged),
         connection_admission.demand(state),
+        upstream_health.take_report(state, now_ms),
     )
     return [*effects, Send(link.address, question)]
 
@@ -128,6 +130,7 @@
     for report, age_ms in answer.reports:
         merge_report(state.directory, sent_ms, report, age_ms)
         routing.add_pool(state, report.upstream, report.service)
+    upstream_health.apply_told(state, sent_ms, answer.upstream_weights)
     for note in answer.watermarks:
         history = state.watermarks.setdefault(note.service, WatermarkHistory())
         add_watermark(history, sent_ms - note.age_ms, Position(note.term, note.offset))
@@ -160,7 +163,10 @@
         "routes": len(configuration.routes),
     }
     state.configuration = configuration
-    effects = maintenance.renew_transactions(state, event.now_ms)
+    effects = maintenance.close_removed_tenants(state)
+    if configuration.tenants is not None:
+        effects += forwarding.preconnect(state)
+    effects += maintenance.renew_transactions(state, event.now_ms)
     if not inputs["previous"]:
         for session in list(state.sessions.values()):
             effects += sessions.run_waiting(state, event.now_ms, session)
@@ -180,6 +186,8 @@
         holders.holds(state, service) for service in state.configuration.services
     ):
         return True
+    if state.configuration.tenants is not None:
+        return any(item.service in state.primaries for item in state.pools.values())
     return any(item.connections for item in state.pools.values())
 
 
@@ -206,8 +214,13 @@
 
 
 def preopen_connections(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Open a connection to each upstream that has none, so that first statements don't wait."""
+    """Open a connection to each upstream that has none, so that first statements don't wait.
+
+    With tenants none is opened: it would have to belong to the tenant of the next statement.
+    """
     effects: list[Effect] = []
+    if state.configuration.tenants is not None:
+        return effects
     for item in state.pools.values():
         if item.connections or not pool.accepts_work(state, item):
             continue
--- a/packages/core/src/endivewick_core/gateway/load_shedding.py
+++ b/packages/core/src/endivewick_core/gateway/load_shedding.py
@@ -8,10 +8,12 @@
 All functions take effect only with ``GatewaySettings.coordinates_connections``.
 """
 
+from collections import Counter
+
 import xxhash
 
 from ..statements import Error, Fault
-from . import limits
+from . import fair_queue, limits
 from .effects import Effect, LogEvent
 from .state import Connection, GatewayState, QueuedRequest, Request, Session, UpstreamPool
 
@@ -60,14 +62,14 @@
     """Return why a request is not queued in ``heap``, with its log event, or None."""
     if not state.settings.coordinates_connections or session.connection is not None:
         return None
-    arrived = (request.route.priority, request.serial)
+    queue = state.queues[request.route.service]
+    arrived = fair_queue.position(state, queue, session, request)
     ahead = sum(
         1
         for item in heap
-        if (item.priority, item.serial) < arrived and item.request.serial in state.requests
+        if fair_queue.precedes(item, arrived) and item.request.serial in state.requests
     )
-    is_primary = heap is state.queues[request.route.service].primary
-    return _judge(state, now_ms, request, ahead, is_primary, usual_ms)
+    return _judge(state, now_ms, request, ahead, heap is queue.primary, usual_ms)
 
 
 def find_overdue(
@@ -98,14 +100,26 @@
 
 
 def find_displaced(state: GatewayState, request: Request) -> Request | None:
-    """Return the waiting request that leaves a full queue for one of a higher priority."""
+    """Return the waiting request that leaves a full queue for one of a higher priority.
+
+    With tenants it is one of the same tenant, or of a tenant with more waiting requests, so that
+    one tenant can't fill the queue.
+    """
     if not state.settings.coordinates_connections:
         return None
+    items = [
+        item
+        for queue in state.queues.values()
+        for item in [*queue.primary, *queue.reads]
+        if item.request.serial in state.requests
+    ]
+    tenant = request.tenant
+    waiting = Counter(item.tenant for item in items)
     last: QueuedRequest | None = None
-    for queue in state.queues.values():
-        for item in [*queue.primary, *queue.reads]:
-            if item.request.serial in state.requests and (last is None or item > last):
-                last = item
+    for item in items:
+        is_allowed = item.tenant == tenant or waiting[item.tenant] > waiting[tenant]
+        if is_allowed and (last is None or item > last):
+            last = item
     if last is None or last.priority <= request.route.priority:
         return None
     return last.request
--- a/packages/core/src/endivewick_core/gateway/queue_order.py
+++ b/packages/core/src/endivewick_core/gateway/queue_order.py
@@ -1,8 +1,9 @@
-"""The order in which waiting requests of one service get connections: priority, then age.
+"""Which of a service's waiting requests are dispatched first, in the order of ``fair_queue``.
 
 All functions take effect only with ``GatewaySettings.coordinates_connections``.
 """
 
+from . import fair_queue
 from .state import GatewayState, QueuedRequest, Request
 
 
@@ -15,9 +16,10 @@
     queue = state.queues.get(request.route.service)
     if queue is None or not state.settings.coordinates_connections:
         return False
-    arrived = (request.route.priority, request.serial)
+    session = state.sessions[request.session]
+    arrived = fair_queue.position(state, queue, session, request)
     heads = [heap[0] for heap in (queue.primary, queue.reads) if heap]
-    return any((item.priority, item.serial) < arrived for item in heads)
+    return any(fair_queue.precedes(item, arrived) for item in heads)
 
 
 def order_heaps(
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -6,25 +6,31 @@
 """
 
 import heapq
+from collections import Counter
 from typing import NamedTuple
 
 from ..positions import Position
 from ..routes import Freshness
-from ..statements import Error, Fault, TransactionState
+from ..statements import Error, Fault
 from ..watermarks import required_position
 from . import (
     answers,
     connection_admission,
+    fair_queue,
     forwarding,
-    holders,
     load_shedding,
     pool,
     primary_leases,
     primary_waits,
     queue_order,
+    quota_tokens,
+    tenant_connections,
+    tenant_holders,
+    tenants,
+    upstream_health,
 )
 from .effects import Effect, LogEvent
-from .requests import commits_writes
+from .requests import commits_writes, needs_primary
 from .state import (
     GatewayState,
     QueuedRequest,
@@ -46,7 +52,6 @@
 MAX_BUSY_BACKOFF_MS = 120  # a fifth of the usual latency objective
 READ_ONLY_BACKOFF_MS = 100  # after an upstream answered that it is not the primary
 LAGGING_BACKOFF_MS = 150  # after a replica answered that it lacks the required position
-PINNED_PRIORITY = -1  # of a COMMIT, which holds a connection that others wait for
 MAX_READ_ATTEMPTS = 3  # how often a single read is sent
 RETRY_AFTER_MS = 300  # sent to clients whose statement was refused for lack of capacity
 OUT_OF_REACH_RETRY_AFTER_MS = 1_000  # about the time of an election in control
@@ -89,7 +94,11 @@
 
 def refuse(state: GatewayState, now_ms: int, request: Request, error: Error) -> list[Effect]:
     """Refuse a request that was not sent; a transaction that waited to commit is rolled back."""
-    effects = pool.release_session(state, now_ms, state.sessions[request.session])
+    quota_tokens.give_back(state, now_ms, request)
+    session = state.sessions[request.session]
+    effects = pool.release_session(state, now_ms, session)
+    if error.fault is Fault.UNAUTHENTICATED:
+        effects += forwarding.send_end(state, session)
     return effects + answers.fail(state, now_ms, request, error)
 
 
@@ -97,7 +106,7 @@
     """Queue a request until a connection is available, or refuse it if the queue is full."""
     session = state.sessions[request.session]
     effects: list[Effect] = []
-    if state.queued >= state.settings.queue_limit:
+    if not fair_queue.has_space(state, session, request):
         displaced = load_shedding.find_displaced(state, request)
         refused = displaced or request
         retry_after_ms = load_shedding.retry_after_ms(state, refused, RETRY_AFTER_MS)
@@ -106,14 +115,11 @@
         if displaced is None:
             return effects
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
-    priority = request.route.priority
-    if session.connection is not None:
-        priority = PINNED_PRIORITY
     heap = queue.primary if needs_primary(session, request) else queue.reads
     shed = load_shedding.refusal(state, now_ms, session, request, heap, RETRY_AFTER_MS)
     if shed is not None:
         return [*effects, shed[1], *refuse(state, now_ms, request, shed[0])]
-    heapq.heappush(heap, QueuedRequest(priority, request.serial, request))
+    fair_queue.add(state, queue, session, request)
     state.queued += 1
     return effects
 
@@ -127,7 +133,10 @@
 
 
 def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
-    return bool(session.holder or holders.holder(state, now_ms, request.route.service))
+    return bool(
+        session.holder
+        or tenant_holders.holder(state, now_ms, request.route.service, session.tenant)
+    )
 
 
 def dispatch_queued(state: GatewayState, now_ms: int, service: str) -> list[Effect]:
@@ -136,8 +145,10 @@
     if queue is None:
         return []
     effects: list[Effect] = []
+    max_blocked_reads = upstream_health.max_blocked_reads(state)
     for heap in queue_order.order_heaps(state, queue.primary, queue.reads):
-        effects += _dispatch_heap(state, now_ms, heap)
+        max_blocked = max_blocked_reads if heap is queue.reads else 1
+        effects += _dispatch_heap(state, now_ms, heap, max_blocked)
     return effects
 
 
@@ -190,13 +201,6 @@
     return [log_event, *route_request(state, now_ms, request)]
 
 
-def needs_primary(session: Session, request: Request) -> bool:
-    """Tell whether only the primary may serve a request."""
-    if session.state is TransactionState.OPEN:
-        return not session.is_read_only or request.route.freshness is Freshness.PRIMARY
-    return request.is_write or request.route.freshness is Freshness.PRIMARY
-
-
 def replica_position(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> Position | None:
@@ -219,25 +223,43 @@
         item.failure_rate *= FAILURE_RATE_DECAY
 
 
-def _dispatch_heap(state: GatewayState, now_ms: int, heap: list[QueuedRequest]) -> list[Effect]:
+def _dispatch_heap(
+    state: GatewayState, now_ms: int, heap: list[QueuedRequest], max_blocked: int = 1
+) -> list[Effect]:
+    """Route queued requests until ``max_blocked`` of a tenant have to wait for a connection."""
     effects: list[Effect] = []
     waiting: list[QueuedRequest] = []
+    blocked: Counter[str] = Counter()
     while heap:
         item = heapq.heappop(heap)
         state.queued -= 1
         request = item.request
         if request.serial not in state.requests:
+            fair_queue.note_removed(item)
+            continue
+        if quota_tokens.has_expired(request, now_ms):
+            fair_queue.note_removed(item)
+            state.follow_up.tokenless.append(request)
             continue
         session = state.sessions[request.session]
+        if blocked[session.tenant] >= max_blocked and session.connection is None:
+            waiting.append(item)
+            continue
         result = _try_route(state, now_ms, session, request)
         effects += result.effects
         if result.is_routed:
+            fair_queue.note_removed(item, is_served=True)
             continue
         if result.refusal is not None:
+            fair_queue.note_removed(item)
             effects += refuse(state, now_ms, request, result.refusal)
             continue
         waiting.append(item)
-        if not result.needs_lease:
+        if result.needs_lease:
+            continue
+        blocked[session.tenant] += 1
+        # Requests of other tenants may have connections that this one can't use.
+        if not session.tenant and blocked[""] >= max_blocked:
             break
     for item in waiting:
         heapq.heappush(heap, item)
@@ -248,6 +270,10 @@
 def _try_route(
     state: GatewayState, now_ms: int, session: Session, request: Request
 ) -> RoutingResult:
+    fault = tenants.statement_fault(state, session, request.route)
+    if fault is not None:
+        return RoutingResult(False, [], refusal=fault)
+    request.tenant = session.tenant
     if session.connection is not None:
         return _try_pinned(state, now_ms, session, request)
     if session.origin is None and _is_forwarded(state, now_ms, session, request):
@@ -299,8 +325,7 @@
 ) -> RoutingResult:
     """Try the upstream with the lowest expected latency."""
     service = request.route.service
-    best: UpstreamPool | None = None
-    best_cost_ms = 0.0
+    candidates: list[tuple[float, int, UpstreamPool]] = []
     has_replica = False
     for item in state.pools.values():
         if item.service != service or item.upstream in request.tried:
@@ -313,30 +338,58 @@
             continue
         if not is_primary and now_ms < item.lagging_backoff_until_ms:
             continue
-        if not item.idle and now_ms < item.connect_backoff_until_ms:
+        has_idle = tenant_connections.has_idle(item, session.tenant)
+        if not has_idle and (
+            now_ms < item.connect_backoff_until_ms
+            or tenant_connections.is_unresponsive(item, now_ms, session.tenant)
+        ):
             continue
-        cost_ms = _cost_ms(state, item, is_primary)
-        if best is None or cost_ms < best_cost_ms:
-            best, best_cost_ms = item, cost_ms
-    if best is None:
+        cost_ms = _cost_ms(state, item, is_primary, has_idle)
+        cost_ms = upstream_health.read_cost_ms(state, now_ms, item, session, request, cost_ms)
+        if session.tenant and not has_idle:
+            if not tenant_connections.has_room(state, now_ms, item, request):
+                cost_ms += item.latency_ms  # until a connection is released
+        candidates.append((cost_ms, len(candidates), item))
+    if not upstream_health.has_responsive(state, now_ms, [item for _, _, item in candidates]):
+        if upstream_health.forget_tried(state, now_ms, request):
+            return _try_read(state, now_ms, session, request, position)
+    if not candidates:
         result = _try_primary(state, now_ms, session, request)
         # A replica that is only backed off may serve the read a moment later.
         return result._replace(refusal=None) if has_replica else result
-    if pool.is_primary(state, best) and primary_leases.covers_primary(
-        state, service, best.upstream, now_ms
+    candidates.sort()
+    result = _try_candidate(state, now_ms, session, request, candidates[0][2], position)
+    for _, _, item in candidates[1:]:
+        if result.is_routed or not upstream_health.may_use_next(state, now_ms, request, item):
+            continue
+        following = _try_candidate(state, now_ms, session, request, item, position)
+        result = following._replace(effects=[*result.effects, *following.effects])
+    return result
+
+
+def _try_candidate(
+    state: GatewayState,
+    now_ms: int,
+    session: Session,
+    request: Request,
+    item: UpstreamPool,
+    position: Position,
+) -> RoutingResult:
+    if pool.is_primary(state, item) and primary_leases.covers_primary(
+        state, request.route.service, item.upstream, now_ms
     ):
         return _try_primary(state, now_ms, session, request)
-    return _try_upstream(state, now_ms, session, request, best.upstream, position)
+    return _try_upstream(state, now_ms, session, request, item.upstream, position)
 
 
-def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool) -> float:
+def _cost_ms(state: GatewayState, item: UpstreamPool, is_primary: bool, has_idle: bool) -> float:
     entry = state.directory.entries[item.upstream]
     slots = max(1, entry.report.slots)
     cost_ms = item.latency_ms * (1 + item.running / slots)
     cost_ms *= 1 + FAILURE_COST_FACTOR * item.failure_rate
     if is_primary:
         cost_ms *= PRIMARY_COST_FACTOR
-    if not item.idle:
+    if not has_idle:
         cost_ms += OPENING_COST_MS
     return cost_ms
 
@@ -364,7 +417,7 @@
     if connection is None:
         queue = state.queues.get(item.service)
         wanted = len(queue.primary) + len(queue.reads) if queue is not None else 1
-        return RoutingResult(False, pool.open_connection(state, now_ms, item, wanted))
+        return RoutingResult(False, pool.open_connection(state, now_ms, item, wanted, request))
     return RoutingResult(
         True, pool.start_request(state, now_ms, connection, session, request, wait_for)
     )
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -14,27 +14,45 @@
     StatementKind,
     TransactionState,
 )
-from . import answers, pool, remote_sessions, routing
-from .effects import AcceptSession, CloseSession, Effect, RefuseSession
+from . import answers, pool, quotas, remote_sessions, routing, tenants
+from .effects import AcceptSession, CloseSession, Effect, LogEvent, RefuseSession
 from .events import SessionClosed, SessionOpened, StatementReceived
 from .requests import is_write, open_request
 from .state import GatewayState, Session
 
 MAX_WAITING_STATEMENTS = 32  # statements that a client may pipeline on one session
-MAX_PREPARED_STATEMENTS = 256  # of one session; bounds its memory to some kilobytes
-MAX_VALUES = 64  # of one session; bounds its memory to some kilobytes
+MAX_PREPARED_STATEMENTS = 256  # of one session
+MAX_VALUES = 64  # of one session
+# Of the names and texts that one session stores: one statement of the largest size, 1 MiB, and as
+# much again in smaller ones.
+MAX_STORED_BYTES = 2 * 1024 * 1024
+
+SHOWN_NAME_CHARACTERS = 100  # of a client's name in an error text
 
 UPSTREAM_KINDS = frozenset(
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
 )
 
+# Statements before which the key is checked: the first of an operation, and all that go upstream.
+AUTHENTICATED_KINDS = UPSTREAM_KINDS | {StatementKind.BEGIN}
+
 
 def handle_opened(state: GatewayState, event: SessionOpened) -> list[Effect]:
-    """Open a session, or refuse it if its workspace has no route."""
-    configured = state.configuration.version > 0
-    if configured and event.workspace not in state.configuration.routes:
+    """Open a session, or refuse it if its workspace has no route or its key is unknown.
+
+    Before the first configuration has arrived, its first statement is checked instead.
+    """
+    route = state.configuration.routes.get(event.workspace)
+    key = tenants.kept_key(event.key)
+    session = Session(event.session, event.workspace, key, last_active_ms=event.now_ms)
+    if state.configuration.version and route is None:
         return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
-    session = Session(event.session, event.workspace, last_active_ms=event.now_ms)
+    fault = tenants.startup_fault(state, session, route) if route is not None else None
+    if fault is not None:
+        inputs: dict[str, object] = {"statement": "startup", "text": fault.text}
+        outcome = fault.fault.value
+        log_event = LogEvent("warning", "refused", "", event.workspace, inputs, outcome)
+        return [log_event, RefuseSession(event.session, fault)]
     state.sessions[event.session] = session
     return [AcceptSession(event.session)]
 
@@ -122,6 +140,10 @@
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
     session.last_active_ms = now_ms
+    if statement.kind in AUTHENTICATED_KINDS or not session.tenant:
+        fault = tenants.statement_fault(state, session)
+        if fault is not None:
+            return _refuse_key(state, now_ms, session, statement, fault)
     if statement.kind in UPSTREAM_KINDS:
         return _run_upstream(state, now_ms, session, statement)
     fault = _local_fault(state, session, statement)
@@ -137,15 +159,28 @@
         session.has_written = False
         session.statements_run = 0
     if statement.kind is StatementKind.SET:
+        session.stored_bytes += _stored_change(session, statement)
         session.values[statement.name] = statement.argument
     if statement.kind is StatementKind.PREPARE:
+        session.stored_bytes += _stored_change(session, statement)
         prepared = PreparedStatement(statement.argument, statement.is_write)
         session.prepared[statement.name] = prepared
     if statement.kind is StatementKind.DEALLOCATE:
-        del session.prepared[statement.name]
+        prepared = session.prepared.pop(statement.name)
+        session.stored_bytes -= len(statement.name) + len(prepared.shape)
     return answers.answer_local(session)
 
 
+def _refuse_key(
+    state: GatewayState, now_ms: int, session: Session, statement: Statement, fault: Error
+) -> list[Effect]:
+    """Refuse a statement for its session's key: roll back, answer and close the session."""
+    effects = routing.end_transaction(state, now_ms, session)
+    session.state = TransactionState.IDLE
+    effects += answers.refuse_local(session, statement.kind, statement.request_id, fault)
+    return effects + tenants.close_session(state, session)
+
+
 def _local_fault(state: GatewayState, session: Session, statement: Statement) -> Error | None:
     """Return why a statement that needs no upstream is refused, or None."""
     kind = statement.kind
@@ -160,7 +195,10 @@
     if kind is StatementKind.BEGIN and session.workspace not in state.configuration.routes:
         return _unknown_workspace(session.workspace)
     if kind is StatementKind.DEALLOCATE and statement.name not in session.prepared:
-        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+        return Error(
+            Fault.UNKNOWN_STATEMENT,
+            f"no prepared statement {statement.name[:SHOWN_NAME_CHARACTERS]}",
+        )
     if kind is StatementKind.PREPARE and len(session.prepared) >= MAX_PREPARED_STATEMENTS:
         return Error(
             Fault.BAD_REQUEST,
@@ -168,9 +206,31 @@
         )
     if kind is StatementKind.SET and len(session.values) >= MAX_VALUES:
         return Error(Fault.BAD_REQUEST, f"a session may have {MAX_VALUES} values at most")
+    if kind in (StatementKind.SET, StatementKind.PREPARE):
+        if session.stored_bytes + _stored_change(session, statement) > MAX_STORED_BYTES:
+            text = f"a session may store {MAX_STORED_BYTES} bytes of values and statements at most"
+            return Error(Fault.BAD_REQUEST, text)
     return None
 
 
+def held_bytes(session: Session) -> int:
+    """Return the size of what a session stores and of its statements that have no answer yet."""
+    waiting = sum(len(item.text) + len(item.argument) for item in session.waiting)
+    current = session.current.statement if session.current is not None else None
+    running = len(current.text) + len(current.argument) if current is not None else 0
+    return session.stored_bytes + waiting + running
+
+
+def _stored_change(session: Session, statement: Statement) -> int:
+    """Return by how many bytes a SET or PREPARE changes what the session stores."""
+    known = 0
+    if statement.kind is StatementKind.SET and statement.name in session.values:
+        known = len(statement.name) + len(session.values[statement.name])
+    if statement.kind is StatementKind.PREPARE and statement.name in session.prepared:
+        known = len(statement.name) + len(session.prepared[statement.name].shape)
+    return len(statement.name) + len(statement.argument) - known
+
+
 def _run_upstream(
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
@@ -188,7 +248,7 @@
         fault = _unknown_workspace(session.workspace)
         return answers.refuse_local(session, statement.kind, statement.request_id, fault)
     request = open_request(state, now_ms, session, statement, route, route.timeout_ms)
-    return routing.route_request(state, now_ms, request)
+    return quotas.start_operation(state, now_ms, session, request)
 
 
 def _upstream_fault(session: Session, statement: Statement) -> Error | None:
@@ -201,7 +261,10 @@
     if statement.kind is StatementKind.EXECUTE and statement.name not in session.prepared:
         if session.state is TransactionState.OPEN:
             session.state = TransactionState.FAILED
-        return Error(Fault.UNKNOWN_STATEMENT, f"no prepared statement {statement.name}")
+        return Error(
+            Fault.UNKNOWN_STATEMENT,
+            f"no prepared statement {statement.name[:SHOWN_NAME_CHARACTERS]}",
+        )
     if is_write(session, statement) and session.state is TransactionState.OPEN:
         if session.is_read_only:
             session.state = TransactionState.FAILED
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -20,8 +20,10 @@
     TransactionState,
     UpstreamReply,
 )
+from ..upstream_statistics import UpstreamHealth
 from ..watermarks import WatermarkHistory
 from .effects import Send
+from .quota_state import QuotaState
 
 
 class GatewaySettings(NamedTuple):
@@ -61,6 +63,8 @@
     # With fewer connections for each gateway, connection holders run statements for the others; a
     # gateway with less than one connection can't serve by itself.
     min_connection_share: int = 1
+    # Whether outcomes are reported to control, and reads distributed by the weights of upstreams.
+    uses_upstream_weights: bool = False
 
 
 def distance(settings: GatewaySettings, data_centre: str) -> int:
@@ -77,7 +81,9 @@
 
     ``tried`` holds the upstreams that are not chosen again for this request: they refused it as
     lagging, failed it as a single read, or lost its connection. ``sent_ms`` is zero until bytes of
-    it may have reached an upstream.
+    it may have reached an upstream. ``tenant`` is that of its session, and ``turn`` its turn in the
+    queue once it was queued. ``token_until_ms`` is when the token of its tenant's limit expires,
+    zero without one.
     """
 
     session: int
@@ -94,6 +100,9 @@
     wait_for: Position | None = None
     last_refusal: str = ""
     forwarded_to: str = ""
+    tenant: str = ""
+    token_until_ms: int = 0
+    turn: int | None = None
 
     @property
     def changes_data(self) -> bool:
@@ -108,11 +117,17 @@
     ``connection`` is pinned while a transaction runs upstream. ``holder`` is the gateway that runs
     the session's transaction, where that is another one. ``origin`` is set for a session of another
     gateway: that gateway's address and boot, and its number for the session.
-    ``origin_request_serial`` is that gateway's number for the current statement.
+    ``origin_request_serial`` is that gateway's number for the current statement, and
+    ``configuration_version`` the newest configuration that it had. ``stored_bytes`` is the size of
+    the names and texts in ``values`` and ``prepared``.
+
+    ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
 
     number: int
     workspace: str
+    key: str = field(default="", repr=False)
+    tenant: str = ""
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     state: TransactionState = TransactionState.IDLE
@@ -124,10 +139,12 @@
     current: Request | None = None
     connection: int | None = None
     waiting: deque[Statement] = field(default_factory=deque)
+    stored_bytes: int = 0
     last_active_ms: int = 0
     holder: str = ""
     origin: tuple[str, str, int] | None = None
     origin_request_serial: int = 0
+    configuration_version: int = 0
 
 
 class Purpose(StrEnum):
@@ -153,13 +170,14 @@
 
 @dataclass(slots=True)
 class Connection:
-    """One connection to an upstream.
+    """One connection to an upstream; it serves only its ``tenant``, empty without tenants.
 
     ``values`` and ``prepared`` are what the upstream stores for it. ``in_transaction`` is set
     between a BEGIN and the end of its transaction, and ``transaction_version`` is the configuration
     version at that BEGIN. On the primary, idle connections are kept inside a transaction, so that a
     read takes one round trip and can't run on an upstream that is no longer the primary.
-    ``is_used`` is set once a session ran statements in the transaction, and ``is_dirty`` once
+    ``is_used`` is set once a session ran statements in the transaction, ``is_unused`` until the
+    connection ran its first statement, and ``is_dirty`` once
     values must be reset before the next session. ``next_request`` waits for the answers to the
     statements that prepare the connection for it. ``taken_ms`` is since when a session occupies it.
     """
@@ -167,6 +185,7 @@
     number: int
     upstream: str
     opened_ms: int
+    tenant: str = ""
     is_open: bool = False
     in_transaction: bool = False
     transaction_version: int = 0
@@ -179,6 +198,8 @@
     next_request: Request | None = None
     idle_since_ms: int = 0
     taken_ms: int | None = None
+    last_used_ms: int = 0
+    is_unused: bool = True
     last_received_ms: int = 0
 
 
@@ -232,6 +253,15 @@
     allowance_raised_ms: int = 0
     limit_reached_ms: int | None = None
     opening: OpeningState = field(default_factory=OpeningState)
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
+
+
+class TenantHolders(NamedTuple):
+    """The holders of a service's tenants, for a configuration and the holders of the service."""
+
+    version: int
+    addresses: tuple[str, ...]
+    by_tenant: dict[str, str]
 
 
 @dataclass(slots=True)
@@ -273,6 +303,7 @@
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked_holders: dict[str, list[str]] = field(default_factory=dict)
+    tenant_holders: dict[str, TenantHolders] = field(default_factory=dict)
     holder_last_received_ms: dict[str, int] = field(default_factory=dict)
     undelivered_since_ms: dict[str, int] = field(default_factory=dict)
 
@@ -301,12 +332,32 @@
     leadership: int | None
 
 
+@dataclass(slots=True)
+class Turns:
+    """The turns of tenants among the queued requests of one priority; see ``fair_queue``.
+
+    ``served`` is the latest turn that was served, ``last`` the latest one that each tenant took,
+    and ``waiting`` the number of its queued requests.
+    """
+
+    served: int = 0
+    last: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
 class QueuedRequest(NamedTuple):
-    """A queued request; the lowest priority number goes first, then the oldest."""
+    """A queued request; the order is that of the fields, the lowest value first.
+
+    ``tenant`` is that of the request when it was queued. ``turns`` is None without tenants.
+    """
 
     priority: int
+    tenant_priority: int
+    turn: int
     serial: int
     request: Request
+    tenant: str
+    turns: Turns | None
 
 
 @dataclass(slots=True)
@@ -314,10 +365,12 @@
     """The requests of one service that wait for a connection.
 
     ``primary`` is the heap of those that only the primary may serve, ``reads`` that of the others.
+    ``turns`` are those of the requests of one of the heaps with the same priorities.
     """
 
     primary: list[QueuedRequest] = field(default_factory=list)
     reads: list[QueuedRequest] = field(default_factory=list)
+    turns: dict[tuple[bool, int, int], Turns] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -325,19 +378,21 @@
     """Work that an event leaves for the reducer, which does it after the event's handler.
 
     ``requests`` are queued, the queues of ``services`` are dispatched, and ``sessions`` run their
-    waiting statements.
+    waiting statements. The requests in ``tokenless`` need another token of their tenant's limit.
     """
 
     requests: list[Request] = field(default_factory=list)
     services: list[str] = field(default_factory=list)
     sessions: list[Session] = field(default_factory=list)
+    tokenless: list[Request] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class GatewayState:
     """The whole state of a gateway.
 
-    ``retry_budget`` is how many overdue reads may be sent again now.
+    ``retry_budget`` is how many overdue reads may be sent again now. ``silence_checked_ms`` is when
+    upstreams that answer nothing were last looked for.
 
     ``unsent_messages`` are the messages to other gateways that could not be sent yet.
     ``remote_sessions`` maps the sessions of other gateways that this one runs statements for to
@@ -383,6 +438,8 @@
     retry_budget: float = 10.0
     next_sweep_ms: int = 0
     next_shedding_ms: int = 0
+    silence_checked_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
     follow_up: FollowUp = field(default_factory=FollowUp)
+    quotas: QuotaState = field(default_factory=QuotaState)
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -15,6 +15,7 @@
 from .positions import Position
 from .routes import Route
 from .statements import PreparedStatement, Statement
+from .upstream_statistics import UpstreamCounts, UpstreamWeight
 
 
 class Member(NamedTuple):
@@ -346,7 +347,8 @@
     some time. ``wanted`` is the number of connections that the gateway wants, by upstream.
     ``acknowledged`` is the highest position at which the gateway has acknowledged a commit, by
     service. ``demand`` is the gateway's demand for connections by upstream; it is empty where
-    openings are not coordinated.
+    openings are not coordinated. ``upstream_counts`` are the outcomes of statements since the last
+    poll, by upstream; those without a change are left out.
     """
 
     gateway: str
@@ -361,6 +363,7 @@
     is_draining: bool
     acknowledged: dict[str, Position] = {}
     demand: dict[str, ConnectionDemand] = {}
+    upstream_counts: dict[str, UpstreamCounts] = {}
 
 
 class DirectoryAnswer(NamedTuple):
@@ -376,6 +379,8 @@
     ``neighbours`` lists the gateways in the receiver's data centre. ``demand`` is the demand of all
     gateways for connections to the upstreams that some gateway wants more of; it is None while the
     number of gateways isn't known yet, and where openings are not coordinated.
+    ``upstream_weights`` holds the upstreams that should get less than their usual share of reads,
+    or have few free slots.
     """
 
     sequence: int
@@ -391,6 +396,7 @@
     contended: dict[str, int]
     neighbours: list[str]
     demand: dict[str, ConnectionDemand] | None = None
+    upstream_weights: dict[str, UpstreamWeight] = {}
 
 
 class PrimaryLeaseNote(NamedTuple):
@@ -443,7 +449,8 @@
     connections to them, and ``wanted`` is the number of connections that they want together, by
     upstream. ``acknowledged`` is the highest position at which any gateway is known to have
     acknowledged a commit, by service. ``demand`` is the demand for connections of those gateways
-    together, by upstream.
+    together, by upstream. ``upstream_counts`` are the aged outcomes of statements of the sender's
+    gateways, by upstream, as of the moment of sending.
     """
 
     sender: ControlPeer
@@ -455,6 +462,7 @@
     wanted: dict[str, int]
     acknowledged: dict[str, Position] = {}
     demand: dict[str, ConnectionDemand] = {}
+    upstream_counts: dict[str, UpstreamCounts] = {}
 
 
 # Between gateways.
@@ -468,6 +476,7 @@
     statements of the transaction have already run. ``values`` are the session values to set on the
     upstream connection, ``prepared`` is the prepared statement to execute, and ``position`` is the
     log position that the session has seen. ``left_ms`` is the time left of the statement's timeout.
+    ``tenant`` is the tenant that the session runs as, empty where there are no tenants.
     """
 
     origin: str
@@ -484,6 +493,7 @@
     position: Position | None
     configuration_version: int
     left_ms: int
+    tenant: str = ""
 
 
 class ForwardedReply(NamedTuple):
@@ -512,6 +522,108 @@
     session: int
 
 
+class TokenNeed(NamedTuple):
+    """Tokens that a gateway needs for a tenant.
+
+    ``waiting`` operations wait for one, and ``expected`` are expected to start soon.
+    """
+
+    waiting: int
+    expected: int
+
+
+class QuotaQuestion(NamedTuple):
+    """A gateway's request to a control process for tokens, by tenant.
+
+    ``boot`` identifies the start of the gateway's process, ``sequence`` the question there.
+    """
+
+    gateway: str
+    boot: str
+    sequence: int
+    configuration_version: int
+    needs: dict[str, TokenNeed]
+
+
+class TokenAnswer(NamedTuple):
+    """The tokens for a tenant in response to a QuotaQuestion.
+
+    Of the operations that wait, ``refused`` won't get a token, because the tenant is at its limit;
+    tokens for more of them are expected after ``retry_after_ms``. Another answer follows for those
+    that are ``pending``.
+    """
+
+    tokens: int
+    pending: int = 0
+    refused: int = 0
+    retry_after_ms: int = 0
+
+
+class QuotaAnswer(NamedTuple):
+    """Tokens by tenant; a QuotaQuestion may be answered in parts, by several of these."""
+
+    boot: str
+    sequence: int
+    answers: dict[str, TokenAnswer]
+
+
+class ShareReport(NamedTuple):
+    """The share of a tenant's limit that a control process holds, and what it needs.
+
+    ``serial``, ``rate_ppm`` and ``burst_ppm`` are those of the last QuotaShare that it adopted.
+    ``demand_per_s`` is what its gateways lately asked for, ``level`` the tokens that it has, and
+    ``needed`` how many more its gateways wait for.
+    """
+
+    serial: int
+    rate_ppm: int
+    burst_ppm: int
+    demand_per_s: float
+    level: float
+    needed: int
+
+
+class QuotaShareQuestion(NamedTuple):
+    """A control process's request to its leader for shares of tenants' limits.
+
+    ``boot`` identifies the start of the sender's process. With ``is_full``, the reports contain
+    every share that it holds.
+    """
+
+    sender: str
+    member_id: str
+    boot: str
+    term: int
+    sequence: int
+    is_full: bool
+    reports: dict[str, ShareReport]
+
+
+class QuotaShare(NamedTuple):
+    """A share of a tenant's limit, in millionths of its rate and burst, and ``tokens`` with it.
+
+    A share with a higher ``serial`` replaces it. If the leader gave fewer tokens than needed, it
+    has more after ``retry_after_ms``, negative if it can't tell, and the process can expect
+    ``soon`` more of it while an operation waits.
+    """
+
+    serial: int
+    rate_ppm: int
+    burst_ppm: int
+    tokens: float
+    retry_after_ms: int = 0
+    soon: float = 0.0
+
+
+class QuotaShareAnswer(NamedTuple):
+    """The response to a QuotaShareQuestion; shares are leases from when the question was sent."""
+
+    boot: str
+    term: int
+    sequence: int
+    shares: dict[str, QuotaShare]
+
+
 class DirectoryShareReceived(NamedTuple):
     """Confirm receipt of the DirectoryShare with this ``serial``."""
 
@@ -541,6 +653,10 @@
         PrimaryLeaseAnswer,
         DirectoryShare,
         DirectoryShareReceived,
+        QuotaQuestion,
+        QuotaAnswer,
+        QuotaShareQuestion,
+        QuotaShareAnswer,
         ForwardedStatement,
         ForwardedReply,
         ForwardedEnd,
--- a/packages/node/src/endivewick_node/statement_wire.py
+++ b/packages/node/src/endivewick_node/statement_wire.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from endivewick_core.gateway.effects import AnswerStatement
 from endivewick_core.statements import Error, Statement, UpstreamReply, UpstreamStatement
@@ -17,6 +17,10 @@
     workspace: str
     key: str = ""
 
+    def __repr__(self) -> str:
+        """Return a text without the key, which must not appear in logs."""
+        return f"Startup({self.workspace!r})"
+
 
 class Quit(NamedTuple):
     """A client ends its session."""
@@ -40,17 +44,32 @@
 
 ClientMessage = Startup | Statement | Quit | WireFault
 UpstreamMessage = Accepted | Refused | UpstreamReply | WireFault
-ClientReader = Callable[[bytes], list[ClientMessage]]
+
+
+class ClientReader(Protocol):
+    """Parses the bytes received from one client, and keeps what it has not returned yet."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes that are kept."""
+
+    def __call__(self, data: bytes, limit: int = ...) -> list[ClientMessage]:
+        """Return the next messages, ``limit`` at most; later calls return the others."""
+
+
 UpstreamReader = Callable[[bytes], list[UpstreamMessage]]
 
 
 class StatementWire(NamedTuple):
-    """The functions of a codec, for connections to clients and to upstreams."""
+    """The functions of a codec, for connections to clients and to upstreams.
+
+    ``encode_startup`` takes the service, the upstream and the tenant, empty without tenants.
+    """
 
     read_client: Callable[[], ClientReader]
     read_upstream: Callable[[], UpstreamReader]
     encode_accepted: Callable[[], bytes]
     encode_refused: Callable[[Error], bytes]
     encode_answer: Callable[[AnswerStatement], bytes]
-    encode_startup: Callable[[str, str], bytes]
+    encode_startup: Callable[[str, str, str], bytes]
     encode_statement: Callable[[UpstreamStatement], bytes]
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -98,6 +98,7 @@
     state: GatewayState
     now_ms: int = START_MS
     upstream_of: dict[int, str] = field(default_factory=dict)
+    tenant_of: dict[int, str] = field(default_factory=dict)
     opening: list[int] = field(default_factory=list)
     sent: list[Sent] = field(default_factory=list)
     writes: list[list[StatementKind]] = field(default_factory=list)
@@ -119,6 +120,7 @@
     def _record_effect(self, effect):
         if isinstance(effect, OpenConnection):
             self.upstream_of[effect.connection] = effect.upstream
+            self.tenant_of[effect.connection] = effect.tenant
             self.opening.append(effect.connection)
         elif isinstance(effect, SendStatements):
             kinds = [item.statement.kind for item in effect.statements]
@@ -228,9 +230,9 @@
         error = Error(fault, "the connection was reset")
         self.handle(ConnectionBroke(self.now_ms, connection, error))
 
-    def session(self, number, workspace):
+    def session(self, number, workspace, key=""):
         """Open a session."""
-        self.handle(ev.SessionOpened(self.now_ms, number, workspace))
+        self.handle(ev.SessionOpened(self.now_ms, number, workspace, key))
         return number
 
     def send(self, session, kind, **fields):
@@ -259,11 +261,22 @@
 
 
 def ready_gateway(
-    version=1, connections=1, address="10.0.0.9:7000", needs_primary_leases=False, **changes
+    version=1,
+    connections=1,
+    address="10.0.0.9:7000",
+    needs_primary_leases=False,
+    uses_upstream_weights=False,
+    **changes,
 ):
     """Return a gateway with a configuration, three upstreams and open connections."""
     settings = GatewaySettings(
-        address, "b", "dc-a", REGIONS, [CONTROL], needs_primary_leases=needs_primary_leases
+        address,
+        "b",
+        "dc-a",
+        REGIONS,
+        [CONTROL],
+        needs_primary_leases=needs_primary_leases,
+        uses_upstream_weights=uses_upstream_weights,
     )
     gateway = Gateway(GatewayState(settings))
     gateway.tick()
