--- a/tests/test_openings_with_tenants.py
+++ b/tests/test_openings_with_tenants.py
@@ -101,16 +101,20 @@
     assert_that(found.tenant, Equals(displaced))
 
 
-def test_a_tenant_with_the_most_requests_displaces_no_request_of_another():
+def test_a_tenant_with_as_many_requests_displaces_none_of_another():
+    """The last request of the queue is the other tenant's, and its own one leaves."""
     gateway = coordinated_gateway()
-    fill_queue(gateway, 3)
+    open_transactions(gateway, (1, 5))
+    for session in (2, 6):
+        gateway.send(session, K.WRITE)
     state = gateway.state
-    last = state.sessions[6].current
-    request = last.__class__(
-        4, last.statement, last.route._replace(priority=-1), 0, gateway.now_ms + 500, 999
+    own, other = state.sessions[2].current, state.sessions[6].current
+    assert_that(max(state.queues["orders"].primary).request is other, Equals(True))
+    request = own.__class__(
+        4, own.statement, own.route._replace(priority=-1), 0, gateway.now_ms + 500, 999
     )
     request.tenant = "alice"
-    assert_that(load_shedding.find_displaced(state, request) is last, Equals(False))
+    assert_that(load_shedding.find_displaced(state, request) is own, Equals(True))
 
 
 def test_the_position_in_the_queue_is_the_one_that_adding_gives():
