--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -27,7 +27,14 @@
     WatermarkNote,
 )
 from ..positions import Position
-from . import departures, primary_leases, probes, quota_reserves, upstream_weights
+from . import (
+    connection_demand,
+    departures,
+    primary_leases,
+    probes,
+    quota_reserves,
+    upstream_weights,
+)
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
 from .service_state import Peer, PendingReport
@@ -83,6 +90,7 @@
         share.gateways,
         share.contended,
         share.wanted,
+        share.demand,
         share.upstream_counts,
     )
     _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
@@ -129,6 +137,7 @@
         directory_state.gateway_centres[request.gateway] = request.data_centre
     directory_state.writes_failing[request.gateway] = request.writes_failing
     directory_state.wanted[request.gateway] = request.wanted
+    connection_demand.record(state, now_ms, request.gateway, request.demand)
     upstream_weights.record(state, now_ms, request)
     _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
     _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
@@ -155,6 +164,7 @@
         count_gateways(state, now_ms),
         _contended(state, now_ms),
         _neighbours(state, request.data_centre),
+        connection_demand.total(state, now_ms, count_gateways(state, now_ms), request.demand),
         upstream_weights.answer_weights(state, now_ms),
     )
     effects: list[Effect] = []
@@ -184,9 +194,11 @@
     )
     contended = _own_contended(state, now_ms)
     effects += _share_acknowledged(state, now_ms, failing)
+    own_gateways = _count_own_gateways(state, now_ms)
     is_new = (
         failing != directory_state.failing_shared
         or not contended <= directory_state.contended_shared
+        or connection_demand.must_share(state, now_ms, own_gateways)
         or upstream_weights.needs_early_share(state, now_ms)
     )
     if now_ms < directory_state.share_due_ms and not is_new:
@@ -227,6 +239,7 @@
             del last_contact_ms[address]
             state.directory_state.writes_failing.pop(address, None)
             state.directory_state.wanted.pop(address, None)
+            state.directory_state.demand.pop(address, None)
             state.directory_state.gateway_centres.pop(address, None)
     return len(last_contact_ms)
 
@@ -312,6 +325,7 @@
         sorted(_own_contended(state, now_ms)),
         _sum_counts(state.directory_state.wanted.values()),
         dict(state.directory_state.acknowledged),
+        connection_demand.own(state),
         upstream_weights.shared_counts(state, now_ms),
     )
 
--- a/packages/core/src/endivewick_core/gateway/fair_queue.py
+++ b/packages/core/src/endivewick_core/gateway/fair_queue.py
@@ -31,6 +31,25 @@
     return waiting < free
 
 
+def position(
+    state: GatewayState, queue: ServiceQueue, session: Session, request: Request
+) -> tuple[int, int, int, int]:
+    """Return the first fields of the ``QueuedRequest`` that ``add`` would queue a request as."""
+    is_pinned = session.connection is not None
+    priority = PINNED_PRIORITY if is_pinned else request.route.priority
+    if not session.tenant or is_pinned:
+        return priority, 0, 0, request.serial
+    tenant_priority = tenants.priority(state.configuration, session.tenant)
+    turns = queue.turns.get((needs_primary(session, request), priority, tenant_priority), Turns())
+    turn = _next_turn(turns, session.tenant) if request.turn is None else request.turn
+    return priority, tenant_priority, turn, request.serial
+
+
+def precedes(item: QueuedRequest, position: tuple[int, int, int, int]) -> bool:
+    """Tell whether a queued request comes before one with the given ``position``."""
+    return (item.priority, item.tenant_priority, item.turn, item.serial) < position
+
+
 def add(state: GatewayState, queue: ServiceQueue, session: Session, request: Request) -> None:
     """Add a request to its service's queue; one that was queued before keeps its turn."""
     for_primary = needs_primary(session, request)
@@ -65,11 +84,15 @@
         turns.last.clear()
 
 
+def _next_turn(turns: Turns, tenant: str) -> int:
+    return max(turns.served, turns.last.get(tenant, -1) + 1)
+
+
 def _take_turn(turns: Turns, request: Request) -> int:
     tenant = request.tenant
     turns.waiting[tenant] = turns.waiting.get(tenant, 0) + 1
     if request.turn is None:
-        request.turn = max(turns.served, turns.last.get(tenant, -1) + 1)
+        request.turn = _next_turn(turns, tenant)
         turns.last[tenant] = request.turn
     else:
         turns.last.setdefault(tenant, turns.served)
--- a/packages/core/src/endivewick_core/gateway/pool.py
+++ b/packages/core/src/endivewick_core/gateway/pool.py
@@ -19,8 +19,15 @@
     UpstreamStatement,
     internal_statement,
 )
-from . import limits, primary_leases, tenant_connections, tenants
-from .effects import CloseConnection, Effect, LogEvent, OpenConnection, SendStatements
+from . import (
+    connection_admission,
+    limits,
+    load_shedding,
+    primary_leases,
+    tenant_connections,
+    tenants,
+)
+from .effects import CloseConnection, Effect, OpenConnection, SendStatements
 from .state import (
     Connection,
     GatewayState,
@@ -69,8 +76,8 @@
     if excess > 0 and (not tenant or len(pool.idle) < excess):
         return []
     opening = sum(1 for item in pool.connections.values() if not item.is_open)
-    limit = MAX_OPENING_CONNECTIONS if tenant else min(MAX_OPENING_CONNECTIONS, max(1, wanted))
-    if opening >= limit:
+    limit = connection_admission.max_opening(state, pool, MAX_OPENING_CONNECTIONS)
+    if opening >= (limit if tenant else min(limit, max(1, wanted))):
         return []
     effects: list[Effect] = []
     if request is not None and tenant:
@@ -81,7 +88,7 @@
             if not evicted:
                 return []
             for item in evicted:
-                effects.append(_eviction_event(now_ms, item, request))
+                effects.append(tenant_connections.eviction_event(now_ms, item, request))
                 effects += close(state, item)
     connection = Connection(
         state.next_connection,
@@ -96,19 +103,7 @@
     state.connections[connection.number] = connection
     address = entry.report.address
     opened = OpenConnection(connection.number, address, pool.service, pool.upstream, tenant)
-    return [*effects, opened]
-
-
-def _eviction_event(now_ms: int, connection: Connection, request: Request) -> LogEvent:
-    inputs: dict[str, object] = {
-        "upstream": connection.upstream,
-        "of_tenant": connection.tenant,
-        "for_tenant": request.tenant,
-        "idle_ms": now_ms - connection.last_used_ms,
-        "waited_ms": now_ms - request.received_ms,
-    }
-    request_id, workspace = request.statement.request_id, request.route.workspace
-    return LogEvent("info", "connection_evicted", request_id, workspace, inputs, "closed")
+    return [*effects, *connection_admission.log_opening(state, now_ms, pool), opened]
 
 
 def take_idle(pool: UpstreamPool, session: Session) -> Connection | None:
@@ -149,6 +144,7 @@
     Nothing is sent behind a write or a COMMIT before its answer: if that answer is lost, the
     refusal of the next statement would be taken for the refusal of the write, which has run.
     """
+    load_shedding.record_taken(now_ms, connection)
     single = session.state is TransactionState.IDLE
     batch: Batch = []
     if single and (request.is_write or wait_for is not None):
@@ -252,6 +248,7 @@
     pool = state.pools[connection.upstream]
     connection.session = None
     connection.idle_since_ms = now_ms
+    load_shedding.record_released(now_ms, pool, connection)
     above = pool.upstream in state.control.contended and limits.is_above_share(state, pool)
     may_keep = tenants.may_keep_connection(state, connection.tenant)
     if above or not accepts_work(state, pool) or not may_keep:
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -17,7 +17,9 @@
 from . import (
     answers,
     commit_confirmations,
+    connection_admission,
     forwarding,
+    load_shedding,
     pool,
     primary_leases,
     routing,
@@ -42,9 +44,6 @@
 RETRY_BUDGET_PER_ANSWER = 0.1
 MAX_RETRY_BUDGET = 20.0  # reads that may be sent again in a burst
 FORWARDED_REFUSAL_MARGIN_MS = 120  # a tick, and the way to a gateway under load
-CONNECT_BACKOFF_MS = 100  # base of the pause after failed connections; doubles with each failure
-MAX_CONNECT_BACKOFF_MS = 2_000  # so that an upstream that recovered is found in time
-MOVED_BACKOFF_MS = 1_000  # after another upstream answered; a report corrects the address
 
 
 def handle_opened(state: GatewayState, event: ConnectionOpened) -> list[Effect]:
@@ -56,6 +55,7 @@
     connection.last_received_ms = event.now_ms
     item = state.pools[connection.upstream]
     item.connect_failures = 0
+    item.opening.refusals = 0
     upstream_health.record_opened(item, event.now_ms)
     if pool.is_primary(state, item):
         state.unreachable_since_ms.pop(item.service, None)
@@ -119,10 +119,11 @@
             item.limit_reached_ms = now_ms
         elif pool.is_primary(state, item):
             state.unreachable_since_ms.setdefault(item.service, now_ms)
-        item.connect_backoff_until_ms = now_ms + _connect_backoff_ms(
-            state, item.connect_failures, event.error.fault
+        item.connect_backoff_until_ms = now_ms + connection_admission.connect_backoff_ms(
+            state, item, event.error.fault
         )
     inputs: dict[str, object] = {
+        **connection_admission.describe_refusals(state, now_ms, item),
         "upstream": connection.upstream,
         "service": item.service,
         "was_open": connection.is_open,
@@ -208,6 +209,7 @@
 ) -> list[Effect]:
     item = state.pools[connection.upstream]
     item.running -= 1
+    connection_admission.record_answer_time(state, item, pending.sent_ms)
     request = pending.request
     if request is not None and request.changes_data:
         state.unanswered_write_since_ms.pop(item.service, None)
@@ -344,7 +346,8 @@
             "no upstream accepted the statement in time; "
             f"last refusal: {request.last_refusal or 'none'}"
         )
-        error = Error(Fault.BUSY, text, routing.RETRY_AFTER_MS)
+        retry_after_ms = load_shedding.retry_after_ms(state, request, routing.RETRY_AFTER_MS)
+        error = Error(Fault.BUSY, text, retry_after_ms)
         return routing.refuse(state, now_ms, request, error)
     error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
     if commit_confirmations.is_waiting(state, request):
@@ -357,11 +360,3 @@
     if connection is not None:
         effects += pool.close(state, connection)
     return effects
-
-
-def _connect_backoff_ms(state: GatewayState, connect_failures: int, fault: Fault) -> int:
-    if fault is Fault.TOO_MANY_CONNECTIONS:
-        return state.settings.connection_limit_backoff_ms
-    if fault is Fault.MOVED:
-        return MOVED_BACKOFF_MS
-    return min(MAX_CONNECT_BACKOFF_MS, CONNECT_BACKOFF_MS * 2 ** min(connect_failures, 5))
--- a/packages/core/src/endivewick_core/gateway/routing.py
+++ b/packages/core/src/endivewick_core/gateway/routing.py
@@ -15,11 +15,14 @@
 from ..watermarks import required_position
 from . import (
     answers,
+    connection_admission,
     fair_queue,
     forwarding,
+    load_shedding,
     pool,
     primary_leases,
     primary_waits,
+    queue_order,
     quota_tokens,
     tenant_connections,
     tenant_holders,
@@ -69,6 +72,13 @@
 
 def route_request(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Send a request upstream, or queue it until a connection is available."""
+    if queue_order.precedes(state, request):
+        before = dispatch_queued(state, now_ms, request.route.service)
+        return before + _route_now(state, now_ms, request)
+    return _route_now(state, now_ms, request)
+
+
+def _route_now(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     session = state.sessions[request.session]
     result = _try_route(state, now_ms, session, request)
     if result.is_routed:
@@ -95,13 +105,31 @@
 def enqueue(state: GatewayState, now_ms: int, request: Request) -> list[Effect]:
     """Queue a request until a connection is available, or refuse it if the queue is full."""
     session = state.sessions[request.session]
+    effects: list[Effect] = []
     if not fair_queue.has_space(state, session, request):
-        error = Error(Fault.BUSY, "too many statements are queued in this gateway", RETRY_AFTER_MS)
-        return refuse(state, now_ms, request, error)
+        displaced = load_shedding.find_displaced(state, request)
+        refused = displaced or request
+        retry_after_ms = load_shedding.retry_after_ms(state, refused, RETRY_AFTER_MS)
+        error = Error(Fault.BUSY, "too many statements are queued in this gateway", retry_after_ms)
+        effects += refuse(state, now_ms, refused, error)
+        if displaced is None:
+            return effects
     queue = state.queues.setdefault(request.route.service, ServiceQueue())
+    heap = queue.primary if needs_primary(session, request) else queue.reads
+    shed = load_shedding.refusal(state, now_ms, session, request, heap, RETRY_AFTER_MS)
+    if shed is not None:
+        return [*effects, shed[1], *refuse(state, now_ms, request, shed[0])]
     fair_queue.add(state, queue, session, request)
     state.queued += 1
-    return []
+    return effects
+
+
+def shed_overdue(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Refuse the waiting requests that can't be served before their deadline any more."""
+    effects: list[Effect] = []
+    for request, error, log_event in load_shedding.find_overdue(state, now_ms, RETRY_AFTER_MS):
+        effects += [log_event, *refuse(state, now_ms, request, error)]
+    return effects
 
 
 def _is_forwarded(state: GatewayState, now_ms: int, session: Session, request: Request) -> bool:
@@ -116,9 +144,12 @@
     queue = state.queues.get(service)
     if queue is None:
         return []
-    effects = _dispatch_heap(state, now_ms, queue.primary)
-    max_blocked = upstream_health.max_blocked_reads(state)
-    return effects + _dispatch_heap(state, now_ms, queue.reads, max_blocked)
+    effects: list[Effect] = []
+    max_blocked_reads = upstream_health.max_blocked_reads(state)
+    for heap in queue_order.order_heaps(state, queue.primary, queue.reads):
+        max_blocked = max_blocked_reads if heap is queue.reads else 1
+        effects += _dispatch_heap(state, now_ms, heap, max_blocked)
+    return effects
 
 
 def end_transaction(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
@@ -303,7 +334,7 @@
             continue
         is_primary = pool.is_primary(state, item)
         has_replica = has_replica or not is_primary
-        if now_ms < item.busy_backoff_until_ms:
+        if now_ms < item.busy_backoff_until_ms or connection_admission.is_full(state, item):
             continue
         if not is_primary and now_ms < item.lagging_backoff_until_ms:
             continue
@@ -374,6 +405,8 @@
     item = state.pools.get(upstream)
     if item is None or not pool.accepts_work(state, item) or now_ms < item.busy_backoff_until_ms:
         return RoutingResult(False, [])
+    if connection_admission.is_full(state, item):
+        return RoutingResult(False, [])
     if wait_for is None:
         if now_ms < item.read_only_backoff_until_ms:
             return RoutingResult(False, [])
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..directory import Directory
-from ..messages import ControlPeer
+from ..messages import ConnectionDemand, ControlPeer
 from ..positions import Position
 from ..primary_leases import PrimaryLeases
 from ..routes import EMPTY, Configuration, Route
@@ -58,6 +58,11 @@
     commits_need_leases: bool = False
     # Whether the platform leaves former primaries running, so that a lease proves which one leads.
     needs_primary_leases: bool = False
+    # Whether connections are opened, and waiting requests refused, as all gateways together allow.
+    coordinates_connections: bool = False
+    # With fewer connections for each gateway, connection holders run statements for the others; a
+    # gateway with less than one connection can't serve by itself.
+    min_connection_share: int = 1
     # Whether outcomes are reported to control, and reads distributed by the weights of upstreams.
     uses_upstream_weights: bool = False
 
@@ -174,7 +179,7 @@
     ``is_used`` is set once a session ran statements in the transaction, ``is_unused`` until the
     connection ran its first statement, and ``is_dirty`` once
     values must be reset before the next session. ``next_request`` waits for the answers to the
-    statements that prepare the connection for it.
+    statements that prepare the connection for it. ``taken_ms`` is since when a session occupies it.
     """
 
     number: int
@@ -192,11 +197,35 @@
     pending: deque[PendingStatement] = field(default_factory=deque)
     next_request: Request | None = None
     idle_since_ms: int = 0
+    taken_ms: int | None = None
     last_used_ms: int = 0
     is_unused: bool = True
     last_received_ms: int = 0
 
 
+@dataclass(slots=True)
+class OpeningState:
+    """What ``connection_admission`` knows about one upstream.
+
+    ``extra`` is how many connections above its share this gateway may have, as drawn at
+    ``drawn_ms`` for the ``draws``-th time. ``reported_unmet`` is how many it wanted above what it
+    claimed, at its last poll. ``refusals`` counts the consecutive openings that were refused for
+    the connection limit. ``known_since_ms`` is since when the pool could be opened to.
+    ``newest_answered_ms`` is when the newest answered statement was sent. ``hold_ms`` is the mean
+    of the ``holds`` times for which a request occupied a connection.
+    """
+
+    extra: int = 0
+    drawn_ms: int = 0
+    draws: int = 0
+    reported_unmet: int = 0
+    refusals: int = 0
+    known_since_ms: int | None = None
+    newest_answered_ms: int = 0
+    holds: int = 0
+    hold_ms: float = 0.0
+
+
 @dataclass(slots=True)
 class UpstreamPool:
     """A gateway's connections to one upstream, and the upstream's recent latency and failures.
@@ -223,6 +252,7 @@
     allowance: int = 0
     allowance_raised_ms: int = 0
     limit_reached_ms: int | None = None
+    opening: OpeningState = field(default_factory=OpeningState)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
 
 
@@ -247,7 +277,9 @@
     ``leader_contact_ms`` is when the polled control processes last had contact with their leader.
 
     ``contended`` gives, for each upstream that refused a gateway lately, how many connections all
-    gateways want together.
+    gateways want together. ``demand`` is the demand of all gateways for connections, received at
+    ``demand_received_ms``; None until control knows it. ``first_answer_ms`` is when control first
+    answered, and ``counted_gateways`` the number of gateways that came with ``demand``.
     """
 
     address: str = ""
@@ -264,6 +296,10 @@
     boot: str = ""
     revision: int = 0
     gateways: int = 1
+    demand: dict[str, ConnectionDemand] | None = None
+    demand_received_ms: int = 0
+    first_answer_ms: int | None = None
+    counted_gateways: int = 0
     contended: dict[str, int] = field(default_factory=dict)
     neighbours: tuple[str, ...] = ()
     ranked_holders: dict[str, list[str]] = field(default_factory=dict)
@@ -401,6 +437,7 @@
     queued: int = 0
     retry_budget: float = 10.0
     next_sweep_ms: int = 0
+    next_shedding_ms: int = 0
     silence_checked_ms: int = 0
     draining_since_ms: int | None = None
     drain_grace_ms: int = 0
--- a/packages/core/src/endivewick_core/gateway/tenant_connections.py
+++ b/packages/core/src/endivewick_core/gateway/tenant_connections.py
@@ -6,6 +6,7 @@
 """
 
 from . import limits, tenants
+from .effects import LogEvent
 from .requests import needs_primary
 from .state import Connection, GatewayState, Purpose, Request, UpstreamPool
 
@@ -35,7 +36,10 @@
 
 def has_room(state: GatewayState, now_ms: int, pool: UpstreamPool, request: Request) -> bool:
     """Tell whether a connection for a request's tenant may be opened without waiting for one."""
-    if len(pool.connections) < max(1, limits.share(state, pool)):
+    room = max(1, limits.share(state, pool))
+    if state.settings.coordinates_connections:
+        room = limits.allowance(state, now_ms, pool)
+    if len(pool.connections) < room:
         return True
     return bool(pool.idle and _evictable(state, now_ms, pool, request))
 
@@ -54,6 +58,19 @@
     return candidates[:count] if len(candidates) >= count else []
 
 
+def eviction_event(now_ms: int, connection: Connection, request: Request) -> LogEvent:
+    """Return the log line of an idle connection that is closed for a request's tenant."""
+    inputs: dict[str, object] = {
+        "upstream": connection.upstream,
+        "of_tenant": connection.tenant,
+        "for_tenant": request.tenant,
+        "idle_ms": now_ms - connection.last_used_ms,
+        "waited_ms": now_ms - request.received_ms,
+    }
+    request_id, workspace = request.statement.request_id, request.route.workspace
+    return LogEvent("info", "connection_evicted", request_id, workspace, inputs, "closed")
+
+
 def may_open(state: GatewayState, now_ms: int, request: Request) -> bool:
     """Tell whether fewer connections become available to a request's tenant than it waits for.
 
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -326,6 +326,17 @@
     gateways_failing: int
 
 
+class ConnectionDemand(NamedTuple):
+    """How many connections to an upstream are claimed, and how many more are wanted.
+
+    It is one gateway's, or the sum over many. A gateway claims its share and what it has above it.
+    ``unmet`` is what it wants above that.
+    """
+
+    claimed: int
+    unmet: int
+
+
 class DirectoryQuestion(NamedTuple):
     """A gateway's request to a control process for everything that changed since ``revision``.
 
@@ -335,8 +346,9 @@
     limit was reached, and ``writes_failing`` the services whose writes have had no response for
     some time. ``wanted`` is the number of connections that the gateway wants, by upstream.
     ``acknowledged`` is the highest position at which the gateway has acknowledged a commit, by
-    service. ``upstream_counts`` are the outcomes of statements since the last poll, by upstream;
-    those without a change are left out.
+    service. ``demand`` is the gateway's demand for connections by upstream; it is empty where
+    openings are not coordinated. ``upstream_counts`` are the outcomes of statements since the last
+    poll, by upstream; those without a change are left out.
     """
 
     gateway: str
@@ -350,6 +362,7 @@
     wanted: dict[str, int]
     is_draining: bool
     acknowledged: dict[str, Position] = {}
+    demand: dict[str, ConnectionDemand] = {}
     upstream_counts: dict[str, UpstreamCounts] = {}
 
 
@@ -363,8 +376,11 @@
     with the control leader; it is 0 from the leader. ``gateways`` is the number of gateways that
     share the connections of each upstream. ``contended`` maps each upstream that recently refused
     connections to a gateway to the number of connections that all gateways want from it.
-    ``neighbours`` lists the gateways in the receiver's data centre. ``upstream_weights`` holds the
-    upstreams that should get less than their usual share of reads, or have few free slots.
+    ``neighbours`` lists the gateways in the receiver's data centre. ``demand`` is the demand of all
+    gateways for connections to the upstreams that some gateway wants more of; it is None while the
+    number of gateways isn't known yet, and where openings are not coordinated.
+    ``upstream_weights`` holds the upstreams that should get less than their usual share of reads,
+    or have few free slots.
     """
 
     sequence: int
@@ -379,6 +395,7 @@
     gateways: int
     contended: dict[str, int]
     neighbours: list[str]
+    demand: dict[str, ConnectionDemand] | None = None
     upstream_weights: dict[str, UpstreamWeight] = {}
 
 
@@ -431,8 +448,9 @@
     the directory from the sender, ``contended`` names the upstreams that recently refused
     connections to them, and ``wanted`` is the number of connections that they want together, by
     upstream. ``acknowledged`` is the highest position at which any gateway is known to have
-    acknowledged a commit, by service. ``upstream_counts`` are the aged outcomes of statements of
-    the sender's gateways, by upstream, as of the moment of sending.
+    acknowledged a commit, by service. ``demand`` is the demand for connections of those gateways
+    together, by upstream. ``upstream_counts`` are the aged outcomes of statements of the sender's
+    gateways, by upstream, as of the moment of sending.
     """
 
     sender: ControlPeer
@@ -443,6 +461,7 @@
     contended: list[str]
     wanted: dict[str, int]
     acknowledged: dict[str, Position] = {}
+    demand: dict[str, ConnectionDemand] = {}
     upstream_counts: dict[str, UpstreamCounts] = {}
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -349,6 +349,21 @@
     assert_that((settings.grace_ms, settings.lost_disks), Equals((6_000, 1)))
 
 
+@pytest.mark.parametrize("features", [None, [], ["weights"], ["weights", "openings"]])
+def test_connections_are_coordinated_only_as_a_feature(settings_file, features):
+    """Deployments without the feature must be served exactly as before."""
+    line = "" if features is None else f"endivewick-features = {features}\n"
+    line += 'policies = ["pool"]\n'
+    settings = load_settings(settings_file(SETTINGS.replace("[zones]", f"{line}[zones]")))
+    gateway = gateway_options(settings).settings
+    is_on = "openings" in (features or [])
+    assert_that(gateway.coordinates_connections, Equals(is_on))
+    assert_that(gateway.min_connection_share, Equals(2 if is_on else 1))
+    settings = settings._replace(platform_address="10.0.0.1:80")
+    control = control_options(settings).control
+    assert_that(control.coordinates_connections, Equals(is_on))
+
+
 @pytest.mark.parametrize(
     ("features", "is_on"),
     [
