--- a/tests/test_tenant_holders.py
+++ b/tests/test_tenant_holders.py
@@ -3,7 +3,7 @@
 import pytest
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway import holders, tenant_holders
-from endivewick_core.messages import ForwardedStatement
+from endivewick_core.messages import ForwardedStatement, QuotaAnswer, QuotaQuestion, TokenAnswer
 from endivewick_core.routes import Tenant
 from endivewick_core.statements import StatementKind
 from gateway_driver import SERVICE, ready_gateway
@@ -83,6 +83,9 @@
     tenant = next(name for name in TENANTS if holder_of(first, name) != address_of(first))
     first.session(1, "strict", f"key-{tenant}")
     first.send(1, K.WRITE)
+    asked = [item.message for item in first.messages if isinstance(item.message, QuotaQuestion)]
+    token = QuotaAnswer(asked[0].boot, asked[0].sequence, {tenant: TokenAnswer(1)})
+    first.handle(ev.MessageReceived(first.now_ms, token))
     sent = [item for item in first.messages if isinstance(item.message, ForwardedStatement)]
     assert_that([item.address for item in sent], Equals([address_of(second)]))
     second.handle(ev.MessageReceived(second.now_ms, sent[0].message))
