--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -31,6 +31,7 @@
 REPORT_TIME_MS = (
     700  # in which members that reach a new leader have reported: two of their requests
 )
+RESERVE_LEASE_MS = 1_500  # some requests of the control process that reports it
 UNREPORTED = "unreported"  # stands for the members that have not reported
 CLOCK_MARGIN_MS = 100  # that the leader waits longer, since its clock may be faster
 # What is divided by demand. The rest serves processes whose demand has just begun or varies.
@@ -144,6 +145,18 @@
     return [LogEvent("info", "quotas_divided", text, inputs)]
 
 
+def _reserve_for_silent(
+    division: Division, now_ms: int, limit: TokenLimit, holder: str, rate_per_s: float
+) -> None:
+    """Reserve what the gateways go on to use that a control process doesn't hear from."""
+    if division.grants.pop(holder, None) is not None:
+        del division.used[holder]
+    if rate_per_s <= 0 or limit.rate_per_s <= 0:
+        return
+    rate_ppm = min(WHOLE_PPM, int(WHOLE_PPM * rate_per_s / limit.rate_per_s))
+    hold(division, holder, Grant(0, Part(rate_ppm, 0), now_ms + RESERVE_LEASE_MS))
+
+
 def _reserve_unreported(leader: LeaderQuotas, division: Division) -> None:
     """Reserve all that the reported shares leave, for members that have not reported."""
     grant = Grant(0, rest(division, UNREPORTED), leader.unknown_until_ms)
@@ -166,6 +179,7 @@
     if report.serial and all(grant.serial != report.serial for grant in known):
         hold(division, holder, Grant(report.serial, held, until_ms))
     confirm(division, holder, report.serial)
+    _reserve_for_silent(division, now_ms, limit, f"{holder} silent", report.reserved_per_s)
     refresh(division, now_ms, limit, not leader.is_complete)
     division.demands[holder] = report.demand_per_s
     leader.grants_given += 1
--- a/packages/core/src/endivewick_core/control/quota_state.py
+++ b/packages/core/src/endivewick_core/control/quota_state.py
@@ -48,11 +48,10 @@
 class SilentGateway:
     """The tokens that a gateway was given, by tenant, and when it was last heard from.
 
-    While it is silent, ``owed`` is its rate by tenant, reserved until ``reserved_ms``.
+    While it is silent, ``owed`` is its rate by tenant before.
     """
 
     contact_ms: int
-    reserved_ms: int
     usage: dict[str, Usage] = field(default_factory=dict)
     owed: dict[str, float] = field(default_factory=dict)
 
@@ -84,8 +83,8 @@
     ``full_sequence`` is the last question that reported every share. ``asked_term`` is the highest
     term whose leader was asked, ``reported_term`` the one whose leader knows every share held.
 
-    ``gateways`` are those that were given tokens. ``reserve_debts`` are the tokens by tenant that
-    silent gateways may have used and that the shares could not cover yet.
+    ``gateways`` are those that were given tokens. ``reserved`` is what those that are silent may go
+    on to use, in operations a second by tenant.
     """
 
     shares: dict[str, HeldShare] = field(default_factory=dict)
@@ -99,4 +98,4 @@
     stock_due_ms: int = 0
     leader: LeaderQuotas = field(default_factory=LeaderQuotas)
     gateways: dict[str, SilentGateway] = field(default_factory=dict)
-    reserve_debts: dict[str, float] = field(default_factory=dict)
+    reserved: dict[str, float] = field(default_factory=dict)
--- a/packages/core/src/endivewick_core/control/quotas.py
+++ b/packages/core/src/endivewick_core/control/quotas.py
@@ -56,14 +56,21 @@
     if now_ms >= quotas.renewal_due_ms:
         quotas.renewal_due_ms = now_ms + RENEWAL_INTERVAL_MS
         _update_tenants(state, now_ms)
-        _reserve_for_silent(state, now_ms)
+        ended = quotas.reserved.keys()
+        quotas.reserved = quota_reserves.reserved_per_s(state, now_ms)
         quota_shares.remove_unlimited(state, now_ms)
-        due = _due_renewals(quotas, now_ms)
+        reserved = {tenant for tenant in ended | quotas.reserved.keys() if tenant in limits}
+        due = sorted(reserved.union(_due_renewals(quotas, now_ms)))
     return effects + _ask_leader(state, now_ms, due)
 
 
 def handle_question(state: ControlState, now_ms: int, question: QuotaQuestion) -> list[Effect]:
-    """Give a gateway the tokens that are there; the rest of its operations wait for the leader."""
+    """Give a gateway the tokens that are there; the rest of its operations wait for the leader.
+
+    A question without needs is the last one of a gateway that asks another process now.
+    """
+    if not question.needs:
+        quota_reserves.note_departure(state, question.gateway)
     configuration = state.replicated_state.configuration
     answers: dict[str, TokenAnswer] = {}
     effects: list[Effect] = []
@@ -286,29 +293,6 @@
             del quotas.sent_ms[sequence]
 
 
-def _reserve_for_silent(state: ControlState, now_ms: int) -> None:
-    """Take from the shares what gateways that are not heard from may have used."""
-    quotas = state.quotas
-    limits = state.replicated_state.configuration.limits
-    due = quota_reserves.due_reserves(state, now_ms)
-    for tenant in due.keys() | quotas.reserve_debts.keys():
-        limit = limits.get(tenant)
-        if limit is None:
-            quotas.reserve_debts.pop(tenant, None)
-            continue
-        share = _held_share(state, now_ms, tenant)
-        _demand_per_s(share, now_ms)
-        share.demand += due.get(tenant, 0.0)
-        debt = due.get(tenant, 0.0) + quotas.reserve_debts.pop(tenant, 0.0)
-        bucket = _bucket(share, now_ms, limit)
-        paid = min(debt, bucket.level)
-        bucket.level -= paid
-        # A debt of more than a window's excess could not be made good in time.
-        debt = min(debt - paid, limit.rate_per_s)
-        if debt > 0:
-            quotas.reserve_debts[tenant] = debt
-
-
 def _due_renewals(quotas: QuotaState, now_ms: int) -> list[str]:
     due: list[str] = []
     for tenant, share in quotas.shares.items():
@@ -384,4 +368,5 @@
         _demand_per_s(share, now_ms),
         bucket.level,
         sum(need.count for need in share.waiting),
+        round(state.quotas.reserved.get(tenant, 0.0), 3),
     )
--- a/packages/core/src/endivewick_core/gateway/quota_state.py
+++ b/packages/core/src/endivewick_core/gateway/quota_state.py
@@ -34,8 +34,13 @@
 
 @dataclass(slots=True)
 class QuotaState:
-    """The tokens by tenant; ``sent_ms`` is when each of the last questions was sent."""
+    """The tokens by tenant.
+
+    ``sent_ms`` is when each of the last questions was sent, ``asked_address`` the control process
+    that was asked last.
+    """
 
     tenants: dict[str, TenantTokens] = field(default_factory=dict)
     sequence: int = 0
     sent_ms: dict[int, int] = field(default_factory=dict)
+    asked_address: str = ""
--- a/packages/core/src/endivewick_core/gateway/quotas.py
+++ b/packages/core/src/endivewick_core/gateway/quotas.py
@@ -220,6 +220,7 @@
             needs[tenant] = need
     if not needs or not state.control.address:
         return []
+    effects = _leave_previous(state)
     quotas.sequence += 1
     quotas.sent_ms[quotas.sequence] = now_ms
     for tenant, need in needs.items():
@@ -231,7 +232,18 @@
         state.configuration.version,
         needs,
     )
-    return [Send(state.control.address, question)]
+    return [*effects, Send(state.control.address, question)]
+
+
+def _leave_previous(state: GatewayState) -> list[Effect]:
+    """Tell the control process that was asked before that it need not reserve anything."""
+    previous, state.quotas.asked_address = state.quotas.asked_address, state.control.address
+    if previous in ("", state.control.address):
+        return []
+    settings = state.settings
+    version = state.configuration.version
+    question = QuotaQuestion(settings.address, settings.boot, 0, version, {})
+    return [Send(previous, question)]
 
 
 def _need(state: GatewayState, now_ms: int, tokens: TenantTokens) -> TokenNeed | None:
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -572,7 +572,8 @@
 
     ``serial``, ``rate_ppm`` and ``burst_ppm`` are those of the last QuotaShare that it adopted.
     ``demand_per_s`` is what its gateways lately asked for, ``level`` the tokens that it has, and
-    ``needed`` how many more its gateways wait for.
+    ``needed`` how many more its gateways wait for. ``reserved_per_s`` is the rate at which gateways
+    that it doesn't hear from may go on, beside its share.
     """
 
     serial: int
@@ -581,6 +582,7 @@
     demand_per_s: float
     level: float
     needed: int
+    reserved_per_s: float = 0.0
 
 
 class QuotaShareQuestion(NamedTuple):
