--- a/packages/core/src/endivewick_core/control/quota_shares.py
+++ b/packages/core/src/endivewick_core/control/quota_shares.py
@@ -149,8 +149,8 @@
     division: Division, now_ms: int, limit: TokenLimit, holder: str, rate_per_s: float
 ) -> None:
     """Reserve what the gateways go on to use that a control process doesn't hear from."""
-    if division.grants.pop(holder, None) is not None:
-        del division.used[holder]
+    division.grants.pop(holder, None)
+    division.used.pop(holder, None)
     if rate_per_s <= 0 or limit.rate_per_s <= 0:
         return
     rate_ppm = min(WHOLE_PPM, int(WHOLE_PPM * rate_per_s / limit.rate_per_s))
