--- a/tests/test_quota_exploration.py
+++ b/tests/test_quota_exploration.py
@@ -42,6 +42,7 @@
 
     def forget(division, holder, grant):
         division.grants[holder] = [grant]
+        token_buckets._update_used(division, holder)
 
     monkeypatch.setattr(token_buckets, "hold", forget)
     monkeypatch.setattr(quota_shares, "hold", forget)
