--- a/review/stand2/database.py
+++ b/review/stand2/database.py
@@ -169,7 +169,9 @@
         if verb == "BEGIN":
             if statement == "BEGIN" and instance.role != "primary":
                 return self.answer(error="READONLY")
-            self.transaction, self.failed = Transaction(instance.term, statement != "BEGIN"), False
+            number = next(service.numbers)
+            self.transaction = Transaction(number, instance.term, statement != "BEGIN")
+            self.failed = False
             return self.answer()
         if verb not in ("FETCH", "PUT", "EXEC", "COMMIT"):
             return self.answer(error="BADREQ")
@@ -226,7 +228,9 @@
             return self.answer(error="READONLY")
         proof = f"7.{next(service.numbers):x}.{random.getrandbits(32):08x}"
         item, _, data = rest.partition(" ")
-        service.runs.append((request_id, instance.name, statement, shape, self.number))
+        number = transaction.number if transaction is not None else 0
+        values = dict(self.values)
+        service.runs.append((request_id, instance.name, statement, shape, number, values, proof))
         rows = ()
         if kind == "FETCH":
             rows = (self._read(item),)
@@ -264,8 +268,8 @@
 
 
 class Transaction:
-    def __init__(self, term, read_only):
-        self.term, self.read_only = term, read_only
+    def __init__(self, number, term, read_only):
+        self.number, self.term, self.read_only = number, term, read_only
         self.writes, self.ids = [], []
 
 
