--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,7 +22,7 @@
 )
 
 CATCH_UP_S = 4.0  # catch-up-s of the small sites
-STEP_S = CATCH_UP_S + 0.2  # between the start of a successor and the stop of the machine it replaces
+STEP_S = CATCH_UP_S + 0.05  # between the start of a successor and the stop of the machine it replaces
 READ_BACK_S = 30.0  # over twice recovery-s
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import signal
-import socket
 import sys
 from pathlib import Path
 
@@ -26,8 +25,8 @@
 )
 
 MEMORY_MB = 300  # memory-mb of the small sites
-CROWD = 1000  # sessions, of the 4,300 descriptors that a machine has
-MESSAGE = b"QUERY 5c0e7a21d94b36f8 PUT 1a4 " + b"x" * 900_000  # of at most 1 MiB; its end is missing
+CROWD = 1600  # sessions, of the 4,300 descriptors that a machine has
+CLIENTS = 4  # processes that open them; see crowd.py
 ROUNDS = 4
 REST_S = 3.0  # after each crowd
 WATCH_S = 0.02
@@ -59,18 +58,21 @@
         await process.start()
 
 
-async def misbehave(address):
-    """Open a session, send most of one message, and stop."""
-    loop = asyncio.get_running_loop()
-    stream = socket.socket()
-    stream.setblocking(False)
+async def send_crowd(address):
+    """Let the crowd open its sessions at a gateway, and wait until it has ended."""
+    count = str(CROWD // CLIENTS)
+    script = str(FOLDER / "crowd.py")
+    clients = [
+        await asyncio.create_subprocess_exec("python3", script, address, str(FRONT_PORT), count)
+        for _ in range(CLIENTS)
+    ]
     try:
-        await asyncio.wait_for(loop.sock_connect(stream, (address, FRONT_PORT)), 4.0)
-        await asyncio.wait_for(loop.sock_sendall(stream, b"STARTUP purchases u1\r\n" + MESSAGE), 4.0)
-        await asyncio.sleep(1.0)
-    except (OSError, TimeoutError):
-        pass
-    stream.close()
+        for client in clients:
+            await client.wait()
+    finally:
+        for client in clients:
+            if client.returncode is None:
+                client.kill()
 
 
 async def wait_ready(process):
@@ -110,7 +112,7 @@
             system.record(f"{gateway.name} uses {memory_mb(gateway):.0f} MB")
             if TROUBLE:
                 system.record(f"crowd {number + 1}: {CROWD} sessions at {gateway.name} stop half-way")
-                await asyncio.gather(*[misbehave(gateway.ip) for _ in range(CROWD)])
+                await send_crowd(gateway.ip)
             await asyncio.sleep(REST_S)
             system.record(f"an ordinary session at {gateway.name}: {await ordinary(gateway.ip)}")
     for task in watches:
