Tests: log handlers end with the test that sets them up

Cause: test_logs.py set up a log handler on a pipe, closed the pipe and left the handler. Later log lines went to whatever had the descriptor's number by then, also to sockets of test_tenant_wire.

Change: one shared fixture, log_handlers, removes the handlers after a test. Both files that set up logging in the test process use it; no other test does.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from endivewick_bench.checkers import CHECKERS
 from gateway_driver import ready_gateway
 from known_red import pytest_collection_modifyitems as mark_known_red
+from log_handlers import temporary_log_handlers
 from replicated_service import running_service
 
 
@@ -53,6 +54,13 @@
     return f"127.{160 + os.getpid() % 90}.{os.getpid() // 90 % 250}"
 
 
+@pytest.fixture
+def log_handlers():
+    """Return the logger, and remove its handlers after the test."""
+    with temporary_log_handlers() as logger:
+        yield logger
+
+
 @pytest.fixture
 def gateway():
     """Return a gateway with a configuration, three upstreams and open connections."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,6 +5,7 @@
 
 import pytest
 from endivewick_node import logs
+from log_handlers import temporary_log_handlers
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
 
@@ -44,7 +45,20 @@
     assert_that(sum(lost_counts) + written, Equals(502))
 
 
-def test_an_event_is_rate_limited_and_reports_how_many_lines_were_left_out(pipe, monkeypatch):
+# Guards against log lines in a file or socket that has the number of a closed descriptor.
+def test_a_log_handler_ends_with_the_test_that_set_it_up(pipe):
+    read, write = pipe
+    with temporary_log_handlers() as logger:
+        logs.set_up_stream_logs({"vm": "vm-1"}, write)
+        logger.info("during the test")
+    logger.info("after the test")
+    (line,) = read_lines(read)
+    assert_that(line["text"], Equals("during the test"))
+
+
+def test_an_event_is_rate_limited_and_reports_how_many_lines_were_left_out(
+    pipe, log_handlers, monkeypatch
+):
     read, write = pipe
     clock_s = [1_000.0]
     monkeypatch.setattr(logs.time, "monotonic", lambda: clock_s[0])
--- a/tests/test_tenant_wire.py
+++ b/tests/test_tenant_wire.py
@@ -13,7 +13,6 @@
 from endivewick_node.clock import now_ms
 from endivewick_node.gateway_node import GatewayNode, GatewayOptions
 from gateway_driver import PRIMARY, REGIONS, SERVICE, report
-from loguru import logger
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not, StartsWith
 
@@ -148,12 +147,11 @@
 
 
 @pytest.fixture
-def logged():
+def logged(log_handlers):
     """Return the texts and fields of the lines that are logged."""
     records = []
-    handler = logger.add(lambda line: records.append(repr(line.record)))
-    yield records
-    logger.remove(handler)
+    log_handlers.add(lambda line: records.append(repr(line.record)))
+    return records
 
 
 def test_a_revoked_key_is_answered_and_the_connection_closed(process, logged):
