Membership: only a learner in contact replaces a voter, and before it goes

Cause: a learner counted as caught up by its last known position, however old, and the leader removed the voter first. A voter out of reach was so removed for a learner out of reach, which could not be added. Of the four voters that were left two lost their disks.

Change: a learner becomes a voter only while it responds to this leader, and it is added before a voter that may be intact is removed. 2f + 1 and 2f + 2 voters bear f lost disks, 2f don't. The former identity of a wiped machine is gone for certain and is still removed first. More voters than needed go back to the target, which also continues a change that an earlier leader began. Each change logs membership_contact with the age of contact and the position of each member.

The tests simulate the control processes of a site and take away, after each change, every set of disks that may be lost.

--- a/packages/core/src/endivewick_core/control/effects.py
+++ b/packages/core/src/endivewick_core/control/effects.py
@@ -45,6 +45,10 @@
     message: Any
 
 
+class StopProcess(NamedTuple):
+    """End the process: its planned stop needs nothing more."""
+
+
 class AnswerOperator(NamedTuple):
     """Answer an operator's request."""
 
@@ -110,6 +114,7 @@
     | TruncateLog
     | SaveSnapshot
     | Send
+    | StopProcess
     | AnswerOperator
     | LogEvent
     | AnswerConfiguration
--- a/packages/core/src/endivewick_core/control/events.py
+++ b/packages/core/src/endivewick_core/control/events.py
@@ -18,6 +18,13 @@
     random: float
 
 
+class StopRequested(NamedTuple):
+    """The process is to stop, at ``deadline_ms`` at the latest."""
+
+    now_ms: int
+    deadline_ms: int
+
+
 class MessageReceived(NamedTuple):
     """A message of another endivewick process arrived."""
 
@@ -121,6 +128,7 @@
 
 Event = (
     Tick
+    | StopRequested
     | MessageReceived
     | OperatorRequested
     | ReportReceived
--- a/packages/core/src/endivewick_core/control/membership.py
+++ b/packages/core/src/endivewick_core/control/membership.py
@@ -1,17 +1,15 @@
-"""Membership: how an empty control process joins, and how a lost identity is replaced.
+"""Joining: how a control process that is no member becomes a learner.
 
-A process whose disk is empty has a new identity. The leader first replicates the log to it as a
-learner, then removes the lost identity of the same name, and only then makes the new one a voter.
-Each step is one committed change of one member, so consecutive majorities always overlap.
+A process whose disk is empty has a new identity, which the leader adds as a learner. A process that
+was removed while it was down or out of reach joins again with its old identity. ``voter_changes``
+decides which learners become voters.
 """
 
-from ..commands import ChangeMembership
-from ..messages import JoinReply, JoinRequest, Member
-from . import replication
+from ..messages import JoinReply, JoinRequest
+from . import replication, voter_changes
 from .effects import Effect, LogEvent, Send
-from .state import ControlState, Progress, Role, is_voter
+from .state import ControlState, Progress, Role
 
-LOST_IDENTITY_MS = 5_000  # a voter without contact for this long may be replaced
 NO_LEADER_MS = 3_000  # a member without contact to a leader for this long asks to join again
 
 
@@ -22,6 +20,8 @@
     """
     if now_ms < state.join_due_ms or state.role is Role.LEADER:
         return []
+    if state.planned_stop is not None:
+        return []
     state.join_due_ms = now_ms + state.settings.join_interval_ms
     known = state.membership.voters + state.membership.learners
     is_member = any(member.member_id == state.me.member_id for member in known)
@@ -49,7 +49,7 @@
     effects: list[Effect] = [Send(member.address, reply)]
     if state.leader_state is None and not state.settings.members:
         return effects + _forward(state, request)
-    if state.leader_state is None or not _can_change_membership(state):
+    if state.leader_state is None or not voter_changes.can_change(state):
         return effects
     known = state.membership.voters + state.membership.learners
     if any(item.member_id == member.member_id for item in known):
@@ -60,7 +60,7 @@
     )
     text = f"{member.name} joins as a learner with identity {member.member_id}"
     effects.append(LogEvent("info", "learner_added", text))
-    return effects + _propose_membership(
+    return effects + voter_changes.propose(
         state, now_ms, state.membership.voters, [*learners, member]
     )
 
@@ -71,27 +71,6 @@
     return []
 
 
-def check_learners(state: ControlState, now_ms: int) -> list[Effect]:
-    """Promote a learner that has caught up to a voter, in place of the identity that was lost."""
-    leader_state = state.leader_state
-    if leader_state is None or not _can_change_membership(state):
-        return []
-    for learner in state.membership.learners:
-        progress = leader_state.progress.get(learner.member_id)
-        if progress is None or progress.match_index < state.commit_index:
-            continue
-        replaced = [item for item in state.membership.voters if item.name == learner.name]
-        if replaced and state.settings.members and not _is_lost(state, now_ms, replaced[0]):
-            continue
-        if not replaced and not state.settings.members:
-            if len(state.membership.voters) >= state.settings.voter_target:
-                replaced = _lost_voters(state, now_ms)
-                if not replaced:
-                    continue
-        return _replace_or_add(state, now_ms, learner, replaced)
-    return []
-
-
 def _join_addresses(state: ControlState) -> list[str]:
     if state.settings.members:
         others = state.settings.members
@@ -109,48 +88,3 @@
         return []
     address = replication.member_address(state, state.leader)
     return [Send(address, request)] if address else []
-
-
-def _lost_voters(state: ControlState, now_ms: int) -> list[Member]:
-    """Return at most one lost voter, which a learner at another address replaces."""
-    lost = [item for item in state.membership.voters if _is_lost(state, now_ms, item)]
-    return lost[:1]
-
-
-def _replace_or_add(
-    state: ControlState, now_ms: int, learner: Member, replaced: list[Member]
-) -> list[Effect]:
-    membership = state.membership
-    if replaced:
-        voters = [item for item in membership.voters if item not in replaced]
-        log_event = LogEvent(
-            "info", "voter_removed", f"removing the lost identity {replaced[0].member_id}"
-        )
-        return [log_event, *_propose_membership(state, now_ms, voters, membership.learners)]
-    learners = [item for item in membership.learners if item != learner]
-    log_event = LogEvent(
-        "info", "voter_added", f"{learner.member_id} has caught up and becomes a voter"
-    )
-    return [log_event, *_propose_membership(state, now_ms, [*membership.voters, learner], learners)]
-
-
-def _can_change_membership(state: ControlState) -> bool:
-    """Return whether the last membership change and this term's first entry are committed."""
-    leader_state = state.leader_state
-    if leader_state is None or state.commit_index < leader_state.start_index or not is_voter(state):
-        return False
-    return not state.memberships or state.memberships[-1][0] <= state.commit_index
-
-
-def _is_lost(state: ControlState, now_ms: int, member: Member) -> bool:
-    assert state.leader_state is not None
-    if member.member_id == state.me.member_id:
-        return False
-    progress = state.leader_state.progress.get(member.member_id)
-    return progress is None or now_ms - progress.last_contact_ms >= LOST_IDENTITY_MS
-
-
-def _propose_membership(
-    state: ControlState, now_ms: int, voters: list[Member], learners: list[Member]
-) -> list[Effect]:
-    return replication.propose_now(state, now_ms, ChangeMembership(voters, learners))
--- a/packages/core/src/endivewick_core/control/reducer.py
+++ b/packages/core/src/endivewick_core/control/reducer.py
@@ -33,6 +33,7 @@
     quotas,
     replication,
     upstream_weights,
+    voter_changes,
     watch,
 )
 from .effects import Effect, LogEvent
@@ -118,7 +119,7 @@
     if not replication.has_quorum_contact(state, event.now_ms):
         election.schedule_election(state, event.now_ms, event.random)
         return effects + election.become_follower(state, state.term, "")
-    effects += membership.check_learners(state, event.now_ms)
+    effects += voter_changes.check_voters(state, event.now_ms)
     effects += placement.check_homes(state, event.now_ms)
     due = event.now_ms - state.leader_state.round_started_ms >= state.settings.heartbeat_ms
     if due or state.leader_state.round_requested:
--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -28,6 +28,7 @@
     decode_membership,
     encode_membership,
     member_by_id,
+    membership_at,
     peers,
     quorum_size,
 )
@@ -295,20 +296,12 @@
         state.me.member_id,
         state.commit_index,
         last_term,
-        encode_membership(_membership_at(state, state.commit_index)),
+        encode_membership(membership_at(state, state.commit_index)),
         encode_full(state.replicated_state),
         state.leader_state.round_number,
     )
 
 
-def _membership_at(state: ControlState, index: int) -> Membership:
-    latest = state.snapshot_membership
-    for entry_index, membership in state.memberships:
-        if entry_index <= index:
-            latest = membership
-    return latest
-
-
 def _apply_up_to(state: ControlState, now_ms: int, index: int) -> list[Effect]:
     effects: list[Effect] = []
     while state.commit_index < index:
@@ -355,7 +348,7 @@
         return []
     last_term = state.log.term_at(state.commit_index)
     assert last_term is not None
-    membership = _membership_at(state, state.commit_index)
+    membership = membership_at(state, state.commit_index)
     effect = SaveSnapshot(
         state.commit_index,
         last_term,
@@ -363,7 +356,7 @@
         encode_full(state.replicated_state),
     )
     keep_from = state.commit_index - state.settings.entries_kept
-    state.snapshot_membership = _membership_at(state, keep_from)
+    state.snapshot_membership = membership_at(state, keep_from)
     state.memberships = [item for item in state.memberships if item[0] > keep_from]
     state.log.compact(keep_from)
     state.refused_indexes = {index for index in state.refused_indexes if index > keep_from}
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -23,6 +23,7 @@
     ``primary_lease_ms`` is how long a lease on a primary lasts; without leases it is 0.
     ``fences_primaries`` is whether a primary stops to lead at the moment when another upstream is
     promoted. ``uses_upstream_weights`` is whether gateways are told weights of upstreams.
+    A voter without contact to the leader for ``lost_voter_ms`` may be replaced by a learner.
     """
 
     members: dict[str, str]
@@ -39,6 +40,7 @@
     # Whether gateways open connections as the demand of all gateways together allows.
     coordinates_connections: bool = False
     join_interval_ms: int = 500
+    lost_voter_ms: int = 5_000
     snapshot_entries: int = 1_000
     entries_kept: int = 200
     batch_entries: int = 256
@@ -114,7 +116,8 @@
     ``assignments_in_flight`` maps groups to the index of the uncommitted entry that assigns their
     home. ``groups_to_release`` holds the groups that a proxy is asked to release, because it holds
     more than its share. ``round_starts`` pairs the latest confirmed round, and those after it, with
-    their start times.
+    their start times. ``handover_requests_ms`` maps voters that are about to stop to the time of
+    their last request for a successor.
     """
 
     since_ms: int
@@ -135,6 +138,16 @@
     assignments_in_flight: dict[str, int] = field(default_factory=dict)
     groups_to_release: dict[tuple[str, str], list[str]] = field(default_factory=dict)
     balance_due_ms: int = 0
+    handover_requests_ms: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class PlannedStop:
+    """The planned stop of this process: at ``deadline_ms``, or earlier once ``may_stop`` is set."""
+
+    deadline_ms: int
+    request_due_ms: int = 0
+    may_stop: bool = False
 
 
 @dataclass(slots=True)
@@ -170,6 +183,7 @@
     failover: FailoverState = field(default_factory=FailoverState)
     primary_leases: LeaseState = field(default_factory=LeaseState)
     quotas: QuotaState = field(default_factory=QuotaState)
+    planned_stop: PlannedStop | None = None
 
     @property
     def membership(self) -> Membership:
@@ -182,9 +196,32 @@
     return any(member.member_id == state.me.member_id for member in state.membership.voters)
 
 
+def is_voter_anywhere(state: ControlState, member_id: str) -> bool:
+    """Return whether an identity votes by the committed membership or by one after it."""
+    memberships = [membership_at(state, state.commit_index)]
+    memberships += [item for index, item in state.memberships if index > state.commit_index]
+    return any(
+        voter.member_id == member_id for membership in memberships for voter in membership.voters
+    )
+
+
+def membership_at(state: ControlState, index: int) -> Membership:
+    """Return the membership as of the log entry at ``index``."""
+    latest = state.snapshot_membership
+    for entry_index, membership in state.memberships:
+        if entry_index <= index:
+            latest = membership
+    return latest
+
+
+def majority(voters: list[Member]) -> int:
+    """Return how many of the voters form a majority."""
+    return len(voters) // 2 + 1
+
+
 def quorum_size(state: ControlState) -> int:
     """Return the number of voters that form a majority."""
-    return len(state.membership.voters) // 2 + 1
+    return majority(state.membership.voters)
 
 
 def peers(state: ControlState) -> list[Member]:
--- a/packages/core/src/endivewick_core/messages.py
+++ b/packages/core/src/endivewick_core/messages.py
@@ -124,6 +124,29 @@
     initialised: bool
 
 
+class HandoverRequest(NamedTuple):
+    """Ask the leader to replace the voter ``member``, which is about to stop, by a learner.
+
+    ``boot`` identifies the process, which repeats the request until it is answered.
+    """
+
+    member: str
+    boot: str
+
+
+class HandoverReply(NamedTuple):
+    """Allow the process ``boot`` to stop: it is no voter any more, or no learner can succeed it."""
+
+    boot: str
+
+
+class LeadershipEnded(NamedTuple):
+    """Tell the voters that ``leader`` has ended its leadership of ``term``, to stop as planned."""
+
+    term: int
+    leader: str
+
+
 # Between proxies and control.
 
 
@@ -642,6 +665,9 @@
         SnapshotRequest,
         JoinRequest,
         JoinReply,
+        HandoverRequest,
+        HandoverReply,
+        LeadershipEnded,
         ProxyHeartbeat,
         HeartbeatReply,
         LeaderHint,
--- /dev/null
+++ b/tests/membership_simulation.py
@@ -0,0 +1,365 @@
+"""Simulates the control processes of a site, and the loss of their disks, in simulated time.
+
+The processes are the real reducers with the platform's settings. After each change the simulation
+takes away every set of disks that may still be lost, and checks that the others can elect a leader
+which has every committed entry, whatever is out of reach at the moment.
+
+A lost disk counts until its machine, or the one that replaces it, has been up and in reach of a
+majority for ``CATCH_UP_MS``: no process joins without one. A machine that is down or out of reach
+with its disk intact is no lost disk.
+"""
+
+import heapq
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import combinations, count
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from endivewick_bench.soak.wire import ProcessPlan
+from endivewick_core.control import effects as cx
+from endivewick_core.control import events as ce
+from endivewick_core.control.reducer import reduce
+from endivewick_core.control.state import (
+    ControlState,
+    Membership,
+    Role,
+    majority,
+    membership_at,
+)
+from endivewick_core.messages import Member
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
+from endivewick_platform import control_role, settings, standin_codec  # noqa: E402
+
+TICK_MS = 20
+CATCH_UP_MS = int(settings.DEFAULT_CATCH_UP_S * 1000)
+GRACE_MS = 6_000
+BOOT_MS = 600  # from the start of a machine to the first event of its process
+FIRST_MS = 100_000
+RECOVERY_MS = 12_000
+
+
+def control_options(lost_disks: int):
+    """Return the options of a control process on a site that bears ``lost_disks`` lost disks."""
+    plan = ProcessPlan(
+        *("control-0", "10.0.0.1", "a", {"a": "r"}, [f"10.0.0.{i}:80" for i in (1, 2, 3)]),
+        *(False, "data", "", "", "10.0.0.1:80", "10.9.0.1:80", lost_disks, GRACE_MS // 1000),
+        *(True, {}),
+    )
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.toml"
+        path.write_text(standin_codec.encode_settings(plan))
+        return control_role.control_options(settings.load_settings(path))
+
+
+@dataclass(eq=False)
+class Machine:
+    """A machine with its process. ``side`` is the side of a split, ``lost`` whether it is gone."""
+
+    address: str
+    state: Any = None
+    seeds: tuple[str, ...] = ()
+    is_up: bool = True
+    side: int = 0
+    boot: int = 0
+    reachable_since_ms: int = 0
+    is_stopping: bool = False
+    then: Callable[[], None] | None = None
+
+
+@dataclass(eq=False)
+class LostDisk:
+    """A lost disk; it counts until ``successor`` has been in reach for ``CATCH_UP_MS``."""
+
+    successor: Machine | None
+    since_ms: int
+
+
+@dataclass
+class Site:
+    """The control machines of a site. The first three are the initial voters."""
+
+    lost_disks: int
+    machines: list[Machine] = field(default_factory=list)
+    added: int = 0
+    losses: list[LostDisk] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    fingerprints: set[Any] = field(default_factory=set)
+    now_ms: int = FIRST_MS
+    committed: tuple[int, int] = (0, 0)
+    heap: list[Any] = field(default_factory=list)
+    serial: Any = field(default_factory=count)
+    random: Random = field(default_factory=lambda: Random(1))
+
+    def __post_init__(self) -> None:
+        """Read the settings."""
+        self.options = control_options(self.lost_disks)
+        self.seeds = self.options.control.seeds
+
+    # Time and messages.
+
+    def after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        heapq.heappush(self.heap, (self.now_ms + delay_ms, next(self.serial), action))
+
+    def run(self, duration_ms: int) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.heap and self.heap[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self.heap)
+            action()
+        self.now_ms = end_ms
+
+    def handle(self, machine: Machine, boot: int, event: Any) -> None:
+        if not machine.is_up or machine.boot != boot:
+            return
+        for effect in reduce(machine.state, event):
+            if isinstance(effect, cx.Send):
+                self._send(machine, effect)
+            if isinstance(effect, cx.StopProcess):
+                self._end(machine)
+        self._check()
+
+    def _send(self, sender: Machine, effect: cx.Send) -> None:
+        for machine in self.machines:
+            if machine.address != effect.address or machine.side != sender.side:
+                continue
+            self.after(self.random.randint(1, 12), self._delivery(machine, effect.message))
+
+    def _delivery(self, machine: Machine, message: Any) -> Callable[[], None]:
+        boot = machine.boot
+        return lambda: self.handle(machine, boot, ce.MessageReceived(self.now_ms, message))
+
+    def _tick(self, machine: Machine, boot: int) -> None:
+        if not machine.is_up or machine.boot != boot:
+            return
+        self.handle(machine, boot, ce.Tick(self.now_ms, self.random.random()))
+        self.after(TICK_MS, lambda: self._tick(machine, boot))
+
+    # Machines and their disturbances.
+
+    def add(self, is_founder: bool = False) -> Machine:
+        """Start a machine with an empty disk at a new address."""
+        self.added += 1
+        machine = Machine(f"10.0.0.{self.added}:{self.seeds[0].rpartition(':')[2]}")
+        self.machines.append(machine)
+        if not is_founder:
+            machine.seeds = tuple(item.address for item in self.machines[:3])
+        machine.state = self._empty_state(machine, "0")
+        if is_founder:
+            voters = [Member(f"{name}#0", name, name) for name in self.seeds]
+            machine.state.snapshot_membership = Membership(voters, [])
+            machine.state.role = Role.FOLLOWER
+        self._start(machine)
+        return machine
+
+    def start(self, others: int) -> None:
+        """Start the site with ``others`` machines beside the initial voters."""
+        for _ in self.seeds:
+            self.add(is_founder=True)
+        for _ in range(others):
+            self.add()
+        self.run(6_000)
+        assert len(self.voters()) == min(self.options.control.voter_target, len(self.machines))
+        self.faults.clear()  # until there are enough voters, fewer lost disks are borne
+
+    def kill(self, machine: Machine) -> None:
+        machine.is_up = False
+        machine.boot += 1
+
+    def restart(self, machine: Machine) -> None:
+        """Start the process again, with its disk if that isn't lost."""
+        known = machine.state
+        machine.state = self._empty_state(machine, known.me.member_id.partition("#")[2])
+        machine.state.term, machine.state.voted_for = known.term, known.voted_for
+        machine.state.log, machine.state.memberships = known.log, known.memberships
+        machine.state.snapshot_membership = known.snapshot_membership
+        machine.state.role = Role.EMPTY if known.role is Role.EMPTY else Role.FOLLOWER
+        self._start(machine)
+
+    def wipe(self, machine: Machine, down_ms: int) -> None:
+        """End a process, and start it again with an empty disk after ``down_ms``."""
+        self.kill(machine)
+        machine.state = self._empty_state(machine, str(machine.boot))
+        self.losses = [item for item in self.losses if item.successor is not machine]
+        self.losses.append(LostDisk(machine, self.now_ms))
+        self.after(down_ms, lambda: self._start(machine))
+
+    def remove(self, machine: Machine, successor: Machine | None = None) -> None:
+        """End a process for good, without SIGTERM."""
+        self.kill(machine)
+        self.machines.remove(machine)
+        self.losses.append(LostDisk(successor, self.now_ms))
+
+    def replace(self, machine: Machine, down_ms: int) -> None:
+        """End a process for good, and start another machine in its place after ``down_ms``."""
+        self.remove(machine)
+        loss = self.losses[-1]
+
+        def succeed() -> None:
+            loss.successor = self.add()
+
+        self.after(down_ms, succeed)
+
+    def stop(self, machine: Machine, then: Callable[[], None]) -> None:
+        """Send SIGTERM to a process; SIGKILL follows after the grace time."""
+        machine.is_stopping, machine.then = True, then
+        boot = machine.boot
+        deadline_ms = self.now_ms + self.options.handover_ms
+        self.handle(machine, boot, ce.StopRequested(self.now_ms, deadline_ms))
+
+        def kill() -> None:
+            if machine.boot == boot and machine.is_up:
+                self.faults.append(f"{machine.address} did not stop in its grace time")
+                self._end(machine)
+
+        self.after(GRACE_MS, kill)
+
+    def retire(self, machine: Machine, successor: Machine) -> None:
+        """Stop a machine as planned, for good; its successor has started before."""
+
+        def leave() -> None:
+            self.machines.remove(machine)
+            self.losses.append(LostDisk(successor, 0))
+
+        self.stop(machine, leave)
+
+    def split(self, *sides: list[Machine]) -> None:
+        """Cut the machines into sides, all others staying on side 0."""
+        for number, side in enumerate(sides, 1):
+            for machine in side:
+                machine.side = number
+
+    def heal(self) -> None:
+        for machine in self.machines:
+            machine.side = 0
+
+    def _end(self, machine: Machine) -> None:
+        self.kill(machine)
+        machine.is_stopping = False
+        if machine.then is not None:
+            then, machine.then = machine.then, None
+            then()
+
+    def _empty_state(self, machine: Machine, identity: str) -> ControlState:
+        address = machine.address
+        me = self.options.control.me._replace(address=address)
+        settings = self.options.control._replace(me=me, seeds=machine.seeds or self.seeds)
+        return ControlState(settings, Member(f"{address}#{identity}", address, address))
+
+    def _start(self, machine: Machine) -> None:
+        machine.boot += 1
+        machine.is_up = True
+        machine.reachable_since_ms = self.now_ms
+        machine.state.directory_state.boot = f"{machine.address}/{machine.boot}"
+        machine.state.election_due_ms = self.now_ms + BOOT_MS + self.random.randint(100, 350)
+        boot = machine.boot
+        self.after(BOOT_MS, lambda: self._tick(machine, boot))
+
+    # What is known of the site.
+
+    def leader(self) -> Machine:
+        """Return the leader of the newest term, after the election if there is none."""
+        for _ in range(RECOVERY_MS // TICK_MS):
+            leaders = [item for item in self.machines if item.is_up and item.state.leader_state]
+            if leaders:
+                return max(leaders, key=lambda item: item.state.term)
+            self.run(TICK_MS)
+        raise AssertionError(f"no leader for {RECOVERY_MS} ms: {self.faults}")
+
+    def voters(self) -> list[Member]:
+        return self.leader().state.membership.voters
+
+    def committed_voters(self, machine: Machine) -> int:
+        """Return how many voters the membership has that a process knows to be committed."""
+        return len(membership_at(machine.state, machine.state.commit_index).voters)
+
+    def machine_of(self, member: Member) -> Machine:
+        return next(item for item in self.machines if item.address == member.address)
+
+    def may_lose(self, machine: Machine) -> bool:
+        """Return whether a machine may lose its disk now, also again if it counts as lost."""
+        is_lost = any(item.successor is machine and self._counts(item) for item in self.losses)
+        return is_lost or self.disks_to_lose() > 0
+
+    def disks_to_lose(self) -> int:
+        """Return how many disks may be lost now."""
+        counting = [item for item in self.losses if self._counts(item)]
+        return self.lost_disks - len(counting)
+
+    def _counts(self, loss: LostDisk) -> bool:
+        machine = loss.successor
+        if machine is None or not machine.is_up:
+            return True
+        since_ms = max(loss.since_ms, machine.reachable_since_ms)
+        return self.now_ms - since_ms < CATCH_UP_MS
+
+    def _restart_catch_up(self) -> None:
+        """Start the time to catch up again for machines that reach no majority of the voters."""
+        newest = max(
+            (item.state for item in self.machines),
+            key=lambda item: (item.log.last_term, item.log.last_index),
+        )
+        voters = newest.membership.voters
+        names = {voter.member_id for voter in voters}
+        sides = [
+            item.side for item in self.machines if item.is_up and item.state.me.member_id in names
+        ]
+        for machine in self.machines:
+            if sides.count(machine.side) < majority(voters):
+                machine.reachable_since_ms = self.now_ms
+
+    def _check(self) -> None:
+        """Record a fault if the loss of disks that may be lost now leaves no majority."""
+        self._restart_catch_up()
+        states = [item.state for item in self.machines]
+        for state in states:
+            if state.commit_index > self.committed[0]:
+                self.committed = (state.commit_index, state.log.term_at(state.commit_index) or 0)
+        may_lose = max(0, self.disks_to_lose())
+        fingerprint = (
+            may_lose,
+            self.committed,
+            *(
+                (
+                    item.me.member_id,
+                    str(item.role),
+                    item.log.last_term,
+                    item.log.last_index,
+                    tuple(voter.member_id for voter in item.membership.voters),
+                    tuple(learner.member_id for learner in item.membership.learners),
+                )
+                for item in states
+            ),
+            *((item.is_up, item.side) for item in self.machines),
+        )
+        if fingerprint in self.fingerprints:
+            return
+        self.fingerprints.add(fingerprint)
+        for lost in combinations(self.machines, may_lose):
+            left = [item.state for item in self.machines if item not in lost]
+            if not any(self._can_lead(item, left) for item in left):
+                names = [item.address for item in lost]
+                sizes = [len(item.membership.voters) for item in states]
+                self.faults.append(
+                    f"{self.now_ms - FIRST_MS} ms: no majority is left without {names} "
+                    f"(voters known by each: {sizes})"
+                )
+
+    def _can_lead(self, state: ControlState, left: list[ControlState]) -> bool:
+        """Return whether a process can be elected by others, and has all that was committed."""
+        index, term = self.committed
+        if state.log.last_index < index or state.log.term_at(index) not in (term, None):
+            return False
+        end = (state.log.last_term, state.log.last_index)
+        ids = {voter.member_id for voter in state.membership.voters}
+        votes = [
+            item
+            for item in left
+            if item.me.member_id in ids and (item.log.last_term, item.log.last_index) <= end
+        ]
+        if state.me.member_id not in ids:
+            return False
+        return len(votes) >= majority(state.membership.voters)
