Directory: an upstream that reports doesn't depart for a report of its address

Cause: of two upstreams at one address the one that started last won, of whichever service. Another writer's report of a service that no configuration names marked the replica as departed for good, and its own later reports were dropped.

Change: an upstream at an address that another one reports departs only once it is silent for 2.5 s. A departure that was inferred, here or by a peer, is revoked by three reports over two seconds; one that was announced is not. Gateways copy what control decides. Reports of unknown services are kept apart until a configuration names the service.

Why it works: an address is used again only after a crash, so the earlier upstream is silent by then, and late reports come at once rather than over seconds.

--- a/packages/core/src/endivewick_core/control/departures.py
+++ b/packages/core/src/endivewick_core/control/departures.py
@@ -4,7 +4,7 @@
 after the departure.
 """
 
-from ..directory import FINAL_SEQUENCE, DirectoryEntry, UpstreamState
+from ..directory import INFERRED_SEQUENCE, DirectoryEntry, UpstreamState
 from ..positions import Position
 from .service_state import Departure
 from .state import ControlState
@@ -19,7 +19,7 @@
     current: dict[str, dict[str, Departure]] = {}
     for entry in state.directory_state.directory.entries.values():
         report = entry.report
-        if report.state is not UpstreamState.GONE or report.sequence != FINAL_SEQUENCE:
+        if report.state is not UpstreamState.GONE or report.sequence < INFERRED_SEQUENCE:
             continue
         departure = known.get(report.service, {}).get(report.upstream)
         if departure is None or departure.revision != entry.revision:
--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -54,7 +54,8 @@
 def handle_report(state: ControlState, event: ReportReceived) -> list[Effect]:
     """Merge an upstream's report, share it if it changes something, and acknowledge it."""
     now_ms, report = event.now_ms, event.report
-    changed = merge_report(state.directory_state.directory, now_ms, report, 0)
+    directory = state.directory_state.directory
+    changed = merge_report(directory, now_ms, report, 0, _known_services(state))
     report_to = _report_to(state, now_ms, report)
     effects: list[Effect] = []
     if changed:
@@ -96,10 +97,11 @@
     _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
     effects: list[Effect] = []
     departed: list[HeardReport] = []
+    directory, services = state.directory_state.directory, _known_services(state)
     for report, age_ms in share.reports:
-        if merge_report(state.directory_state.directory, now_ms, report, age_ms):
+        if merge_report(directory, now_ms, report, age_ms, services):
             effects.append(_report_event(report, age_ms, share.sender.address))
-        entry = departed_since(state.directory_state.directory, report)
+        entry = departed_since(directory, report)
         if entry is not None:
             departed.append(HeardReport(entry.report, now_ms - entry.last_contact_ms))
     if share.serial:
@@ -147,7 +149,7 @@
     reports = [
         HeardReport(entry.report, now_ms - entry.last_contact_ms)
         for entry in directory_state.directory.entries.values()
-        if entry.revision > after
+        if entry.revision > after and not entry.is_apart
     ]
     configuration = state.replicated_state.configuration
     has_it = request.configuration_version >= configuration.version
@@ -226,6 +228,12 @@
     return ""
 
 
+def _known_services(state: ControlState) -> list[str] | None:
+    """Return the services of the configuration, None while this process has no configuration."""
+    configuration = state.replicated_state.configuration
+    return configuration.services if configuration.version else None
+
+
 def _known_peers(state: ControlState, now_ms: int) -> list[ControlPeer]:
     live = probes.live_peers(state, now_ms)
     return [state.settings.me, *(item.peer for item in live)]
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -3,16 +3,28 @@
 Every control process holds a directory, and every gateway a copy of it. Reports of an upstream are
 ordered by ``(born_ms, sequence)`` as the upstream sent them. A report that arrives late therefore
 never overwrites a newer one, whichever process it came from.
+
+An address may be used again after a crash, and a late report of the upstream that crashed may come
+after that. But a report can also name an address by mistake. Two upstreams at one address are told
+apart by what goes on: the earlier one has departed if it has been silent since, and a departure
+that was only inferred is revoked by further reports over some seconds. Late reports come at once.
 """
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
 
 RETENTION_MS = 60_000  # longer than a report may be delayed on its way
-# Of the departure of an upstream that had announced it, or has a successor: it is the last report
-# of that start, although a late one may have a higher sequence than those that were known before.
+# Of the departure of an upstream that had announced it: it is the last report of that start,
+# although a late one may have a higher sequence than those that were known before.
 FINAL_SEQUENCE = 2**53
+# The same for a departure that was inferred from a later start at its address.
+INFERRED_SEQUENCE = FINAL_SEQUENCE - 1
+SILENT_MS = 2_500  # two missed reports
+# An upstream that was taken for departed runs after this many reports within at least this time.
+LIVE_REPORTS = 3
+LIVE_SPAN_MS = 2_000
 
 
 class UpstreamState(StrEnum):
@@ -49,11 +61,16 @@
 
     ``revision`` is the directory's revision at the last change of the report, and
     ``last_contact_ms`` the last time at which the upstream is known to have sent a report.
+    ``is_apart`` is whether no configuration names its service, so that it takes part in nothing.
+    ``evidence`` holds the sequences, and the times in ms, of reports since a departure that was
+    inferred.
     """
 
     report: UpstreamReport
     revision: int
     last_contact_ms: int
+    is_apart: bool = False
+    evidence: list[tuple[int, int]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -64,49 +81,138 @@
     revision: int = 0
 
 
-def merge_report(directory: Directory, now_ms: int, report: UpstreamReport, age_ms: int) -> bool:
-    """Merge a report that is ``age_ms`` old; return whether it changed the directory's content."""
+def merge_report(
+    directory: Directory,
+    now_ms: int,
+    report: UpstreamReport,
+    age_ms: int,
+    services: Container[str] | None = None,
+) -> bool:
+    """Merge a report that is ``age_ms`` old; return whether it changed the directory's content.
+
+    Reports of a service that is not among ``services`` are kept apart, and are merged again once it
+    is; None stands for any service.
+    """
     entry = directory.entries.get(report.upstream)
     last_contact_ms = now_ms - age_ms
-    report = _resolve_address(directory, report)
+    is_apart = services is not None and report.service not in services
+    if not is_apart:
+        _depart_silent(directory, now_ms, report)
+        if _is_late(directory, report, last_contact_ms):
+            report = _gone(report)
     if entry is None:
         directory.revision += 1
-        directory.entries[report.upstream] = DirectoryEntry(
-            report, directory.revision, last_contact_ms
-        )
+        entry = DirectoryEntry(report, directory.revision, last_contact_ms, is_apart)
+        directory.entries[report.upstream] = entry
+        _show_others(directory, entry)
         return True
-    if _order(report) < _order(entry.report):
+    if _is_refuted(entry, now_ms, report):
+        return False
+    if _is_proven(entry, report, last_contact_ms):
+        entry.evidence.clear()
+    elif _order(report) < _order(entry.report):
         return False
     entry.last_contact_ms = max(entry.last_contact_ms, last_contact_ms)
-    changed = _content(report) != _content(entry.report)
+    changed = _content(report) != _content(entry.report) or entry.is_apart != is_apart
     entry.report = report
+    entry.is_apart = is_apart
     if changed:
         directory.revision += 1
         entry.revision = directory.revision
+        _show_others(directory, entry)
     return changed
 
 
-def _resolve_address(directory: Directory, report: UpstreamReport) -> UpstreamReport:
-    """Resolve two upstreams with one address in favour of the one that started last.
-
-    The other one is marked as departed: it crashed, without reporting that it departs, before its
-    successor started at the same address. A late report of it is marked as departed too. Return the
-    report to merge.
-    """
+def copy_report(directory: Directory, now_ms: int, report: UpstreamReport, age_ms: int) -> None:
+    """Merge a report into a copy of the directory; its source tells which reports are late."""
+    _depart_silent(directory, now_ms, report)
+    entry = directory.entries.get(report.upstream)
+    if entry is None:
+        entry = DirectoryEntry(report, 0, now_ms - age_ms)
+        directory.entries[report.upstream] = entry
+    is_same_start = entry.report.born_ms == report.born_ms
+    is_inferred = INFERRED_SEQUENCE in (entry.report.sequence, report.sequence)
+    if _order(report) < _order(entry.report) and not (is_same_start and is_inferred):
+        return
+    directory.revision += 1
+    entry.report, entry.revision = report, directory.revision
+    entry.last_contact_ms = max(entry.last_contact_ms, now_ms - age_ms)
+
+
+def _others_at_address(directory: Directory, report: UpstreamReport) -> list[DirectoryEntry]:
+    """Return the upstreams at a report's address that started at another time and run."""
     if report.state is UpstreamState.GONE:
-        return report
-    for entry in directory.entries.values():
-        other = entry.report
-        if other.address != report.address or other.upstream == report.upstream:
-            continue
-        if other.state is UpstreamState.GONE or other.born_ms == report.born_ms:
+        return []
+    return [
+        entry
+        for entry in directory.entries.values()
+        if entry.report.address == report.address
+        and entry.report.upstream != report.upstream
+        and entry.report.state is not UpstreamState.GONE
+        and entry.report.born_ms != report.born_ms
+        and not entry.is_apart
+    ]
+
+
+def _depart_silent(directory: Directory, now_ms: int, report: UpstreamReport) -> None:
+    """Mark silent upstreams as departed whose address an upstream has that started later.
+
+    They crashed, without reporting that they depart, before their successor started.
+    """
+    for entry in _others_at_address(directory, report):
+        if entry.report.born_ms > report.born_ms or now_ms - entry.last_contact_ms < SILENT_MS:
             continue
-        if other.born_ms > report.born_ms:
-            return _gone(report)
         directory.revision += 1
         entry.revision = directory.revision
-        entry.report = _gone(other)._replace(sequence=FINAL_SEQUENCE)
-    return report
+        entry.evidence.clear()
+        entry.report = _gone(entry.report)._replace(sequence=INFERRED_SEQUENCE)
+
+
+def _is_late(directory: Directory, report: UpstreamReport, last_contact_ms: int) -> bool:
+    """Return whether a report is of an upstream that crashed before another got its address."""
+    others = _others_at_address(directory, report)
+    if all(entry.report.born_ms < report.born_ms for entry in others):
+        return False
+    known = directory.entries.get(report.upstream)
+    return known is None or not _is_live(known, report, last_contact_ms)
+
+
+def _is_live(entry: DirectoryEntry, report: UpstreamReport, last_contact_ms: int) -> bool:
+    """Return whether an upstream runs although another one has started at its address."""
+    if entry.report.state is not UpstreamState.GONE and entry.report.born_ms == report.born_ms:
+        return True
+    return _is_proven(entry, report, last_contact_ms)
+
+
+def _is_proven(entry: DirectoryEntry, report: UpstreamReport, last_contact_ms: int) -> bool:
+    """Record a report after an inferred departure; return whether the upstream surely runs."""
+    departed = entry.report
+    if departed.state is not UpstreamState.GONE or departed.sequence == FINAL_SEQUENCE:
+        return False
+    if report.state is UpstreamState.GONE or departed.born_ms != report.born_ms:
+        return False
+    if not entry.evidence or report.sequence > entry.evidence[-1][0]:
+        entry.evidence.append((report.sequence, last_contact_ms))
+    span_ms = entry.evidence[-1][1] - entry.evidence[0][1]
+    return len(entry.evidence) >= LIVE_REPORTS and span_ms >= LIVE_SPAN_MS
+
+
+def _is_refuted(entry: DirectoryEntry, now_ms: int, report: UpstreamReport) -> bool:
+    """Return whether a departure that another process inferred is wrong: the upstream reports."""
+    if report.state is not UpstreamState.GONE or report.sequence != INFERRED_SEQUENCE:
+        return False
+    if entry.report.state is UpstreamState.GONE or entry.report.born_ms != report.born_ms:
+        return False
+    return now_ms - entry.last_contact_ms < SILENT_MS
+
+
+def _show_others(directory: Directory, changed: DirectoryEntry) -> None:
+    """Give other upstreams at a changed one's address its revision, so that copies get both."""
+    for entry in directory.entries.values():
+        if entry is changed or entry.report.address != changed.report.address:
+            continue
+        if entry.report.state is not UpstreamState.GONE:
+            entry.revision = changed.revision
 
 
 def departed_since(directory: Directory, report: UpstreamReport) -> DirectoryEntry | None:
--- a/packages/core/src/endivewick_core/gateway/control_link.py
+++ b/packages/core/src/endivewick_core/gateway/control_link.py
@@ -5,7 +5,7 @@
 the time when the poll was sent, so information can appear older than it is, but never newer.
 """
 
-from ..directory import UpstreamState, merge_report
+from ..directory import UpstreamState, copy_report
 from ..messages import DirectoryAnswer, DirectoryQuestion, PrimaryLeaseAnswer
 from ..positions import Position
 from ..primary_leases import renew
@@ -127,8 +127,9 @@
         link.ranked_holders.clear()
         effects += forwarding.preconnect(state)
     effects += _apply_contended(state, now_ms, answer.contended)
-    for report, age_ms in answer.reports:
-        merge_report(state.directory, sent_ms, report, age_ms)
+    # Of two upstreams at one address the earlier one goes first: it runs if it reported recently.
+    for report, age_ms in sorted(answer.reports, key=lambda heard: heard.report.born_ms):
+        copy_report(state.directory, sent_ms, report, age_ms)
         routing.add_pool(state, report.upstream, report.service)
     upstream_health.apply_told(state, sent_ms, answer.upstream_weights)
     for note in answer.watermarks:
