Reports: one that lacks a field is refused and names no upstream

Cause: version, warmup-left-ms and born could be missing. Another writer's report without them made a replica of an address where nothing listens, and the failover waited for it to confirm its pause.

Change: every field that a report includes is required and of its type.

The table of fields in tests/test_platform_adapter.py failed before for version, warmup-left-ms and born. That a whole report of a stranger holds up a failover all the same is a fault of its own.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -301,6 +301,52 @@
     assert_that(decoded.failure().type.status, Equals(400))
 
 
+# For each field, values of another type or out of its range, beside a missing one.
+NUMBERS = [None, "4", [], {}, True, 1.5, -1, 10**30]
+TEXTS = [None, 4, [], {}, True]
+REPORT_FIELDS = {
+    "service": [*TEXTS, "", "a b", "a" * 1_000],
+    "addr": [*TEXTS, "", "nowhere", "10.0.0.9", "10.0.0.9:0:1"],
+    "zone": [*TEXTS, "", "a b"],
+    "version": TEXTS,
+    "slots": NUMBERS,
+    "state": [*TEXTS, "", "asleep"],
+    "warmup-left-ms": NUMBERS,
+    "db-role": [*TEXTS, "", "witness"],
+    "seq": NUMBERS,
+    "born": NUMBERS,
+}
+
+
+# Guards against a report of another writer that counts as one of a replica and holds up a failover.
+@pytest.mark.parametrize("field", REPORT_FIELDS)
+def test_a_report_without_a_proper_field_is_refused_and_the_field_named(field):
+    without = {key: value for key, value in REPORT.items() if key != field}
+    assert_that(set(REPORT), Equals(set(REPORT_FIELDS)))
+    for body in [without, *({**REPORT, field: value} for value in REPORT_FIELDS[field])]:
+        failure = put_report(body).failure()
+        assert_that(failure.type.status, Equals(400))
+        assert_that(failure.message, Contains(field))
+
+
+# Guards against a configuration in force of which a part is missing.
+@pytest.mark.parametrize("part", ["routes", "services"])
+def test_a_configuration_without_a_required_field_is_refused_and_the_field_named(part):
+    (complete,) = DOCUMENT[part]
+    optional = {"attempts", "max-staleness-ms", "sync-replicas"}  # attempts is not used
+    bodies = {
+        field: {**DOCUMENT, part: [{k: v for k, v in complete.items() if k != field}]}
+        for field in complete
+        if field not in optional
+    }
+    for field in ("version", "routes", "services"):
+        bodies[field] = {key: value for key, value in DOCUMENT.items() if key != field}
+    for field, body in bodies.items():
+        failure = decode_configuration(json.dumps(body).encode()).failure()
+        assert_that(failure.type.status, Equals(400))
+        assert_that(failure.message, Contains(field))
+
+
 @given(st.binary(max_size=100))
 def test_parsing_any_report_bytes_raises_nothing(data):
     assert_that(put_report(data), IsInstance(Success | Failure))
