Directory: upstreams are looked up by their address

Change: an index by address. Behaviour is as before; tests/test_directory.py and the exploration pass.

--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -75,10 +75,14 @@
 
 @dataclass(slots=True)
 class Directory:
-    """The entries by upstream; ``revision`` counts the changes in this process's copy."""
+    """The entries by upstream; ``revision`` counts the changes in this process's copy.
+
+    ``by_address`` names the upstreams at each address.
+    """
 
     entries: dict[str, DirectoryEntry] = field(default_factory=dict)
     revision: int = 0
+    by_address: dict[str, set[str]] = field(default_factory=dict)
 
 
 def merge_report(
@@ -103,7 +107,7 @@
     if entry is None:
         directory.revision += 1
         entry = DirectoryEntry(report, directory.revision, last_contact_ms, is_apart)
-        directory.entries[report.upstream] = entry
+        _add(directory, entry)
         _show_others(directory, entry)
         return True
     if _is_refuted(entry, now_ms, report):
@@ -114,7 +118,7 @@
         return False
     entry.last_contact_ms = max(entry.last_contact_ms, last_contact_ms)
     changed = _content(report) != _content(entry.report) or entry.is_apart != is_apart
-    entry.report = report
+    _replace_report(directory, entry, report)
     entry.is_apart = is_apart
     if changed:
         directory.revision += 1
@@ -129,26 +133,51 @@
     entry = directory.entries.get(report.upstream)
     if entry is None:
         entry = DirectoryEntry(report, 0, now_ms - age_ms)
-        directory.entries[report.upstream] = entry
+        _add(directory, entry)
     is_same_start = entry.report.born_ms == report.born_ms
     is_inferred = INFERRED_SEQUENCE in (entry.report.sequence, report.sequence)
     if _order(report) < _order(entry.report) and not (is_same_start and is_inferred):
         return
     directory.revision += 1
-    entry.report, entry.revision = report, directory.revision
+    entry.revision = directory.revision
+    _replace_report(directory, entry, report)
     entry.last_contact_ms = max(entry.last_contact_ms, now_ms - age_ms)
 
 
+def _add(directory: Directory, entry: DirectoryEntry) -> None:
+    directory.entries[entry.report.upstream] = entry
+    directory.by_address.setdefault(entry.report.address, set()).add(entry.report.upstream)
+
+
+def _remove(directory: Directory, upstream: str) -> None:
+    address = directory.entries.pop(upstream).report.address
+    directory.by_address[address].discard(upstream)
+    if not directory.by_address[address]:
+        del directory.by_address[address]
+
+
+def _replace_report(directory: Directory, entry: DirectoryEntry, report: UpstreamReport) -> None:
+    if report.address != entry.report.address:
+        _remove(directory, report.upstream)
+        entry.report = report
+        _add(directory, entry)
+    entry.report = report
+
+
+def _at_address(directory: Directory, report: UpstreamReport) -> list[DirectoryEntry]:
+    """Return the entries of other upstreams at a report's address."""
+    names = directory.by_address.get(report.address, set()) - {report.upstream}
+    return [directory.entries[name] for name in sorted(names)]
+
+
 def _others_at_address(directory: Directory, report: UpstreamReport) -> list[DirectoryEntry]:
     """Return the upstreams at a report's address that started at another time and run."""
     if report.state is UpstreamState.GONE:
         return []
     return [
         entry
-        for entry in directory.entries.values()
-        if entry.report.address == report.address
-        and entry.report.upstream != report.upstream
-        and entry.report.state is not UpstreamState.GONE
+        for entry in _at_address(directory, report)
+        if entry.report.state is not UpstreamState.GONE
         and entry.report.born_ms != report.born_ms
         and not entry.is_apart
     ]
@@ -208,9 +237,7 @@
 
 def _show_others(directory: Directory, changed: DirectoryEntry) -> None:
     """Give other upstreams at a changed one's address its revision, so that copies get both."""
-    for entry in directory.entries.values():
-        if entry is changed or entry.report.address != changed.report.address:
-            continue
+    for entry in _at_address(directory, changed.report):
         if entry.report.state is not UpstreamState.GONE:
             entry.revision = changed.revision
 
@@ -237,7 +264,7 @@
     """Remove the entries of upstreams without a report for longer than one can be delayed."""
     for name, entry in list(directory.entries.items()):
         if now_ms - entry.last_contact_ms > RETENTION_MS:
-            del directory.entries[name]
+            _remove(directory, name)
 
 
 def _gone(report: UpstreamReport) -> UpstreamReport:
