Directory: only reports that are newer than the last one revoke a departure

Cause: found in reading the last changes: late reports that had been overtaken, or that came one by one with long gaps, counted as evidence that a departed upstream runs.

--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -63,7 +63,7 @@
     ``last_contact_ms`` the last time at which the upstream is known to have sent a report.
     ``is_apart`` is whether no configuration names its service, so that it takes part in nothing.
     ``evidence`` holds the sequences, and the times in ms, of reports since a departure that was
-    inferred.
+    inferred, and ``last_sequence`` the sequence of the last report before it.
     """
 
     report: UpstreamReport
@@ -71,6 +71,7 @@
     last_contact_ms: int
     is_apart: bool = False
     evidence: list[tuple[int, int]] = field(default_factory=list)
+    last_sequence: int = -1
 
 
 @dataclass(slots=True)
@@ -161,6 +162,9 @@
         _remove(directory, report.upstream)
         entry.report = report
         _add(directory, entry)
+    if report.sequence == INFERRED_SEQUENCE and entry.report.sequence < INFERRED_SEQUENCE:
+        entry.last_sequence = entry.report.sequence
+        entry.evidence.clear()
     entry.report = report
 
 
@@ -193,8 +197,8 @@
             continue
         directory.revision += 1
         entry.revision = directory.revision
-        entry.evidence.clear()
-        entry.report = _gone(entry.report)._replace(sequence=INFERRED_SEQUENCE)
+        departed = _gone(entry.report)._replace(sequence=INFERRED_SEQUENCE)
+        _replace_report(directory, entry, departed)
 
 
 def _is_late(directory: Directory, report: UpstreamReport, last_contact_ms: int) -> bool:
@@ -220,8 +224,16 @@
         return False
     if report.state is UpstreamState.GONE or departed.born_ms != report.born_ms:
         return False
-    if not entry.evidence or report.sequence > entry.evidence[-1][0]:
+    is_inferred = departed.sequence == INFERRED_SEQUENCE
+    last_sequence = entry.last_sequence if is_inferred else departed.sequence
+    if entry.evidence:
+        last_sequence = max(last_sequence, entry.evidence[-1][0])
+        if last_contact_ms - entry.evidence[-1][1] >= SILENT_MS:
+            entry.evidence.clear()
+    if report.sequence > last_sequence:
         entry.evidence.append((report.sequence, last_contact_ms))
+    if not entry.evidence:
+        return False
     span_ms = entry.evidence[-1][1] - entry.evidence[0][1]
     return len(entry.evidence) >= LIVE_REPORTS and span_ms >= LIVE_SPAN_MS
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -127,6 +127,16 @@
     assert_that(state_of(directory, OLD), Equals(UpstreamState.GONE))
 
 
+# Guards against the same where the late reports come one by one, or had been overtaken.
+@pytest.mark.parametrize(("first", "interval_ms"), [(2, SILENT_MS), (-20, INTERVAL_MS)])
+def test_single_late_reports_do_not_revoke_a_departure(directory, first, interval_ms):
+    merge_report(directory, SILENT_MS, report(NEW, born_ms=2_000), 0)
+    for number in range(8):
+        late = report(OLD, born_ms=1_000, sequence=first + number)
+        merge_report(directory, SILENT_MS + interval_ms * number, late, 0)
+    assert_that(state_of(directory, OLD), Equals(UpstreamState.GONE))
+
+
 # Guards against an upstream that is hidden for good although it reports all the while.
 def test_reports_over_some_seconds_revoke_an_inferred_departure(directory):
     merge_report(directory, SILENT_MS, report(NEW, born_ms=2_000), 0)
