--- a/packages/core/src/endivewick_core/control/voter_changes.py
+++ b/packages/core/src/endivewick_core/control/voter_changes.py
@@ -3,8 +3,8 @@
 Each change adds or removes one voter, so consecutive majorities always overlap. A change is only
 proposed once the one before it is committed.
 
-Invariant: at every step of a change, whatever is out of reach, the disks that the settings allow to
-lose never include as many voters that a majority of them is gone. It holds since
+Invariant: at every step of a change, whatever is out of reach, and after any loss of disks that the
+settings allow, the members that kept their disks include a majority of the voters. It holds since
 
 - 2f + 1 voters bear f lost disks, and 2f + 2 do too: a successor is added before the voter that it
   replaces is removed, which may be intact;
@@ -27,10 +27,7 @@
 
 
 def check_voters(state: ControlState, now_ms: int) -> list[Effect]:
-    """Add or remove one voter if the leader can, and if it brings the voters nearer to the target.
-
-    The target are as many voters as the settings ask for, without lost and stopping ones.
-    """
+    """Add or remove one voter, if the leader can and there are too few, too many or lost ones."""
     if state.leader_state is None or not can_change(state):
         return []
     replaceable = _replaceable_voters(state, now_ms)
--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -58,7 +58,10 @@
 
 @dataclass(eq=False)
 class Machine:
-    """A machine with its process. ``side`` is the side of a split, ``lost`` whether it is gone."""
+    """A machine with its process; machines on different values of ``side`` are split.
+
+    ``boot`` counts its starts, and ``then`` is what happens after its planned stop.
+    """
 
     address: str
     state: Any = None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -142,7 +142,7 @@
     check(site, record_property)
 
 
-def disturb(site, random, splits):
+def disturb(site, random):
     """Disturb the site once, without more lost disks than may be lost at once."""
     up = [item for item in site.machines if item.is_up and not item.is_stopping]
     if len(up) < 2:
@@ -181,7 +181,7 @@
     site = Site(lost_disks, random=random)
     site.start(others)
     for _ in range(20):
-        disturb(site, random, site)
+        disturb(site, random)
         site.run(random.choice([20, 200, 1_000, 3_000]))
     site.run(10_000)
     check(site, record_property)
