Membership: planned stops that overlap leave a leader and a successor

Where all voters in reach were told to stop, none called an election, so that none got a successor. A voter that stopped at once, without a learner in reach, announced its stop; started again, it was removed for that.

Change: a stopping voter calls an election one time-out later than others; a leader only ends its leadership if a voter that goes on is in contact; only learners announce a stop that needs no successor.

--- a/packages/core/src/endivewick_core/control/election.py
+++ b/packages/core/src/endivewick_core/control/election.py
@@ -51,7 +51,11 @@
     state.election_random = random
     if state.role in (Role.EMPTY, Role.LEADER) or not is_voter(state):
         return []
-    if now_ms < state.election_due_ms or state.planned_stop is not None:
+    due_ms = state.election_due_ms
+    if state.planned_stop is not None:
+        # The others go first. If all of them stop, one has to lead while their votes are replaced.
+        due_ms += state.settings.election_timeout_ms
+    if now_ms < due_ms:
         return []
     _schedule_retry(state, now_ms)
     state.role = Role.PRE_CANDIDATE
--- a/packages/core/src/endivewick_core/control/planned_stop.py
+++ b/packages/core/src/endivewick_core/control/planned_stop.py
@@ -34,11 +34,14 @@
     is_overdue = now_ms >= stop.deadline_ms
     if stop.may_stop or is_overdue or not _needs_successor(state):
         text = "stopping without a successor: it took too long" if is_overdue else "stopping"
-        return [*_announce(state), LogEvent("info", "stop_ready", text), StopProcess()]
+        announcement = [] if is_voter(state) else _announce(state)
+        return [*announcement, LogEvent("info", "stop_ready", text), StopProcess()]
     if state.leader_state is not None:
         stop.may_stop = _may_stop(state, now_ms, state.me.member_id)
         if stop.may_stop or not voter_changes.has_possible_successor(state, now_ms):
             return []
+        if not voter_changes.can_another_lead(state, now_ms):
+            return []
         return _end_leadership(state)
     if now_ms < stop.request_due_ms:
         return []
--- a/packages/core/src/endivewick_core/control/voter_changes.py
+++ b/packages/core/src/endivewick_core/control/voter_changes.py
@@ -61,6 +61,15 @@
     )
 
 
+def can_another_lead(state: ControlState, now_ms: int) -> bool:
+    """Return whether a voter that goes on running is in contact with this leader."""
+    return any(
+        _is_in_contact(state, now_ms, voter) and not _is_stopping(state, now_ms, voter)
+        for voter in state.membership.voters
+        if voter.member_id != state.me.member_id
+    )
+
+
 def propose(
     state: ControlState, now_ms: int, voters: list[Member], learners: list[Member]
 ) -> list[Effect]:
--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -323,10 +323,12 @@
         states = [item.state for item in present]
         if not states:
             return False
+        stopping = [item for item in present if item.is_stopping]
         newest = max(states, key=lambda item: (item.log.last_term, item.log.last_index))
         names = {voter.member_id for voter in newest.membership.voters}
         voting = [item for item in states if item.me.member_id in names]
         spares = len(states) - len(voting)
+        spares -= sum(item.state.me.member_id not in names for item in stopping)
         has_majority = len(voting) >= majority(newest.membership.voters)
         return has_majority and spares >= len(names) - len(voting)
 
