Membership: a stopping process that is elected leads until others can

Processes that stopped together elected each other and ended each leadership at once, and a leader that ended its own was elected again first.

Change: a process that ends its leadership waits for an election time-out, and one that is elected while it stops leads for a second, so that it hears who else stops.

--- a/packages/core/src/endivewick_core/control/planned_stop.py
+++ b/packages/core/src/endivewick_core/control/planned_stop.py
@@ -16,13 +16,15 @@
 REQUEST_INTERVAL_MS = 200
 # Voters that hear of the end of a leadership together start their elections within this time.
 ELECTION_SPREAD_MS = 200
+# A stopping process that is elected all the same leads for this long, and hears who else stops.
+MIN_LEADERSHIP_MS = 1_000
 
 
 def handle_stop_requested(state: ControlState, event: StopRequested) -> list[Effect]:
     """Begin the planned stop; a second request changes nothing."""
     if state.planned_stop is not None:
         return []
-    state.planned_stop = PlannedStop(event.deadline_ms)
+    state.planned_stop = PlannedStop(event.now_ms, event.deadline_ms)
     return check_stop(state, event.now_ms)
 
 
@@ -40,9 +42,11 @@
         stop.may_stop = _may_stop(state, now_ms, state.me.member_id)
         if stop.may_stop or not voter_changes.has_possible_successor(state, now_ms):
             return []
-        if not voter_changes.can_another_lead(state, now_ms):
+        led_ms = now_ms - state.leader_state.since_ms
+        is_new = state.leader_state.since_ms >= stop.requested_ms and led_ms < MIN_LEADERSHIP_MS
+        if is_new or not voter_changes.can_another_lead(state, now_ms):
             return []
-        return _end_leadership(state)
+        return _end_leadership(state, now_ms)
     if now_ms < stop.request_due_ms:
         return []
     stop.request_due_ms = now_ms + REQUEST_INTERVAL_MS
@@ -94,7 +98,8 @@
     return [Send(address, request) for address in _leader_addresses(state)]
 
 
-def _end_leadership(state: ControlState) -> list[Effect]:
+def _end_leadership(state: ControlState, now_ms: int) -> list[Effect]:
+    state.election_due_ms = now_ms + state.settings.election_timeout_ms
     message = LeadershipEnded(state.term, state.me.member_id)
     effects: list[Effect] = [Send(address, message) for address in _other_voters(state)]
     return effects + election.become_follower(state, state.term, "")
--- a/packages/core/src/endivewick_core/control/state.py
+++ b/packages/core/src/endivewick_core/control/state.py
@@ -146,6 +146,7 @@
 class PlannedStop:
     """The planned stop of this process: at ``deadline_ms``, or earlier once ``may_stop`` is set."""
 
+    requested_ms: int
     deadline_ms: int
     request_due_ms: int = 0
     may_stop: bool = False
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """The voters of control bear every loss that the settings allow, at each step of a change."""
 
+from functools import partial
 from random import Random
 
 import pytest
@@ -157,6 +158,22 @@
     check(site, record_property)
 
 
+# Guards against stopping processes that all wait for another one to lead.
+@pytest.mark.parametrize("delay_ms", [0, 20, 200])
+def test_all_voters_that_stop_together_leave_in_turn(small_site, delay_ms, record_property):
+    site = small_site
+    site.add()
+    site.run(1_500)
+    stopped = list(site.machines[:3])
+    for machine in stopped:
+        restart = partial(site.after, 300, partial(site.restart, machine))
+        site.stop(machine, restart)
+        site.run(delay_ms)
+    while any(machine.is_stopping for machine in stopped):
+        site.run(20)
+    check(site, record_property)
+
+
 def disturb(site, random):
     """Disturb the site once, without more lost disks than may be lost at once."""
     up = [item for item in site.machines if item.is_up and not item.is_stopping]
