Review: reports of another writer lead to the loss of acknowledged commits

Status reports under the ids of the primary and a replica, of a service that no configuration names, hide both from control while they run. Control has the remaining replica promoted, which had received nothing for some seconds.

--- a/review/stand3/standins.py
+++ b/review/stand3/standins.py
@@ -269,7 +269,7 @@
         self.numbers = itertools.count(1)
         self.ran: dict[str, int] = {}
         self.large: dict[str, list[str]] = {}
-        self.promotions: list[tuple[str, set[str]]] = []
+        self.promotions: list[tuple[float, str, set[str]]] = []
         self.instances = [
             Instance(self, f"i-{index + 1}", f"{net}.{151 + index}", zone, index == 0)
             for index, zone in enumerate(ZONES)
@@ -321,7 +321,7 @@
             item.leads = item is target
             item.paused_term = 0
         target.term = self.term
-        self.promotions.append((name, {entry[1] for entry in target.log}))
+        self.promotions.append((now(), name, {entry[1] for entry in target.log}))
         self.record("promoted", name, "term", self.term, "position", target.position)
 
     async def serve_platform(self, address: str) -> None:
