--- a/review/stand3/standins.py
+++ b/review/stand3/standins.py
@@ -57,6 +57,7 @@
         self.paused_term = 0
         self.is_deaf = False
         self.is_up = False
+        self.state, self.acknowledged_at = "ready", 0.0
         self.born_ms = self.seq = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
@@ -95,24 +96,27 @@
     async def _report(self) -> None:
         target = ""
         while True:
-            leads = self.leads
+            leads, state = self.leads, self.state
             for address in [target, *random.sample(self.service.controls, 3)]:
                 if not address:
                     continue
                 self.seq += 1
                 body = {
                     "service": self.service.name, "addr": self.address, "zone": self.zone,
-                    "version": "v1", "slots": SLOTS, "state": "ready", "warmup-left-ms": 0,
+                    "version": "v1", "slots": SLOTS, "state": self.state, "warmup-left-ms": 0,
                     "db-role": self.role, "seq": self.seq, "born": self.born_ms,
                 }
                 path = f"/instances/{self.name}"
                 status, reply, _ = await request(address, "PUT", path, body)
                 if status == 200:
+                    if state == "draining" and not self.acknowledged_at:
+                        self.acknowledged_at = now()
+                        self.service.record("draining of", self.name, "acknowledged by", address)
                     target = json.loads(reply or b"{}").get("heartbeat-addr", address)
                     break
                 target = ""
             end = now() + REPORT_S
-            while now() < end and leads == self.leads:
+            while now() < end and (leads, state) == (self.leads, self.state):
                 await asyncio.sleep(0.02)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
