Failover: after a restart, wait for the upstreams on record that may have commits

Cause: the leader took the upstreams in its directory for all there are.

Change: RecordAnswered holds the address, the start and whether an upstream was shutting down, beside its name. A failover waits for upstreams on record that have not reported, while the logs of two or more can't be read. Since an acknowledged commit is in two logs, the others have it if only one is missing: a primary that alone is lost is replaced as soon as before. An upstream that answers at the address of another one has its log: on the platform an upstream that crashed comes back under a new name. The wait is 30 s from the election, 10 s where a missing log may be gone for good, 5 s where gateways tell what they acknowledged. Missing commits are no longer given up after 10 s as unacknowledged while a second upstream on record has not reported.

--- a/packages/core/src/endivewick_core/commands.py
+++ b/packages/core/src/endivewick_core/commands.py
@@ -136,10 +136,26 @@
     address: str = ""
 
 
+class AnsweredUpstream(NamedTuple):
+    """An upstream that has answered control, as it reported itself when it was recorded.
+
+    ``born_ms`` is when it started, in Unix milliseconds, 0 if it isn't known.
+    """
+
+    upstream: str
+    address: str = ""
+    born_ms: int = 0
+    is_leaving: bool = False
+
+
 class RecordAnswered(NamedTuple):
-    """Record the upstreams of each of these services that have ever answered control."""
+    """Record the upstreams of each of these services that have ever answered control.
+
+    ``upstreams`` describes them; it is empty in entries that were written before it was stored.
+    """
 
     services: dict[str, list[str]]
+    upstreams: list[AnsweredUpstream] = []
 
 
 COMMANDS = build_codec(
--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -12,7 +12,8 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..positions import ZERO, Position
-from . import departures
+from . import departures, missing_copies
+from .missing_copies import MissingCopies
 from .service_state import Failover
 from .state import ControlState
 
@@ -20,6 +21,7 @@
 ACKNOWLEDGEMENT_REPORT_MS = 500
 # For a new replica to report, where its first report gets no response and is repeated elsewhere.
 UNREPORTED_REPLICA_MS = 2_200
+UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
 # The same, if they may all be unacknowledged; longer than most partitions and restarts.
@@ -74,14 +76,34 @@
     )
 
 
+def unheard_wait_ms(state: ControlState, attempt: Failover, copies: MissingCopies) -> int:
+    """Return how long upstreams on record that have not reported are waited for, or 0.
+
+    The wait is short where gateways tell which commits they acknowledged, and ends before the
+    longest one where the missing copies may be gone for good.
+    """
+    if not copies.unheard or not copies.may_hold_commits:
+        return 0
+    if attempt.service in state.directory_state.acknowledged:
+        return UNREACHABLE_REPLICA_MS
+    staying = [upstream for upstream in copies.unheard if not upstream.is_leaving]
+    if len(staying) + len(copies.unreachable) < missing_copies.COPIES:
+        return UNCERTAIN_COMMITS_TIMEOUT_MS
+    return MISSING_COMMITS_TIMEOUT_MS
+
+
 def _may_be_unacknowledged(state: ControlState, attempt: Failover, received: Position) -> bool:
     """Return whether the missing commits were still waiting for a replica, so that no one has them.
 
     They are no more than the primary has slots, and every upstream that may have had a copy has
-    answered: none has restarted or stayed out of reach, or departed since they were made.
+    answered: none has restarted or stayed out of reach, or departed since they were made. After a
+    restart the former primary may be the one on record that has not reported.
     """
     if received < attempt.received:
         return False
+    copies = missing_copies.find(state, attempt)
+    if copies.unheard and copies.may_hold_commits:
+        return False
     slots = 0
     for entry in state.directory_state.directory.entries.values():
         report = entry.report
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -8,7 +8,8 @@
 every commit that may have been acknowledged; see ``commit_coverage``.
 
 If there is none, the leader waits for the former primary, or for a replica that has them. If they
-don't come, it promotes the most advanced replica.
+don't come, it promotes the most advanced replica. After a restart it waits in the same way while
+the logs of too many upstreams on record can't be read; see ``missing_copies``.
 
 The fencing token of an attempt is the index of its log entry, which is unique. If an earlier leader
 left an attempt open, the new leader orders the primary again with a newer token, so that the
@@ -24,6 +25,7 @@
     answered_upstreams,
     commit_coverage,
     failover_reasons,
+    missing_copies,
     primary_leases,
     probes,
     replica_pauses,
@@ -31,7 +33,7 @@
 )
 from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
-from .failover_log import failover_event
+from .failover_log import failover_event, upstream_wait_ended
 from .service_state import Failover, ProbeKind, Stage
 from .state import ControlState, Role
 
@@ -40,7 +42,6 @@
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
 # Longer than the platform takes to promote an upstream after it has accepted the order.
 PROMOTION_SETTLING_MS = 1_200
-UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
 # For the position of an upstream that never answered control: an attempt to connect that timed out,
 # and another one.
 UNKNOWN_REPLICA_MS = 2_200
@@ -217,13 +218,15 @@
     """
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
-        return _keep_primary(state, now_ms, attempt, primary)
+        log_events = _end_unheard_wait(state, now_ms, attempt, "the return of the primary")
+        return log_events + _keep_primary(state, now_ms, attempt, primary)
     if not primary_leases.may_replace_primary(state, now_ms, attempt):
         # A primary that may be kept goes on to serve until the leases on it have ended.
         return [] if attempt.may_keep_primary else _step_down(state, now_ms, attempt)
     effects = replica_pauses.pause(state, now_ms, attempt)
     if attempt.pausing_since_ms is None:
         attempt.pausing_since_ms = now_ms
+    effects += _check_unheard(state, now_ms, attempt)
     replicas = _answered_replicas(state, now_ms, attempt)
     target = _find_target(state, now_ms, attempt, replicas)
     if target:
@@ -254,22 +257,68 @@
 
 
 def _answered_replicas(state: ControlState, now_ms: int, attempt: Failover) -> list[DirectoryEntry]:
-    """Return the replicas that confirmed their pause, or none while one should be waited for.
+    """Return the replicas that confirmed their pause, or none while one should be waited for."""
+    unpaused = replica_pauses.unpaused_replicas(state, attempt)
+    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
+    answered = [entry for entry in replicas if entry not in unpaused]
+    waits = _waits_for_unpaused(state, now_ms, attempt, unpaused)
+    waits = waits or _waits_for_unheard(now_ms, attempt)
+    return [] if waits and not _has_end_of_primary(attempt, answered) else answered
+
+
+def _waits_for_unpaused(
+    state: ControlState, now_ms: int, attempt: Failover, unpaused: list[DirectoryEntry]
+) -> bool:
+    """Return whether to wait for replicas that have reported and have not confirmed their pause.
 
     One that never answered control may be a mere report. It is waited for only shortly.
     """
-    unpaused = replica_pauses.unpaused_replicas(state, attempt)
     waited_ms = now_ms - (attempt.pausing_since_ms or now_ms)
-    limit_ms = UNREACHABLE_REPLICA_MS
+    limit_ms = commit_coverage.UNREACHABLE_REPLICA_MS
     if attempt.service not in state.directory_state.acknowledged:
         limit_ms = commit_coverage.MISSING_COMMITS_TIMEOUT_MS
     if not any(answered_upstreams.has_answered(state, entry) for entry in unpaused):
         limit_ms = UNKNOWN_REPLICA_MS
-    replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
-    answered = [entry for entry in replicas if entry not in unpaused]
-    if unpaused and waited_ms < limit_ms and not _has_end_of_primary(attempt, answered):
+    return bool(unpaused) and waited_ms < limit_ms
+
+
+def _check_unheard(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    """Find the upstreams on record that have not reported, and log when a wait for them changes.
+
+    They have been silent since the election of this leader, or are hidden by another report.
+    """
+    assert state.leader_state is not None
+    copies = missing_copies.find(state, attempt)
+    limit_ms = commit_coverage.unheard_wait_ms(state, attempt, copies)
+    since_ms = state.leader_state.since_ms
+    known = state.directory_state.directory.entries
+    if any(upstream.upstream in known for upstream in copies.unheard):
+        since_ms = attempt.pausing_since_ms or now_ms
+    attempt.unheard = copies.unheard
+    attempt.unheard_until_ms = since_ms + limit_ms if limit_ms else None
+    if _waits_for_unheard(now_ms, attempt):
+        if attempt.is_wait_logged:
+            return []
+        attempt.is_wait_logged = True
+        return [failover_event(state, now_ms, attempt, "warning", "upstreams_awaited")]
+    ended_by = "the time limit" if limit_ms else "reports and answers of upstreams"
+    return _end_unheard_wait(state, now_ms, attempt, ended_by)
+
+
+def _waits_for_unheard(now_ms: int, attempt: Failover) -> bool:
+    """Return whether to wait for upstreams on record that have not reported."""
+    return attempt.unheard_until_ms is not None and now_ms < attempt.unheard_until_ms
+
+
+def _end_unheard_wait(
+    state: ControlState, now_ms: int, attempt: Failover, ended_by: str
+) -> list[Effect]:
+    """Log what ended the wait for upstreams that had not reported, if there was one."""
+    if not attempt.is_wait_logged:
         return []
-    return answered
+    attempt.is_wait_logged = False
+    attempt.unheard_until_ms = None
+    return [upstream_wait_ended(state, now_ms, attempt, ended_by)]
 
 
 def _has_end_of_primary(attempt: Failover, replicas: list[DirectoryEntry]) -> bool:
--- a/packages/core/src/endivewick_core/control/failover_log.py
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -20,6 +20,16 @@
     return LogEvent(level, name, text, _inputs(state, now_ms, attempt))
 
 
+def upstream_wait_ended(
+    state: ControlState, now_ms: int, attempt: Failover, ended_by: str
+) -> LogEvent:
+    """Return the log event of the end of a wait for upstreams that had not reported."""
+    text = f"{attempt.service}: {ended_by} ended the wait for upstreams that had not reported"
+    inputs = _inputs(state, now_ms, attempt)
+    inputs["ended_by"] = ended_by
+    return LogEvent("info", "upstream_wait_ended", text, inputs)
+
+
 def replica_paused(
     state: ControlState, now_ms: int, attempt: Failover, entry: DirectoryEntry
 ) -> LogEvent:
@@ -75,6 +85,17 @@
             if entry.report.service == attempt.service
         },
     }
+    # After a restart, upstreams on record that may have commits have not reported yet.
+    inputs["unheard"] = {
+        upstream.upstream: {
+            "address": upstream.address,
+            "born_ms": upstream.born_ms,
+            "is_leaving": upstream.is_leaving,
+        }
+        for upstream in attempt.unheard
+    }
+    if attempt.unheard_until_ms is not None:
+        inputs["unheard_left_ms"] = attempt.unheard_until_ms - now_ms
     # A replica that departed after its pause may have held commits that no other one received.
     inputs["departed"] = {
         name: format_position(replica.received)
--- a/packages/core/src/endivewick_core/directory.py
+++ b/packages/core/src/endivewick_core/directory.py
@@ -168,10 +168,16 @@
     entry.report = report
 
 
+def upstreams_at(directory: Directory, address: str) -> list[DirectoryEntry]:
+    """Return the entries of the upstreams at an address, departed ones too."""
+    names = directory.by_address.get(address, set())
+    return [directory.entries[name] for name in sorted(names)]
+
+
 def _at_address(directory: Directory, report: UpstreamReport) -> list[DirectoryEntry]:
     """Return the entries of other upstreams at a report's address."""
-    names = directory.by_address.get(report.address, set()) - {report.upstream}
-    return [directory.entries[name] for name in sorted(names)]
+    entries = upstreams_at(directory, report.address)
+    return [entry for entry in entries if entry.report.upstream != report.upstream]
 
 
 def _others_at_address(directory: Directory, report: UpstreamReport) -> list[DirectoryEntry]:
--- a/packages/core/src/endivewick_core/replicated_state.py
+++ b/packages/core/src/endivewick_core/replicated_state.py
@@ -16,6 +16,7 @@
 from .codec import encode
 from .commands import (
     AdoptPrimary,
+    AnsweredUpstream,
     AssignHomes,
     BeginFailover,
     EndFailover,
@@ -118,7 +119,8 @@
 
     ``members`` lists the upstreams of each group and is derived from ``upstreams``.
 
-    ``answered`` lists the upstreams of each service that have ever answered control.
+    ``answered`` lists the upstreams of each service that have ever answered control, and
+    ``answered_upstreams`` describes them by name.
 
     Control members keep ``changes``, the records of operators' changes. Proxies don't: they receive
     an empty command in place of a refused one, so they reach the same configuration without them.
@@ -134,6 +136,7 @@
     configuration: StoredConfiguration = StoredConfiguration(0, [], b"")
     failovers: dict[str, FailoverRecord] = field(default_factory=dict)
     answered: dict[str, list[str]] = field(default_factory=dict)
+    answered_upstreams: dict[str, AnsweredUpstream] = field(default_factory=dict)
 
 
 class _StoredState(NamedTuple):
@@ -145,6 +148,7 @@
     configuration: StoredConfiguration = StoredConfiguration(0, [], b"")
     failovers: dict[str, FailoverRecord] = {}
     answered: dict[str, list[str]] = {}
+    answered_upstreams: dict[str, AnsweredUpstream] = {}
 
 
 _stored_decoder = msgspec.msgpack.Decoder(_StoredState)
@@ -162,6 +166,7 @@
         replicated_state.configuration,
         replicated_state.failovers,
         replicated_state.answered,
+        replicated_state.answered_upstreams,
     )
     return msgspec.msgpack.encode(stored)
 
@@ -173,6 +178,7 @@
     replicated_state.configuration = stored.configuration
     replicated_state.failovers = dict(stored.failovers)
     replicated_state.answered = dict(stored.answered)
+    replicated_state.answered_upstreams = dict(stored.answered_upstreams)
     for contract in stored.contracts.values():
         interned_contract = Contract(*map(_interned, contract))
         replicated_state.contracts[interned_contract.customer] = interned_contract
@@ -403,10 +409,18 @@
 def _record_answered(
     replicated_state: ReplicatedState, index: int, command: RecordAnswered
 ) -> ChangeResult:
-    replicated_state.answered.update(command.services)
-    for service in list(replicated_state.answered):
+    answered, described = replicated_state.answered, replicated_state.answered_upstreams
+    dropped: set[str] = set()
+    for service, names in command.services.items():
+        dropped.update(answered.get(service, ()))
+        answered[service] = names
+    for service in list(answered):
         if service not in replicated_state.configuration.services:
-            del replicated_state.answered[service]
+            dropped.update(answered.pop(service))
+    for name in dropped:
+        described.pop(name, None)
+    for upstream in command.upstreams:
+        described[upstream.upstream] = upstream
     return ChangeResult("", 0, index)
 
 
