Failover: a primary that has just reported may answer before it is told to step down

Callers would have seen acknowledged commits gone after a restart of everything, where a primary comes back later than the waits of a new leader, together with a replica that lags.

Cause, two halves: all waits of a service without a primary count from the election, so that its first report starts a failover in the same tick, and the primary is told to step down before its first answer. And 500 ms after a step down a log counts as complete that has all positions which gateways acknowledged; after a restart of everything there are none.

Change: where no primary was confirmed since the start of the process, a failover that may keep it gives an upstream that reports to be the primary 1 s to answer. Where no gateway tells what it acknowledged, only a log up to the end of the one with which the primary stepped down is complete; otherwise that primary leads again.

Tests: test_a_primary_that_reports_for_the_first_time_leads_on and test_a_primary_that_stepped_down_is_not_replaced_by_a_lagging_replica fail without the first and the second half (2 cases each), test_an_end_of_every_process_loses_nothing in 4 of 6 cases without both.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -58,8 +58,11 @@
     """Return whether a log that ends at ``received`` surely has every acknowledged commit."""
     if received < attempt.received or received < _acknowledged(state, attempt):
         return False
-    if attempt.primary_end is not None and received >= attempt.primary_end:
-        return True
+    if attempt.primary_end is not None:
+        if received >= attempt.primary_end:
+            return True
+        if attempt.service not in state.directory_state.acknowledged:
+            return False  # any commit of the former primary may have been acknowledged
     stepped_down_ms = attempt.stepped_down_ms
     return stepped_down_ms is None or now_ms - stepped_down_ms >= ACKNOWLEDGEMENT_REPORT_MS
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -38,6 +38,8 @@
 from .state import ControlState, Role
 
 ORDER_RETRY_MS = 400  # an order without a response is repeated with the same token
+# For an upstream that has just reported to be the primary to be connected and to answer a probe.
+FIRST_ANSWER_MS = 1_000
 TARGET_PROBE_INTERVAL_MS = 100  # clients wait for the new primary to be noticed
 PROMOTION_TIMEOUT_MS = 5_000  # then the failover is restarted with a newer token
 # Longer than the platform takes to promote an upstream after it has accepted the order.
@@ -220,6 +222,8 @@
     if primary and attempt.may_keep_primary:
         log_events = _end_unheard_wait(state, now_ms, attempt, "the return of the primary")
         return log_events + _keep_primary(state, now_ms, attempt, primary)
+    if _may_answer_first_probe(state, now_ms, attempt):
+        return []
     if not primary_leases.may_replace_primary(state, now_ms, attempt):
         # A primary that may be kept goes on to serve until the leases on it have ended.
         return [] if attempt.may_keep_primary else _step_down(state, now_ms, attempt)
@@ -242,6 +246,19 @@
     return effects + _return_to_primary(state, now_ms, attempt, primary)
 
 
+def _may_answer_first_probe(state: ControlState, now_ms: int, attempt: Failover) -> bool:
+    """Return whether an upstream that reports to be the primary has had no time to answer yet.
+
+    After a restart its report may be the first one of its service.
+    """
+    if not attempt.may_keep_primary or attempt.service in state.watch.watermarks:
+        return False
+    entry = state.directory_state.directory.entries.get(attempt.previous)
+    if entry is None or entry.is_apart or not entry.report.is_primary:
+        return False
+    return now_ms - attempt.started_ms < FIRST_ANSWER_MS
+
+
 def _find_target(
     state: ControlState, now_ms: int, attempt: Failover, replicas: list[DirectoryEntry]
 ) -> str:
--- a/tests/test_exploration.py
+++ b/tests/test_exploration.py
@@ -7,6 +7,7 @@
 import pytest
 from exploration import (
     FENCED_LEASE_MS,
+    FEW_RETURN_TIMES_MS,
     LEASE_MS,
     Action,
     Order,
@@ -132,6 +133,19 @@
     assert_that(losing_paths(record_property, platform, "control_freezes", 5), Equals([]))
 
 
+# Guards against the promotion of a replica that lags, after every process has ended, before the
+# upstreams with the commits are back (review/11); and against a wait for them that is too long.
+@on_each_platform
+@pytest.mark.parametrize(
+    "name", ["everything_ends", "everything_ends_renamed", "everything_ends_twice"]
+)
+def test_an_end_of_every_process_loses_nothing(platform, name, record_property):
+    scenario = scenario_on(platform, name)._replace(return_times_ms=FEW_RETURN_TIMES_MS)
+    found = explore(scenario, 2)
+    record_property("states", found.states)
+    assert_that([f"{text}: {describe(path)}" for path, text in found.paths], Equals([]))
+
+
 # Guards against a service that stays without a primary after a fault of one kind.
 @on_each_platform
 @pytest.mark.parametrize("fault", ["crash", "cut", "restart"])
--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -169,6 +169,38 @@
     assert_nothing_lost(service)
 
 
+# Guards against a step down of a primary that returns, and is found missing before its first answer;
+# a lagging replica is promoted then, since nobody tells what was acknowledged.
+def test_a_primary_that_reports_for_the_first_time_leads_on(service, lagging):
+    primary, second, third = lagging
+    end_everything(service, primary, second, third)
+    service.run(OUT_OF_REACH_MS)
+    service.come_back(primary)
+    service.come_back(third)
+    third.is_deaf = False
+    led = []
+    for _ in range(100):
+        service.run(20)
+        led.append(primary.leads)
+    assert_that(led, Equals([True] * 100))
+    assert_nothing_lost(service)
+
+
+# Guards against a lagging replica that counts as complete once a former primary has stepped down,
+# where no gateway tells what it acknowledged.
+def test_a_primary_that_stepped_down_is_not_replaced_by_a_lagging_replica(service, lagging):
+    primary, second, third = lagging
+    service.crash(second)
+    end_everything(service)
+    third.is_deaf = True
+    service.is_writing = False
+    service.run(1_000)
+    service.leave(primary)
+    service.run(CHANGE_MS)
+    assert_that(set(service.promoted), Equals({primary.name}))
+    assert_nothing_lost(service)
+
+
 # Guards against a wait without end for upstreams that are lost for good.
 def test_a_lagging_replica_leads_at_last_if_the_copies_are_gone(service, lagging):
     primary, second, _ = lagging
