--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -169,8 +169,8 @@
     assert_nothing_lost(service)
 
 
-# Guards against a step down of a primary that returns, and is found missing before its first answer;
-# a lagging replica is promoted then, since nobody tells what was acknowledged.
+# Guards against a step down of a primary that returns, and is found missing before its first
+# answer; a lagging replica is promoted then, since nobody tells what was acknowledged.
 def test_a_primary_that_reports_for_the_first_time_leads_on(service, lagging):
     primary, second, third = lagging
     end_everything(service, primary, second, third)
