--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -47,6 +47,8 @@
 # For the position of an upstream that never answered control: an attempt to connect that timed out,
 # and another one.
 UNKNOWN_REPLICA_MS = 2_200
+# For the replicas to answer their pauses; until then it isn't known which logs are out of reach.
+PAUSE_ANSWER_MS = 600
 REFUSED_ORDER_RETRY_MS = 400  # before another attempt orders an upstream
 # Before a primary that has stepped down leads again, since no replica has all of its commits.
 RETURN_TO_PRIMARY_MS = 700
@@ -314,7 +316,8 @@
     attempt.unheard = copies.unheard
     attempt.unheard_until_ms = since_ms + limit_ms if limit_ms else None
     if _waits_for_unheard(now_ms, attempt):
-        if attempt.is_wait_logged:
+        pausing_ms = now_ms - (attempt.pausing_since_ms or now_ms)
+        if attempt.is_wait_logged or pausing_ms < PAUSE_ANSWER_MS:
             return []
         attempt.is_wait_logged = True
         return [failover_event(state, now_ms, attempt, "warning", "upstreams_awaited")]
--- a/packages/core/src/endivewick_core/control/primary_waits.py
+++ b/packages/core/src/endivewick_core/control/primary_waits.py
@@ -36,7 +36,7 @@
             continue
         waited_ms = now_ms - attempt.incomplete_since_ms
         is_known_to_last = attempt.is_gap_logged and attempt.stepped_down_ms is None
-        if waited_ms < SHORT_WAIT_MS and not is_known_to_last and not attempt.is_wait_logged:
+        if waited_ms < SHORT_WAIT_MS and not is_known_to_last:
             continue
         left_ms = max(0, MISSING_COMMITS_TIMEOUT_MS - waited_ms)
         if attempt.unheard_until_ms is not None:
--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -135,6 +135,7 @@
     primary, _, _ = instances(service)
     end_everything(service, primary)
     assert_serves_within(service, CHANGE_MS)
+    assert_that(logged(service, "upstreams_awaited"), Equals([]))
     assert_nothing_lost(service)
 
 
@@ -222,6 +223,7 @@
     assert_that(begun.inputs["unheard_left_ms"], LessThan(30_000))
     service.come_back(primary)
     service.run(2_000)
+    assert_that(len(logged(service, "upstreams_awaited")), Equals(1))
     (ended,) = logged(service, "upstream_wait_ended")
     assert_that(ended.inputs["ended_by"], Equals("the return of the primary"))
 
