--- a/packages/core/src/endivewick_core/control/answered_upstreams.py
+++ b/packages/core/src/endivewick_core/control/answered_upstreams.py
@@ -37,7 +37,7 @@
     return [described.get(name, AnsweredUpstream(name)) for name in names]
 
 
-def is_unheard(state: ControlState, service: str, upstream: AnsweredUpstream) -> bool:
+def is_unreported(state: ControlState, service: str, upstream: AnsweredUpstream) -> bool:
     """Return whether an upstream on record may still run, though nothing is known of it.
 
     Its log is known where an upstream that has started at its address since then answers.
@@ -121,7 +121,7 @@
     for upstream in known:
         if knows_all and upstream.upstream not in entries:
             continue
-        if is_unheard(state, service, upstream):
+        if is_unreported(state, service, upstream):
             kept[upstream.upstream] = upstream
     return kept
 
--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -79,17 +79,17 @@
     )
 
 
-def unheard_wait_ms(state: ControlState, attempt: Failover, copies: MissingCopies) -> int:
+def unreported_wait_ms(state: ControlState, attempt: Failover, copies: MissingCopies) -> int:
     """Return how long upstreams on record that have not reported are waited for, or 0.
 
     The wait is short where gateways tell which commits they acknowledged, and ends before the
     longest one where the missing copies may be gone for good.
     """
-    if not copies.unheard or not copies.may_hold_commits:
+    if not copies.unreported or not copies.may_hold_commits:
         return 0
     if attempt.service in state.directory_state.acknowledged:
         return UNREACHABLE_REPLICA_MS
-    staying = [upstream for upstream in copies.unheard if not upstream.is_leaving]
+    staying = [upstream for upstream in copies.unreported if not upstream.is_leaving]
     if len(staying) + len(copies.unreachable) < missing_copies.COPIES:
         return UNCERTAIN_COMMITS_TIMEOUT_MS
     return MISSING_COMMITS_TIMEOUT_MS
@@ -105,7 +105,7 @@
     if received < attempt.received:
         return False
     copies = missing_copies.find(state, attempt)
-    if copies.unheard and copies.may_hold_commits:
+    if copies.unreported and copies.may_hold_commits:
         return False
     slots = 0
     for entry in state.directory_state.directory.entries.values():
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -222,7 +222,7 @@
     """
     primary = _confirmed_primary(state, now_ms, attempt)
     if primary and attempt.may_keep_primary:
-        log_events = _end_unheard_wait(state, now_ms, attempt, "the return of the primary")
+        log_events = _end_unreported_wait(state, now_ms, attempt, "the return of the primary")
         return log_events + _keep_primary(state, now_ms, attempt, primary)
     if _may_answer_first_probe(state, now_ms, attempt):
         return []
@@ -232,7 +232,7 @@
     effects = replica_pauses.pause(state, now_ms, attempt)
     if attempt.pausing_since_ms is None:
         attempt.pausing_since_ms = now_ms
-    effects += _check_unheard(state, now_ms, attempt)
+    effects += _check_unreported(state, now_ms, attempt)
     replicas = _answered_replicas(state, now_ms, attempt)
     target = _find_target(state, now_ms, attempt, replicas)
     if target:
@@ -281,7 +281,7 @@
     replicas = replica_pauses.replicas(state, attempt.service, attempt.previous)
     answered = [entry for entry in replicas if entry not in unpaused]
     waits = _waits_for_unpaused(state, now_ms, attempt, unpaused)
-    waits = waits or _waits_for_unheard(now_ms, attempt)
+    waits = waits or _waits_for_unreported(now_ms, attempt)
     return [] if waits and not _has_end_of_primary(attempt, answered) else answered
 
 
@@ -301,43 +301,43 @@
     return bool(unpaused) and waited_ms < limit_ms
 
 
-def _check_unheard(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+def _check_unreported(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Find the upstreams on record that have not reported, and log when a wait for them changes.
 
     They have been silent since the election of this leader, or are hidden by another report.
     """
     assert state.leader_state is not None
     copies = missing_copies.find(state, attempt)
-    limit_ms = commit_coverage.unheard_wait_ms(state, attempt, copies)
+    limit_ms = commit_coverage.unreported_wait_ms(state, attempt, copies)
     since_ms = state.leader_state.since_ms
     known = state.directory_state.directory.entries
-    if any(upstream.upstream in known for upstream in copies.unheard):
+    if any(upstream.upstream in known for upstream in copies.unreported):
         since_ms = attempt.pausing_since_ms or now_ms
-    attempt.unheard = copies.unheard
-    attempt.unheard_until_ms = since_ms + limit_ms if limit_ms else None
-    if _waits_for_unheard(now_ms, attempt):
+    attempt.unreported = copies.unreported
+    attempt.unreported_until_ms = since_ms + limit_ms if limit_ms else None
+    if _waits_for_unreported(now_ms, attempt):
         pausing_ms = now_ms - (attempt.pausing_since_ms or now_ms)
         if attempt.is_wait_logged or pausing_ms < PAUSE_ANSWER_MS:
             return []
         attempt.is_wait_logged = True
         return [failover_event(state, now_ms, attempt, "warning", "upstreams_awaited")]
     ended_by = "the time limit" if limit_ms else "reports and answers of upstreams"
-    return _end_unheard_wait(state, now_ms, attempt, ended_by)
+    return _end_unreported_wait(state, now_ms, attempt, ended_by)
 
 
-def _waits_for_unheard(now_ms: int, attempt: Failover) -> bool:
+def _waits_for_unreported(now_ms: int, attempt: Failover) -> bool:
     """Return whether to wait for upstreams on record that have not reported."""
-    return attempt.unheard_until_ms is not None and now_ms < attempt.unheard_until_ms
+    return attempt.unreported_until_ms is not None and now_ms < attempt.unreported_until_ms
 
 
-def _end_unheard_wait(
+def _end_unreported_wait(
     state: ControlState, now_ms: int, attempt: Failover, ended_by: str
 ) -> list[Effect]:
     """Log what ended the wait for upstreams that had not reported, if there was one."""
     if not attempt.is_wait_logged:
         return []
     attempt.is_wait_logged = False
-    attempt.unheard_until_ms = None
+    attempt.unreported_until_ms = None
     return [upstream_wait_ended(state, now_ms, attempt, ended_by)]
 
 
--- a/packages/core/src/endivewick_core/control/failover_log.py
+++ b/packages/core/src/endivewick_core/control/failover_log.py
@@ -86,16 +86,16 @@
         },
     }
     # After a restart, upstreams on record that may have commits have not reported yet.
-    inputs["unheard"] = {
+    inputs["unreported"] = {
         upstream.upstream: {
             "address": upstream.address,
             "born_ms": upstream.born_ms,
             "is_leaving": upstream.is_leaving,
         }
-        for upstream in attempt.unheard
+        for upstream in attempt.unreported
     }
-    if attempt.unheard_until_ms is not None:
-        inputs["unheard_left_ms"] = attempt.unheard_until_ms - now_ms
+    if attempt.unreported_until_ms is not None:
+        inputs["unreported_left_ms"] = attempt.unreported_until_ms - now_ms
     # A replica that departed after its pause may have held commits that no other one received.
     inputs["departed"] = {
         name: format_position(replica.received)
--- a/packages/core/src/endivewick_core/control/missing_copies.py
+++ b/packages/core/src/endivewick_core/control/missing_copies.py
@@ -21,26 +21,26 @@
 class MissingCopies(NamedTuple):
     """The upstreams of a service whose logs can't be read.
 
-    ``unheard`` are on record and have not reported, ``unreachable`` have reported and don't answer,
-    and ``lost`` have departed or started again without their logs since they were recorded.
+    ``unreported`` are on record and have not reported, ``unreachable`` have reported and don't
+    answer, and ``lost`` have departed or started again without their logs since they were recorded.
     """
 
-    unheard: list[AnsweredUpstream]
+    unreported: list[AnsweredUpstream]
     unreachable: list[str]
     lost: list[str]
 
     @property
     def may_hold_commits(self) -> bool:
         """Whether the only copies of an acknowledged commit may be among these logs."""
-        return len(self.unheard) + len(self.unreachable) + len(self.lost) >= COPIES
+        return len(self.unreported) + len(self.unreachable) + len(self.lost) >= COPIES
 
 
 def find(state: ControlState, attempt: Failover) -> MissingCopies:
     """Return the upstreams whose logs a failover can't read."""
-    unheard, lost = [], []
+    unreported, lost = [], []
     for upstream in answered_upstreams.recorded(state, attempt.service):
-        if answered_upstreams.is_unheard(state, attempt.service, upstream):
-            unheard.append(upstream)
+        if answered_upstreams.is_unreported(state, attempt.service, upstream):
+            unreported.append(upstream)
             continue
         if _has_lost_log(state, attempt.service, upstream):
             lost.append(upstream.upstream)
@@ -50,7 +50,7 @@
             unreachable.append(entry.report.upstream)
     if _is_primary_unreachable(state, attempt):
         unreachable.append(attempt.previous)
-    return MissingCopies(unheard, [name for name in unreachable if name not in lost], lost)
+    return MissingCopies(unreported, [name for name in unreachable if name not in lost], lost)
 
 
 def _has_lost_log(state: ControlState, service: str, upstream: AnsweredUpstream) -> bool:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -135,8 +135,8 @@
     ``order_due_ms`` the time before which nothing is ordered. ``is_gap_logged`` is set once it was
     logged that no replica which answered has every commit. ``leading`` maps each upstream that
     still leads, as one that isn't fenced may, to its start; it steps down before it is paused.
-    ``slow_targets`` are those whose promotion took too long. ``unheard`` are upstreams on record
-    that have not reported, which are waited for until ``unheard_until_ms``, None if they aren't;
+    ``slow_targets`` are those whose promotion took too long. ``unreported`` are upstreams on record
+    that have not reported, which are waited for until ``unreported_until_ms``, None if they aren't;
     ``is_wait_logged`` is set while this wait stands in the log.
     """
 
@@ -167,8 +167,8 @@
     paused: dict[str, PausedReplica] = field(default_factory=dict)
     leading: dict[str, int] = field(default_factory=dict)
     slow_targets: frozenset[str] = frozenset()
-    unheard: list[AnsweredUpstream] = field(default_factory=list)
-    unheard_until_ms: int | None = None
+    unreported: list[AnsweredUpstream] = field(default_factory=list)
+    unreported_until_ms: int | None = None
     is_wait_logged: bool = False
 
 
--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -117,7 +117,7 @@
 
 # Guards against giving commits up after 10 s, as ones that were never acknowledged, while a replica
 # that may have them has not reported since a restart of control.
-def test_missing_commits_are_not_given_up_early_for_an_unheard_replica(service):
+def test_missing_commits_are_not_given_up_early_for_a_replica_without_report(service):
     primary, second, third = instances(service)
     third.is_deaf = True
     service.run(60)
@@ -218,9 +218,9 @@
     end_everything(service, primary, second)
     service.run(OUT_OF_REACH_MS)
     (begun,) = logged(service, "upstreams_awaited")
-    assert_that(sorted(begun.inputs["unheard"]), Equals([primary.name, second.name]))
-    assert_that(begun.inputs["unheard"][second.name]["address"], Equals(second.address))
-    assert_that(begun.inputs["unheard_left_ms"], LessThan(30_000))
+    assert_that(sorted(begun.inputs["unreported"]), Equals([primary.name, second.name]))
+    assert_that(begun.inputs["unreported"][second.name]["address"], Equals(second.address))
+    assert_that(begun.inputs["unreported_left_ms"], LessThan(30_000))
     service.come_back(primary)
     service.run(2_000)
     assert_that(len(logged(service, "upstreams_awaited")), Equals(1))
