Failover: gateways are told the whole wait where commits are missing after a restart

Read in the diff: once the wait for upstreams that have not reported was over, and commits were still missing, gateways were told that nothing is left of the wait, so that clients would have come back at once and in vain.

test_missing_commits_are_not_given_up_early_for_a_replica_without_report checks it, and fails without the change (2 cases).

--- a/packages/core/src/endivewick_core/control/missing_copies.py
+++ b/packages/core/src/endivewick_core/control/missing_copies.py
@@ -54,7 +54,7 @@
 
 
 def _has_lost_log(state: ControlState, service: str, upstream: AnsweredUpstream) -> bool:
-    """Return whether an upstream that was heard of no longer has the log that it had on record.
+    """Return whether an upstream that has reported no longer has the log that it had on record.
 
     One that starts again under its name has none, and one that departs takes it along, unless
     another one starts at its address.
--- a/packages/core/src/endivewick_core/control/primary_waits.py
+++ b/packages/core/src/endivewick_core/control/primary_waits.py
@@ -39,7 +39,7 @@
         if waited_ms < SHORT_WAIT_MS and not is_known_to_last:
             continue
         left_ms = max(0, MISSING_COMMITS_TIMEOUT_MS - waited_ms)
-        if attempt.unreported_until_ms is not None:
-            left_ms = max(0, attempt.unreported_until_ms - now_ms)
+        if attempt.unreported_until_ms is not None and now_ms < attempt.unreported_until_ms:
+            left_ms = attempt.unreported_until_ms - now_ms
         waits.append(PrimaryWaitNote(attempt.service, waited_ms, left_ms))
     return waits
--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -6,6 +6,7 @@
 from endivewick_core.codec import decode
 from endivewick_core.commands import COMMANDS, AnsweredUpstream, RecordAnswered
 from endivewick_core.control import events as ce
+from endivewick_core.control import primary_waits
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.replicated_state import (
     ReplicatedState,
@@ -23,7 +24,7 @@
 )
 from test_review_28 import lost_by_proxy
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 from workload import CONTRACT, Session, ready_driver
 
 CHANGE_MS = 9_000  # the target for a change of primary
@@ -125,6 +126,8 @@
     service.crash(second)
     service.restart_control()
     service.run(15_000)
+    (wait,) = primary_waits.notes(service.state, service.now_ms)
+    assert_that(wait.left_ms, GreaterThan(0))
     service.come_back(second)
     run_until_promoted(service)
     assert_nothing_lost(service)
