--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -731,7 +731,7 @@
         world.unserved_ms = world.delayed_ms = 0
         return
     world.unserved_ms += TICK_MS
-    # Each acknowledged commit is on two upstreams.
+    # Each acknowledged commit is on two upstreams, so one that is down can't have the only copy.
     if sum(not item.is_up for item in world.upstreams.values()) <= 1:
         world.delayed_ms += TICK_MS
     if world.delayed_ms > COMPLETE_WAIT_LIMIT_MS:
