Tests: guards of the wait for unreported upstreams that nothing turned red for

Nothing turned red for the record that stands still, a lost log, a primary that is out of reach, an inferred departure and the 5 s where gateways tell; for each there is a test now that does. Without a test: that the wait for a hidden upstream counts from the pauses.

--- a/tests/test_missing_copies.py
+++ b/tests/test_missing_copies.py
@@ -102,6 +102,64 @@
     assert_nothing_lost(service)
 
 
+def come_back_empty(service, instance):
+    """Start an upstream again under its name, without its log."""
+    instance.log = []
+    service.come_back(instance)
+
+
+# Guards against counting a replica as read whose log is gone since it started again.
+def test_a_replica_that_started_again_without_its_log_is_no_copy(service, lagging):
+    primary, second, third = lagging
+    end_everything(service, primary, second)
+    third.is_deaf = False
+    come_back_empty(service, second)
+    service.run(OUT_OF_REACH_MS)
+    service.come_back(primary)
+    assert_serves_within(service, CHANGE_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against a record that takes the new start of such a replica for the one with the commits.
+def test_a_second_end_of_everything_remembers_a_lost_log(service, lagging):
+    primary, second, third = lagging
+    end_everything(service, primary, second)
+    third.is_deaf = False
+    come_back_empty(service, second)
+    service.run(3_000)
+    end_everything(service)
+    service.run(OUT_OF_REACH_MS)
+    service.come_back(primary)
+    assert_serves_within(service, CHANGE_MS)
+    assert_nothing_lost(service)
+
+
+# Guards against a leader that forgets that a known primary, which fails, has a copy as well.
+def test_a_primary_that_fails_before_a_replica_reports_is_missing_too(service, lagging):
+    primary, second, _ = lagging
+    end_everything(service, second)
+    service.run(3_000)
+    service.crash(primary)
+    service.run(OUT_OF_REACH_MS)
+    service.come_back(second)
+    run_until_promoted(service)
+    assert_nothing_lost(service)
+
+
+# Guards against trust in the gateways that are left, where one ended that acknowledged more.
+def test_a_replica_without_report_is_waited_for_where_a_gateway_ended(service, lagging):
+    primary, second, third = lagging
+    service.crash(primary)
+    service.crash(second)
+    service.positions[GATEWAYS[0]] = {SERVICE: third.end_of_log()}
+    service.positions[GATEWAYS[1]] = {}
+    service.restart_control()
+    service.run(4_000)
+    service.come_back(second)
+    run_until_promoted(service)
+    assert_nothing_lost(service)
+
+
 # Guards against a next leader that doesn't know what the one before waited for.
 def test_a_change_of_leader_goes_on_with_the_wait(service, lagging):
     primary, second, third = lagging
@@ -297,6 +355,22 @@
     assert_that(service.state.replicated_state.answered[SERVICE], Contains(second.name))
 
 
+# Guards against a report at a replica's address, by another writer, that removes the replica from
+# the record while it can't be reached.
+def test_an_inferred_departure_removes_no_upstream_from_the_record(service):
+    _, second, _ = instances(service)
+    service.cut_from_control(second)
+    service.run(3_000)
+    stranger = Instance("u-stranger", born_ms=service.now_ms, address=second.address)
+    stranger.is_up = stranger.reachable = False
+    service.upstreams[stranger.name] = stranger
+    service.report(stranger)
+    service.run(3_000)
+    entry = service.state.directory_state.directory.entries[second.name]
+    assert_that(entry.report.state, Equals(UpstreamState.GONE))
+    assert_that(service.state.replicated_state.answered[SERVICE], Contains(second.name))
+
+
 # Guards against a control process that can't read the record of an earlier release.
 def test_a_record_without_descriptions_is_read():
     frame = msgspec.msgpack.encode((1, "RecordAnswered", ({SERVICE: ["u-a"]},)))
