Proxy: look at the contracts only where a replica is missing

A home that replaces its primary went through all contracts at each tick, also where every replica can be reached and the answer decides nothing. Behaviour is the same.

--- a/packages/core/src/endivewick_core/proxy/failover.py
+++ b/packages/core/src/endivewick_core/proxy/failover.py
@@ -118,11 +118,13 @@
     candidates = _candidates(state, now_ms, home, None)
     others = [item for item in home.instances.values() if item.name != group.primary]
     missing = [item for item in others if item not in candidates and not item.leaving]
-    wait_ms = REPLICA_WAIT_MS
-    if not _knows_acknowledged(state, home, candidates):
-        wait_ms = MISSING_COPY_WAIT_MS
-    if not candidates or (missing and now_ms - home.phase_since_ms < wait_ms):
+    if not candidates:
         return []
+    if missing:
+        knows_acknowledged = _knows_acknowledged(state, home, candidates)
+        wait_ms = REPLICA_WAIT_MS if knows_acknowledged else MISSING_COPY_WAIT_MS
+        if now_ms - home.phase_since_ms < wait_ms:
+            return []
     best = max(candidates, key=_rank)
     if not covers(best.position, home.replicated_position):
         if now_ms - home.phase_since_ms < MISSING_COPY_WAIT_MS:
