Storage: sync the log on loading

Users reported an acknowledged configuration that was gone after several machines had lost power.

A process that is killed between its write to the log and the fdatasync starts again, reads the record from the page cache and counts its entries as stored. An entry that is sent again isn't written again, so the reply that reports it as synced to disk isn't true, and a leader may commit by it. A loss of power then removes the record.

Storage.load now syncs the log before it returns anything.

The test records the size of the file at each fdatasync while a folder is loaded whose last record was written without one. Without the change no sync of the log is recorded, and the test fails.

--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -1,7 +1,8 @@
 """Durable state of a control process: identity, vote, snapshot and log.
 
 Each record is ``length, inverted length, checksum, payload``, and entries appended together share
-one. Nothing is reported as stored before ``fdatasync`` has returned. On loading, an incomplete
+one. Nothing is reported as stored before ``fdatasync`` has returned. On loading, the log is synced,
+since a process that was killed may have written its last record and not synced it. An incomplete
 last write is removed: a record that extends beyond the end of the file, or a last record that ends
 in zeros and doesn't match its checksum. Any other record with a wrong length or checksum means that
 synced data is corrupt, and the process refuses to start.
@@ -76,6 +77,10 @@
     return _HEADER.pack(length, length ^ _LENGTH_MASK, digest) + payload
 
 
+def _failure_message(error: OSError) -> str:
+    return f"data_folder: a write or sync failed: {error.strerror}; check the disk"
+
+
 class Storage:
     """An open data folder, locked so that only one process uses it at a time."""
 
@@ -109,6 +114,7 @@
                 self._corruption_message(f"{LOG_FILE} doesn't continue where the snapshot ends")
             )
         self._log = os.open(self._folder / LOG_FILE, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+        self._sync(self._log)
         self._sync_folder()
         return Stored(member_id, vote, snapshot, entries, cut_bytes)
 
@@ -235,7 +241,12 @@
             view = memoryview(data)
             while view:
                 view = view[os.write(descriptor, view) :]
+        except OSError as error:
+            raise StorageFailed(_failure_message(error)) from error
+        self._sync(descriptor)
+
+    def _sync(self, descriptor: int) -> None:
+        try:
             os.fdatasync(descriptor)
         except OSError as error:
-            message = f"data_folder: a write or sync failed: {error.strerror}; check the disk"
-            raise StorageFailed(message) from error
+            raise StorageFailed(_failure_message(error)) from error
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,7 @@
 """Storage of a control process: synced state is loaded again, corrupt state is refused."""
 
+import os
+
 import pytest
 from endivewick_core.messages import LogEntry
 from endivewick_node.exceptions import StorageCorrupt, StorageFailed
@@ -146,6 +148,28 @@
     storage.close()
 
 
+# Guards against a record that a killed process wrote without syncing it and that is then counted as
+# stored: a loss of power would remove it.
+def test_log_of_a_killed_process_is_synced_before_it_is_reported(folder_with_state, monkeypatch):
+    fdatasync = os.fdatasync
+    storage = Storage(folder_with_state)
+    storage.load("control-1")
+    monkeypatch.setattr("os.fdatasync", lambda descriptor: None)
+    storage.append(0, entries(6, 6))
+    storage.close()
+    synced = []
+
+    def record(descriptor):
+        synced.append((os.fstat(descriptor).st_ino, os.fstat(descriptor).st_size))
+        fdatasync(descriptor)
+
+    monkeypatch.setattr("os.fdatasync", record)
+    stored = load(folder_with_state)
+    log = (folder_with_state / LOG_FILE).stat()
+    assert_that(stored.entries, Equals(entries(1, 6)))
+    assert_that(synced, Contains((log.st_ino, log.st_size)))
+
+
 def test_failed_sync_ends_the_process(folder_with_state, monkeypatch):
     storage = Storage(folder_with_state)
     storage.load("control-1")
