--- a/packages/core/src/endivewick_core/control/replication.py
+++ b/packages/core/src/endivewick_core/control/replication.py
@@ -20,6 +20,7 @@
 )
 from . import election, failover, operators
 from .effects import AppendEntries, Effect, LogEvent, SaveSnapshot, Send, TruncateLog
+from .log import Log
 from .state import (
     ControlState,
     Membership,
@@ -112,20 +113,25 @@
 
 
 def handle_snapshot(state: ControlState, now_ms: int, request: SnapshotRequest) -> list[Effect]:
-    """Replace the log by the leader's snapshot if that is past the commit index."""
+    """Replace the log by the leader's snapshot if that is past the commit index.
+
+    Entries after the snapshot stay if the log has its last entry: the leader may count them.
+    """
     if request.term < state.term:
         return []
     effects = _accept_leader(state, now_ms, request.term, request.leader)
     if request.last_index > state.commit_index:
-        state.log.entries = []
-        state.log.start_index = request.last_index
-        state.log.start_term = request.last_term
+        if state.log.term_at(request.last_index) == request.last_term:
+            state.log.compact(request.last_index)
+            later = [item for item in state.memberships if item[0] > request.last_index]
+        else:
+            state.log = Log(request.last_index, request.last_term)
+            later = []
         state.snapshot_membership = decode_membership(request.membership)
-        state.memberships = []
+        state.memberships = later
         state.replicated_state = decode_replicated_state(request.machine)
         state.refused_indexes = set()
         state.commit_index = request.last_index
-        effects.append(TruncateLog(1))
         effects.append(
             SaveSnapshot(request.last_index, request.last_term, request.membership, request.machine)
         )
--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -81,6 +81,17 @@
     return f"data_folder: a write or sync failed: {error.strerror}; check the disk"
 
 
+def _entries_after(snapshot: StoredSnapshot, entries: list[LogEntry]) -> list[LogEntry]:
+    """Return the entries that follow a snapshot, none if its last entry replaced one of the log.
+
+    A log from before the snapshot may hold entries of an earlier leader, which it doesn't contain.
+    """
+    for entry in entries:
+        if entry.log_index == snapshot.last_index and entry.term != snapshot.last_term:
+            return []
+    return [entry for entry in entries if entry.log_index > snapshot.last_index]
+
+
 class Storage:
     """An open data folder, locked so that only one process uses it at a time."""
 
@@ -107,7 +118,10 @@
         snapshot = self._load_file(SNAPSHOT_FILE, StoredSnapshot)
         entries, cut_bytes = self._load_log()
         if snapshot is not None:
-            entries = [entry for entry in entries if entry.log_index > snapshot.last_index]
+            later_entries = _entries_after(snapshot, entries)
+            if len(later_entries) < len(entries):
+                self._replace_log(later_entries)
+            entries = later_entries
         first_index = snapshot.last_index + 1 if snapshot else 1
         if entries and entries[0].log_index != first_index:
             raise StorageCorrupt(
@@ -123,12 +137,15 @@
         self._replace_file(VOTE_FILE, _encode_record(vote))
 
     def save_snapshot(self, snapshot: StoredSnapshot, entries: list[LogEntry]) -> None:
-        """Replace the snapshot, then replace the log with the entries after it."""
+        """Replace the snapshot, then replace the log with the entries after it.
+
+        After a crash between the two, ``load`` replaces the log.
+        """
         self._replace_file(SNAPSHOT_FILE, _encode_record(snapshot))
-        record = _encode_record(LogRecord(0, entries)) if entries else b""
-        self._replace_file(LOG_FILE, record)
-        os.close(self._log)
+        self._replace_log(entries)
+        replaced_log = self._log
         self._log = os.open(self._folder / LOG_FILE, os.O_WRONLY | os.O_APPEND)
+        os.close(replaced_log)
 
     def append(self, truncate_from: int, entries: list[LogEntry]) -> None:
         """Append one record to the log and sync it."""
@@ -210,6 +227,9 @@
             raise StorageCorrupt(self._corruption_message(f"{name} is corrupt at byte {offset}"))
         return payload, start + length
 
+    def _replace_log(self, entries: list[LogEntry]) -> None:
+        self._replace_file(LOG_FILE, _encode_record(LogRecord(0, entries)) if entries else b"")
+
     def _corruption_message(self, fault: str) -> str:
         return (
             f"data_folder: {fault}; empty {self._folder} and restart: the process then "
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,9 +1,21 @@
 """Storage of a control process: synced state is loaded again, corrupt state is refused."""
 
 import os
+import shutil
 
 import pytest
-from endivewick_core.messages import LogEntry
+from endivewick_core.control.effects import SaveSnapshot, TruncateLog
+from endivewick_core.control.events import MessageReceived
+from endivewick_core.control.reducer import reduce
+from endivewick_core.control.state import (
+    ControlSettings,
+    ControlState,
+    Membership,
+    Role,
+    encode_membership,
+)
+from endivewick_core.messages import LogEntry, Member, SnapshotRequest
+from endivewick_core.replicated_state import ReplicatedState, encode_replicated_state
 from endivewick_node.exceptions import StorageCorrupt, StorageFailed
 from endivewick_node.storage import LOG_FILE, VOTE_FILE, Storage, StoredSnapshot, StoredVote
 from testtools.assertions import assert_that
@@ -77,6 +89,136 @@
     assert_that(load(folder_with_state).entries, Equals(entries(4, 5)))
 
 
+class Crash(Exception):
+    """The process ends before the call that raises it."""
+
+
+def crash_at(monkeypatch, number):
+    """Let the process end before call ``number`` + 1 of those that change the folder."""
+    calls = []
+
+    def fault(name, call):
+        def counted(*args, **options):
+            calls.append(name)
+            if len(calls) > number:
+                raise Crash(f"before {name}, call {len(calls)}")
+            return call(*args, **options)
+
+        monkeypatch.setattr(f"os.{name}", counted)
+
+    for name in ("open", "write", "fdatasync", "fsync", "replace"):
+        fault(name, getattr(os, name))
+    return calls
+
+
+def save_until_crash(folder, number, snapshot, later, monkeypatch):
+    """Save a snapshot, ending at call ``number``; return whether it was saved before that."""
+    storage = Storage(folder)
+    storage.load("control-1")
+    is_saved = True
+    with monkeypatch.context() as context:
+        crash_at(context, number)
+        try:
+            storage.save_snapshot(snapshot, later)
+        except Crash:
+            is_saved = False
+    storage.close()
+    return is_saved
+
+
+# Guards against a crash at any point of the replacement that loses entries, or that keeps those of
+# an earlier leader after the snapshot of a later one.
+@pytest.mark.parametrize(
+    ("snapshot", "later"),
+    [
+        (StoredSnapshot(3, 1, b"members", b"machine"), entries(4, 5)),
+        (StoredSnapshot(3, 2, b"members", b"machine"), []),
+        (StoredSnapshot(5, 2, b"members", b"machine"), []),
+        (StoredSnapshot(9, 2, b"members", b"machine"), []),
+    ],
+    ids=["own", "other_leaders", "other_leaders_to_the_end", "past_the_end"],
+)
+def test_crash_at_any_point_of_a_snapshot(snapshot, later, tmp_path, monkeypatch):
+    outcomes = set()
+    is_saved = False
+    number = 0
+    while not is_saved:
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        storage = Storage(folder)
+        storage.load("control-1")
+        storage.append(0, entries(1, 3))
+        storage.append(0, entries(4, 5))
+        storage.close()
+        is_saved = save_until_crash(folder, number, snapshot, later, monkeypatch)
+        stored = load(folder)
+        expected = entries(1, 5) if stored.snapshot is None else later
+        assert_that((number, stored.entries), Equals((number, expected)))
+        assert_that(stored.snapshot in (None, snapshot), Equals(True))
+        outcomes.add(stored.snapshot is None)
+        # The process goes on from there, and is started once more.
+        last_index = expected[-1].log_index if expected else snapshot.last_index
+        storage = Storage(folder)
+        storage.load("control-1")
+        storage.append(0, entries(last_index + 1, last_index + 2, term=3))
+        storage.close()
+        added = entries(last_index + 1, last_index + 2, term=3)
+        assert_that((number, load(folder).entries), Equals((number, expected + added)))
+        number += 1
+    assert_that(stored.snapshot, Equals(snapshot))
+    assert_that(outcomes, Equals({True, False}))
+    assert_that(number, GreaterThan(10))
+
+
+def voter_with_entries():
+    """Return a voter of term 1 with the entries 1 to 5, none of them known to be committed."""
+    me, leader = (Member(f"{name}#x", name, name) for name in ("control-1", "control-2"))
+    settings = ControlSettings({"control-1": "control-1", "control-2": "control-2"}, {})
+    state = ControlState(settings, me, Role.FOLLOWER, term=1)
+    state.snapshot_membership = Membership([me, leader], [])
+    for entry in entries(1, 5):
+        state.log.entries.append(entry)
+    return state
+
+
+def snapshot_from_leader(state, last_index, last_term):
+    membership = encode_membership(state.snapshot_membership)
+    machine = encode_replicated_state(ReplicatedState(), with_changes=True)
+    return SnapshotRequest(2, "control-2#x", last_index, last_term, membership, machine, 1)
+
+
+# Guards against a voter that ends while it takes over a leader's snapshot, and then has neither the
+# entries that it had reported as stored nor the snapshot.
+def test_crash_between_the_effects_of_a_snapshot(folder_with_state, tmp_path_factory):
+    state = voter_with_entries()
+    request = snapshot_from_leader(state, 9, 2)
+    effects = reduce(state, MessageReceived(1_000, request))
+    for executed in range(len(effects) + 1):
+        folder = tmp_path_factory.mktemp("copy")
+        shutil.copytree(folder_with_state, folder, dirs_exist_ok=True)
+        storage = Storage(folder)
+        storage.load("control-1")
+        for effect in effects[:executed]:
+            if isinstance(effect, TruncateLog):
+                storage.append(effect.from_index, [])
+            if isinstance(effect, SaveSnapshot):
+                storage.save_snapshot(StoredSnapshot(*effect), list(state.log.entries))
+        storage.close()
+        stored = load(folder)
+        last_index = stored.snapshot.last_index if stored.snapshot else 0
+        held = range(1, last_index + len(stored.entries) + 1)
+        assert_that((executed, set(held) >= set(range(1, 6))), Equals((executed, True)))
+
+
+# Guards against a late snapshot that removes entries which the leader counts as stored.
+@pytest.mark.parametrize(("last_term", "kept"), [(1, entries(4, 5)), (2, [])])
+def test_snapshot_keeps_the_entries_that_follow_it(last_term, kept):
+    state = voter_with_entries()
+    reduce(state, MessageReceived(1_000, snapshot_from_leader(state, 3, last_term)))
+    assert_that((state.log.start_index, state.log.start_term), Equals((3, last_term)))
+    assert_that(state.log.entries, Equals(kept))
+
+
 @pytest.mark.parametrize("missing_bytes", range(1, 40))
 def test_incomplete_last_record_is_removed(folder_with_state, missing_bytes):
     path = folder_with_state / LOG_FILE
