Gateway: read nothing once a planned stop has decided to end

What callers saw: a statement that reached a gateway at the end of its planned stop could be sent to an upstream, and the client's connection was closed without an answer.

Cause: the tick that finds the stop complete only sets an event. The tasks that read sockets and messages run once more before they are cancelled, so they still took sessions, statements and statements of other gateways.

The poller and the transport are now stopped in the same step as the decision, without a pause of the event loop between. What arrives later stays unread in the kernel.

--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -187,9 +187,8 @@
                 # The tick closes idle sessions: a statement that has arrived must be read before.
                 self._poller.handle_all_ready()
             self._reduce(Tick(now_ms()))
-            if is_drained(self._state, now_ms()):
-                log("info", "stopped", "planned stop: all sessions have ended")
-                self._stopped.set()
+            if self._end_if_drained():
+                return
             wait_ms = next_tick_ms(self._state, now_ms())
             if has_waiting(self._state):
                 await trio.sleep(wait_ms / 1000)
@@ -198,6 +197,20 @@
             with trio.move_on_after(wait_ms / 1000):
                 await self._statements_waiting.wait()
 
+    def _end_if_drained(self) -> bool:
+        """End the process if a planned stop may; from then on it reads and accepts nothing.
+
+        Other tasks run once more before they are cancelled. What they would read could not be
+        answered any more.
+        """
+        if not is_drained(self._state, now_ms()):
+            return False
+        self._poller.stop()
+        self._transport.stop()
+        log("info", "stopped", "planned stop: all sessions have ended")
+        self._stopped.set()
+        return True
+
     async def _export_gauges(self) -> None:
         while True:
             await trio.sleep(GAUGE_INTERVAL_MS / 1000)
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -35,6 +35,7 @@
         """Create the epoll descriptor."""
         self._epoll = select.epoll()
         self._callbacks: dict[int, EventCallback] = {}
+        self._is_stopped = False
 
     def add(self, stream: socket.socket, mask: int, callback: EventCallback) -> None:
         """Call ``callback`` with the events of a socket that are in ``mask``."""
@@ -65,7 +66,13 @@
         while self._handle_ready() == EVENTS_PER_TURN:
             pass
 
+    def stop(self) -> None:
+        """Call no callback any more, so that nothing is accepted or read."""
+        self._is_stopped = True
+
     def _handle_ready(self) -> int:
+        if self._is_stopped:
+            return 0
         ready = self._epoll.poll(0, EVENTS_PER_TURN)
         for descriptor, events in ready:
             callback = self._callbacks.get(descriptor)
--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -44,6 +44,7 @@
         self._routes = section.get("routes", {})
         self._on_dropped = on_dropped
         self._dealers: dict[str, zmq.Socket[bytes]] = {}
+        self._is_stopped = False
         self._router: zmq.Socket[bytes] = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.RCVHWM, QUEUED_FRAMES_LIMIT)
@@ -86,9 +87,12 @@
         return True
 
     async def receive(self, handle: Callable[[str, bytes], None]) -> None:
-        """Pass each received frame and its sender's address to ``handle``, until cancelled."""
+        """Pass each received frame and its sender's address to ``handle``.
+
+        It ends when it is cancelled or stopped.
+        """
         descriptor = int(self._router.getsockopt(zmq.FD))
-        while True:
+        while not self._is_stopped:
             received = self._receive_available(handle)
             if received == FRAMES_PER_TURN:
                 await trio.lowlevel.checkpoint()
@@ -97,12 +101,18 @@
                 continue
             await trio.lowlevel.wait_readable(descriptor)
 
+    def stop(self) -> None:
+        """Receive nothing any more; frames can still be sent."""
+        self._is_stopped = True
+
     def close(self) -> None:
         """Close all sockets and drop unsent frames."""
         self._context.destroy(linger=0)
 
     def _receive_available(self, handle: Callable[[str, bytes], None]) -> int:
         for received in range(FRAMES_PER_TURN):
+            if self._is_stopped:
+                return received
             try:
                 _, sender, frame = self._router.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -101,3 +101,15 @@
     with pytest.raises(AddressInUse) as caught:
         Transport({"address": addresses[0]}, lambda: None)
     assert_that(str(caught.value), Contains("cluster.address"))
+
+
+# A process that has decided to end must not take a statement of another one.
+def test_nothing_is_received_after_the_stop(pair, addresses):
+    sender, receiver = pair
+    send_until_received(receiver, lambda: sender.send(addresses[1], b"first"))
+    assert_that(sender.send(addresses[1], b"second"), Equals(True))
+    assert_that(receiver._router.poll(WAIT_S * 1000), Equals(zmq.POLLIN))
+    received = []
+    receiver.stop()
+    trio.run(receiver.receive, lambda *item: received.append(item))
+    assert_that(received, Equals([]))
