Gateway: let a planned stop wait for answers that clients have not taken

What callers saw: on a slow link an answer was cut off at the end of a planned stop.

Cause: a session counts as ended once its last answer is handed to its connection. What the kernel doesn't accept at once is kept by the process and lost when it ends.

The process now ends only once no connection has unsent answers, and at the end of the grace time at the latest, so that a client that reads nothing can't hold it up.

--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -159,6 +159,12 @@
     return sessions.close_idle(state, now_ms, includes_transactions)
 
 
+def stop_ends_ms(state: GatewayState) -> int:
+    """Return when a planned stop that has started must have ended the process."""
+    assert state.draining_since_ms is not None
+    return state.draining_since_ms + state.drain_grace_ms
+
+
 def is_drained(state: GatewayState, now_ms: int) -> bool:
     """Tell whether a planned stop may end the process."""
     if state.draining_since_ms is None:
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -24,7 +24,13 @@
     StatementReceived,
     Tick,
 )
-from endivewick_core.gateway.reducer import has_waiting, is_drained, next_tick_ms, reduce
+from endivewick_core.gateway.reducer import (
+    has_waiting,
+    is_drained,
+    next_tick_ms,
+    reduce,
+    stop_ends_ms,
+)
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.gateway.upstream_health import count_reduced
 from endivewick_core.messages import CODEC
@@ -203,7 +209,10 @@
         Other tasks run once more before they are cancelled. What they would read could not be
         answered any more.
         """
-        if not is_drained(self._state, now_ms()):
+        at_ms = now_ms()
+        if not is_drained(self._state, at_ms):
+            return False
+        if self._sessions.has_unsent() and at_ms < stop_ends_ms(self._state):
             return False
         self._poller.stop()
         self._transport.stop()
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -105,6 +105,10 @@
                 if is_late and client.writer.is_reading:
                     self._close_for(client, "incomplete_message")
 
+    def has_unsent(self) -> bool:
+        """Return whether answers wait until the kernel accepts them."""
+        return any(client.writer.has_unsent for client in self._connections.values())
+
     def accept_session(self, number: int) -> None:
         """Notify a client that its session is open."""
         self._write(number, self._wire.encode_accepted())
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -1,14 +1,19 @@
 """Planned stops of a gateway process: what it has taken gets an answer, and nothing is cut off."""
 
+import socket
+
 import pytest
 import trio
 from endivewick_core.gateway import events as ev
 from endivewick_node import gateway_node
+from endivewick_node.clock import now_ms
 from gateway_process import HOSTS, KEY, Process
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 GRACE_OF_BALANCER_MS = 2_500
+GRACE_MS = 6_000
+LARGE_BYTES = 1_000_000  # more than a socket with the smallest buffer takes at once
 STARTUP = f"STARTUP db1 {KEY}\r\n".encode()
 
 
@@ -49,3 +54,41 @@
     monkeypatch.setattr(gateway_node, "reduce", reduce_and_record)
     trio.run(process.node.run)
     assert_that(ev.SessionOpened in events, Equals(False))
+
+
+def leave_unsent(process, client):
+    """Let a session's answer wait for its client."""
+    process.read(client)
+    sessions = process.node._sessions
+    (number,) = process.node._state.sessions
+    stream = sessions._connections[number].stream
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1)
+    sessions._write(number, b"x" * LARGE_BYTES)
+    assert_that(sessions.has_unsent(), Equals(True))
+
+
+# An answer that a slow client has not taken yet must not be cut off by the end of the process.
+def test_the_end_waits_for_answers_that_the_kernel_has_not_accepted(process):
+    client = process.connect(KEY)
+    leave_unsent(process, client)
+    node = process.node
+    start_stop(process, GRACE_OF_BALANCER_MS)
+    node._reduce(ev.Tick(now_ms()))
+    node._poller.handle_all_ready()
+    assert_that(node._end_if_drained(), Equals(False))
+    received = process.read(client, end=b"never")
+    assert_that(received.count(b"x"), Equals(LARGE_BYTES))
+    assert_that((node._state.sessions, node._end_if_drained()), Equals(({}, True)))
+    client.close()
+
+
+# A client that doesn't read its answers must not keep the process until it is killed.
+def test_the_end_waits_no_longer_than_the_grace_time(process):
+    client = process.connect(KEY)
+    leave_unsent(process, client)
+    node = process.node
+    start_stop(process, GRACE_MS)
+    node._reduce(ev.Tick(now_ms()))
+    node._poller.handle_all_ready()
+    assert_that(node._end_if_drained(), Equals(True))
+    client.close()
