Gateway: let the last messages of a planned stop leave the process

What callers saw: a statement at a connection holder whose planned stop ended could time out at the gateway of its client, although the holder had answered it.

Cause: the holder's last answer ends its last session, and so its process. The messages that the kernel had not accepted by then, as on a link that is slow or full, were dropped.

The process now waits up to 500 ms for them after a planned stop.

Evidence: in the test a message of 32 MiB arrives although its sender closes at once; without the wait it didn't. A trial on an idle loopback link: messages of 200 bytes arrived in 30 of 30 cases both ways, so this concerns messages that the kernel doesn't accept at once.

--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -63,6 +63,8 @@
 
 READINESS_CONNECTION_LIMIT = 64  # load balancers probe from a few addresses
 GAUGE_INTERVAL_MS = 1_000  # gauges change slowly
+# How long a planned stop waits at its end for messages that are on their way to slow links.
+LAST_FRAMES_MS = 500
 # Events of one session, upstream connection or process; see ``event_failures``.
 PEER_EVENTS = (
     SessionOpened,
@@ -142,7 +144,8 @@
             nursery.start_soon(self._export_gauges)
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
-        self._transport.close()
+        # The last answers to other gateways may have been queued in the same turn.
+        self._transport.close(LAST_FRAMES_MS)
 
     def drain(self) -> None:
         """Start a planned stop."""
--- a/packages/node/src/endivewick_node/transport.py
+++ b/packages/node/src/endivewick_node/transport.py
@@ -105,9 +105,12 @@
         """Receive nothing any more; frames can still be sent."""
         self._is_stopped = True
 
-    def close(self) -> None:
-        """Close all sockets and drop unsent frames."""
-        self._context.destroy(linger=0)
+    def close(self, linger_ms: int = 0) -> None:
+        """Close all sockets; wait up to ``linger_ms`` for frames that are not sent yet.
+
+        It waits only for processes that are connected, since nothing is queued for others.
+        """
+        self._context.destroy(linger=linger_ms)
 
     def _receive_available(self, handle: Callable[[str, bytes], None]) -> int:
         for received in range(FRAMES_PER_TURN):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -12,6 +12,9 @@
 
 WAIT_S = 10.0
 ADDRESS_NUMBERS = count(1)
+LARGE_BYTES = 32 * 1024 * 1024  # more than the sockets of one connection take
+LINGER_MS = 10_000
+SILENCE_MS = 500
 
 
 @pytest.fixture
@@ -113,3 +116,16 @@
     receiver.stop()
     trio.run(receiver.receive, lambda *item: received.append(item))
     assert_that(received, Equals([]))
+
+
+# The last answer of a holder that ends must reach the gateway that waits for it.
+def test_a_frame_that_was_queued_arrives_although_its_sender_closes(pair, addresses):
+    sender, receiver = pair
+    send_until_received(receiver, lambda: sender.send(addresses[1], b"first"))
+    large = b"x" * LARGE_BYTES
+    assert_that(sender.send(addresses[1], large), Equals(True))
+    sender.close(LINGER_MS)
+    frames = []
+    while receiver._router.poll(SILENCE_MS):
+        frames.append(receiver._router.recv_multipart()[2])
+    assert_that(frames[-1:] == [large], Equals(True))
