Gateway: a planned stop waits for messages to other gateways that are sent again

What callers saw: the same as with messages that were dropped at the end of a holder: a timeout of a statement that had run.

Cause: an answer to a gateway that isn't connected at that moment is kept and sent again for up to a second, but the planned stop of the holder looked at sessions only, and ended the process.

A planned stop is now complete only once no such message is left; they are dropped after a second.

Evidence: the test failed before: the stop was complete while the answer to a write was still to be sent again.

--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -170,7 +170,8 @@
     if state.draining_since_ms is None:
         return False
     waited_ms = now_ms - state.draining_since_ms
-    return waited_ms >= BALANCER_GRACE_MS and not state.sessions
+    ended = not state.sessions and not state.unsent_messages
+    return waited_ms >= BALANCER_GRACE_MS and ended
 
 
 _HANDLERS: dict[type, Any] = {
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 from endivewick_core.codec import decode, encode
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway import holders
+from endivewick_core.gateway.reducer import is_drained
 from endivewick_core.messages import CODEC, ForwardedStatement
 from endivewick_core.statements import (
     Error,
@@ -34,6 +35,7 @@
         self.holder_address = holders.rank_gateways(some.state, SERVICE)[0]
         self.holder = self.gateways[self.holder_address]
         others = [item for item in ADDRESSES if item != self.holder_address]
+        self.ingress_address = others[0]
         self.ingress = self.gateways[others[0]]
         self.unreachable = set()
 
@@ -422,3 +424,22 @@
             gateway.tick(20)
         centre.deliver()
     assert_that(centre.ingress.answers[-1].error.fault, Equals(Fault.BUSY))
+
+
+# The answer to a statement of another gateway must be sent before a planned stop ends the process.
+def test_a_planned_stop_waits_for_an_answer_that_could_not_be_sent(centre):
+    centre.holder.handle(ev.DrainRequested(centre.holder.now_ms, 6_000))
+    centre.holder.tick(2_500)
+    centre.ingress.session(1, "strict")
+    request = centre.ingress.send(1, K.WRITE)
+    centre.deliver()
+    centre.holder.answer_own_statements()
+    centre.holder.reply(centre.holder.find_sent(request))
+    undelivered = centre.holder.messages.pop()
+    at_ms = centre.holder.now_ms
+    centre.holder.handle(ev.MessageUndelivered(at_ms, centre.ingress_address, undelivered.message))
+    assert_that(is_drained(centre.holder.state, centre.holder.now_ms), Equals(False))
+    centre.holder.tick()
+    centre.deliver()
+    assert_that(centre.ingress.answers[-1].proof, Equals("proof-10"))
+    assert_that(is_drained(centre.holder.state, centre.holder.now_ms), Equals(True))
