Gateway: a planned stop serves what has arrived before it closes a session

What callers saw: around a planned stop, a statement that a client had sent behind another one was read, and its connection closed without an answer.

Cause: the tick closes each session that is idle in the reducer's state. A connection whose client has not taken an answer yet is not read from, so the next statement waits in the connection's buffer or in the kernel, and the session looks idle.

A planned stop now finishes sessions in two steps: the connection reads what has arrived, and only if that is nothing, and no answer waits for the client, is the session closed. At the end of the grace time the stop waits for unanswered requests only.

The times of the planned stop move to a module of their own.

--- a/packages/core/src/endivewick_core/gateway/effects.py
+++ b/packages/core/src/endivewick_core/gateway/effects.py
@@ -40,6 +40,12 @@
     session: int
 
 
+class FinishSession(NamedTuple):
+    """Read what a session has sent so far; report it as idle if that is nothing."""
+
+    session: int
+
+
 class Send(NamedTuple):
     """Send a message to the control process or gateway at ``address``."""
 
@@ -85,6 +91,7 @@
     | RefuseSession
     | AnswerStatement
     | CloseSession
+    | FinishSession
     | OpenConnection
     | SendStatements
     | CloseConnection
--- a/packages/core/src/endivewick_core/gateway/events.py
+++ b/packages/core/src/endivewick_core/gateway/events.py
@@ -41,6 +41,13 @@
     session: int
 
 
+class SessionIdle(NamedTuple):
+    """A session that was to be finished has sent nothing more."""
+
+    now_ms: int
+    session: int
+
+
 class MessageReceived(NamedTuple):
     """A control process or another gateway sent ``message``."""
 
@@ -75,6 +82,7 @@
     | SessionOpened
     | StatementReceived
     | SessionClosed
+    | SessionIdle
     | ConnectionOpened
     | ConnectionReplied
     | ConnectionBroke
--- /dev/null
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -0,0 +1,52 @@
+"""The times of a gateway's planned stop.
+
+At first everything goes on, until the balancer has noticed that this gateway isn't ready. Then
+sessions are closed between statements, and from half of the grace time on between the statements of
+a transaction, too.
+"""
+
+from ..statements import TransactionState
+from .effects import Effect, FinishSession
+from .state import GatewayState, Session
+
+BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
+
+
+def finish_idle(state: GatewayState, now_ms: int) -> list[Effect]:
+    """Finish the sessions that a planned stop may close now."""
+    return [
+        FinishSession(session.number)
+        for session in state.sessions.values()
+        if may_close(state, now_ms, session)
+    ]
+
+
+def may_close(state: GatewayState, now_ms: int, session: Session) -> bool:
+    """Tell whether a planned stop may close a session now; nothing of it may be unanswered."""
+    since_ms = state.draining_since_ms
+    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
+        return False
+    if session.current is not None or session.waiting or session.origin is not None:
+        return False
+    may_close_transactions = now_ms - since_ms >= state.drain_grace_ms // 2
+    return session.state is TransactionState.IDLE or may_close_transactions
+
+
+def ends_ms(state: GatewayState) -> int:
+    """Return when a planned stop that has started must have ended the process."""
+    assert state.draining_since_ms is not None
+    return state.draining_since_ms + state.drain_grace_ms
+
+
+def is_drained(state: GatewayState, now_ms: int) -> bool:
+    """Tell whether a planned stop may end the process.
+
+    At the end of the grace time it doesn't wait for sessions whose clients send only a part of a
+    statement or don't read their answers.
+    """
+    since_ms = state.draining_since_ms
+    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
+        return False
+    if state.requests or state.unsent_messages:
+        return False
+    return not state.sessions or now_ms >= ends_ms(state)
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -18,6 +18,7 @@
     forwarding,
     maintenance,
     overdue,
+    planned_stop,
     quotas,
     remote_sessions,
     results,
@@ -35,6 +36,7 @@
     MessageReceived,
     MessageUndelivered,
     SessionClosed,
+    SessionIdle,
     SessionOpened,
     StatementReceived,
     Tick,
@@ -45,7 +47,6 @@
 WEIGHTED_TICK_MS = 40  # with weights, while requests wait: a silent upstream is noticed in time
 IDLE_TICK_MS = 100  # timeouts and other timed work may be late by a tenth of a second
 SWEEP_INTERVAL_MS = 1_000  # idle connections and latencies change slowly
-BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
 
 
 def reduce(state: GatewayState, event: Event) -> list[Effect]:
@@ -95,7 +96,7 @@
         state.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
         effects += maintenance.close_unused(state, now_ms)
         routing.decay_latencies(state)
-    return effects + _check_drain(state, now_ms)
+    return effects + planned_stop.finish_idle(state, now_ms)
 
 
 def _handle_message(state: GatewayState, event: MessageReceived) -> list[Effect]:
@@ -150,35 +151,12 @@
     return max(QUEUED_TICK_MS, min(wait_ms, WEIGHTED_TICK_MS if watches else IDLE_TICK_MS))
 
 
-def _check_drain(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Close idle sessions; transactions may go on for the first half of the grace time."""
-    since_ms = state.draining_since_ms
-    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
-        return []
-    includes_transactions = now_ms - since_ms >= state.drain_grace_ms // 2
-    return sessions.close_idle(state, now_ms, includes_transactions)
-
-
-def stop_ends_ms(state: GatewayState) -> int:
-    """Return when a planned stop that has started must have ended the process."""
-    assert state.draining_since_ms is not None
-    return state.draining_since_ms + state.drain_grace_ms
-
-
-def is_drained(state: GatewayState, now_ms: int) -> bool:
-    """Tell whether a planned stop may end the process."""
-    if state.draining_since_ms is None:
-        return False
-    waited_ms = now_ms - state.draining_since_ms
-    ended = not state.sessions and not state.unsent_messages
-    return waited_ms >= BALANCER_GRACE_MS and ended
-
-
 _HANDLERS: dict[type, Any] = {
     Tick: _tick,
     SessionOpened: sessions.handle_opened,
     StatementReceived: sessions.handle_statement,
     SessionClosed: sessions.handle_closed,
+    SessionIdle: sessions.handle_idle,
     ConnectionOpened: results.handle_opened,
     ConnectionReplied: results.handle_replied,
     ConnectionBroke: results.handle_connection_lost,
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -14,9 +14,9 @@
     StatementKind,
     TransactionState,
 )
-from . import answers, pool, quotas, remote_sessions, routing, tenants
+from . import answers, planned_stop, pool, quotas, remote_sessions, routing, tenants
 from .effects import AcceptSession, CloseSession, Effect, LogEvent, RefuseSession
-from .events import SessionClosed, SessionOpened, StatementReceived
+from .events import SessionClosed, SessionIdle, SessionOpened, StatementReceived
 from .requests import is_write, open_request
 from .state import GatewayState, Session
 
@@ -125,15 +125,12 @@
     return effects
 
 
-def close_idle(state: GatewayState, now_ms: int, includes_transactions: bool) -> list[Effect]:
-    """Close the idle sessions, and with ``includes_transactions`` those in a transaction."""
-    effects: list[Effect] = []
-    for session in list(state.sessions.values()):
-        if session.current is not None or session.waiting or session.origin is not None:
-            continue
-        if session.state is TransactionState.IDLE or includes_transactions:
-            effects += _close_session(state, now_ms, session)
-    return effects
+def handle_idle(state: GatewayState, event: SessionIdle) -> list[Effect]:
+    """Close a session that a planned stop has finished, unless it is busy again."""
+    session = state.sessions.get(event.session)
+    if session is None or not planned_stop.may_close(state, event.now_ms, session):
+        return []
+    return _close_session(state, event.now_ms, session)
 
 
 def _run_statement(
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -11,7 +11,7 @@
 from endivewick_core.documents import decompress
 from endivewick_core.exceptions import UNKNOWN_PATH, Failure, failure_body
 from endivewick_core.gateway import effects as fx
-from endivewick_core.gateway import sessions
+from endivewick_core.gateway import planned_stop, sessions
 from endivewick_core.gateway.control_link import is_ready
 from endivewick_core.gateway.events import (
     ConfigurationReceived,
@@ -20,17 +20,12 @@
     MessageReceived,
     MessageUndelivered,
     SessionClosed,
+    SessionIdle,
     SessionOpened,
     StatementReceived,
     Tick,
 )
-from endivewick_core.gateway.reducer import (
-    has_waiting,
-    is_drained,
-    next_tick_ms,
-    reduce,
-    stop_ends_ms,
-)
+from endivewick_core.gateway.reducer import has_waiting, next_tick_ms, reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.gateway.upstream_health import count_reduced
 from endivewick_core.messages import CODEC
@@ -68,6 +63,7 @@
 # Events of one session, upstream connection or process; see ``event_failures``.
 PEER_EVENTS = (
     SessionOpened,
+    SessionIdle,
     StatementReceived,
     ConnectionOpened,
     ConnectionReplied,
@@ -174,7 +170,7 @@
         """Close the connection that an event came from, so that its work is not left half done."""
         if isinstance(event, ConnectionOpened | ConnectionReplied):
             self._upstreams.abort(event.connection, CONNECTION_CLOSED_TEXT)
-        if isinstance(event, SessionOpened | StatementReceived):
+        if isinstance(event, SessionOpened | SessionIdle | StatementReceived):
             self._sessions.close_session(event.session)
             self._reduce(SessionClosed(now_ms(), event.session))
 
@@ -213,9 +209,9 @@
         answered any more.
         """
         at_ms = now_ms()
-        if not is_drained(self._state, at_ms):
+        if not planned_stop.is_drained(self._state, at_ms):
             return False
-        if self._sessions.has_unsent() and at_ms < stop_ends_ms(self._state):
+        if self._sessions.has_unsent() and at_ms < planned_stop.ends_ms(self._state):
             return False
         self._poller.stop()
         self._transport.stop()
@@ -291,6 +287,7 @@
     ),
     fx.AnswerStatement: lambda node, effect: node._sessions.answer(effect),
     fx.CloseSession: lambda node, effect: node._sessions.close_session(effect.session),
+    fx.FinishSession: lambda node, effect: node._sessions.finish_session(effect.session),
     OpenConnection: lambda node, effect: node._upstreams.open(effect),
     SendStatements: lambda node, effect: node._upstreams.send(effect),
     CloseConnection: lambda node, effect: node._upstreams.close(effect),
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -8,7 +8,12 @@
 
 import trio
 from endivewick_core.gateway.effects import AnswerStatement
-from endivewick_core.gateway.events import SessionClosed, SessionOpened, StatementReceived
+from endivewick_core.gateway.events import (
+    SessionClosed,
+    SessionIdle,
+    SessionOpened,
+    StatementReceived,
+)
 from endivewick_core.statements import Error, Fault, Statement
 
 from . import sockets
@@ -29,7 +34,7 @@
 UNREAD_TIMEOUT_MS = 30_000
 SWEEP_INTERVAL_MS = 250
 
-SessionEvent = SessionOpened | StatementReceived | SessionClosed
+SessionEvent = SessionOpened | StatementReceived | SessionClosed | SessionIdle
 
 
 @dataclass(slots=True, eq=False)
@@ -37,6 +42,7 @@
     """A client's connection; ``has_workspace`` is set by its startup message.
 
     ``is_closing`` is set once nothing more is read; the remaining answers may still be written.
+    ``is_finishing`` is set until the next turn reports whether the client has sent something more.
     ``incomplete_since_ms`` is since when a message is incomplete or the startup message is missing,
     and ``unsent_since_ms`` since when answers are unread; 0 if there are none.
     """
@@ -49,6 +55,7 @@
     has_workspace: bool = False
     is_closing: bool = False
     is_handling: bool = False
+    is_finishing: bool = False
     incomplete_since_ms: int = 0
     unsent_since_ms: int = 0
 
@@ -122,6 +129,13 @@
         """Write the answer to a statement."""
         self._write(effect.session, self._wire.encode_answer(effect))
 
+    def finish_session(self, number: int) -> None:
+        """Report a session as idle in the next turn, if nothing more of it has arrived by then."""
+        client = self._connections.get(number)
+        if client is not None and not client.is_closing:
+            client.is_finishing = True
+            client.writer.wake()
+
     def close_session(self, number: int) -> None:
         """Close a connection once all answers have been written to the socket."""
         client = self._connections.get(number)
@@ -178,8 +192,19 @@
         if events & sockets.BROKEN and not client.writer.is_reading:
             self._disconnect(client)
             return
-        if events & ~sockets.WRITABLE and client.writer.is_reading and not client.is_closing:
+        may_read = client.is_finishing or events & ~sockets.WRITABLE
+        if may_read and client.writer.is_reading and not client.is_closing:
             self._read(client)
+        if client.is_finishing:
+            client.is_finishing = False
+            self._report_idle(client)
+
+    def _report_idle(self, client: ClientConnection) -> None:
+        """Report a session as idle unless it is closed, or something of a message may be unread."""
+        if client.number not in self._connections or client.is_closing:
+            return
+        if client.writer.is_reading and not client.read.held_bytes:
+            self._handle(SessionIdle(now_ms(), client.number))
 
     def _read(self, client: ClientConnection) -> None:
         data = sockets.read_nonblocking(client.stream)
--- a/tests/gateway_driver.py
+++ b/tests/gateway_driver.py
@@ -110,12 +110,17 @@
     documents: list[fx.ApplyDocument] = field(default_factory=list)
     messages: list[fx.Send] = field(default_factory=list)
     connects: list[str] = field(default_factory=list)
+    unread: set[int] = field(default_factory=set)  # sessions of which more has arrived
     next_id: int = 1
 
     def handle(self, event):
         """Reduce one event and record its effects."""
-        for effect in reduce(self.state, event):
+        effects = reduce(self.state, event)
+        for effect in effects:
             self._record_effect(effect)
+        for effect in effects:
+            if isinstance(effect, fx.FinishSession) and effect.session not in self.unread:
+                self.handle(ev.SessionIdle(self.now_ms, effect.session))
 
     def _record_effect(self, effect):
         if isinstance(effect, OpenConnection):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,7 +4,7 @@
 from endivewick_core.codec import decode, encode
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway import holders
-from endivewick_core.gateway.reducer import is_drained
+from endivewick_core.gateway.planned_stop import is_drained
 from endivewick_core.messages import CODEC, ForwardedStatement
 from endivewick_core.statements import (
     Error,
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -230,3 +230,18 @@
     assert_that(gateway.answers[-1].error, Is(None))
     gateway.tick(20)
     assert_that(gateway.closed_sessions, Equals([session]))
+
+
+# A statement that has arrived behind an answer must be served before its session is closed.
+def test_a_planned_stop_serves_a_statement_that_is_being_read(gateway):
+    gateway.session(1, "strict")
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.unread.add(1)
+    gateway.tick(2_500)
+    assert_that(gateway.closed_sessions, Equals([]))
+    gateway.unread.clear()
+    request = gateway.send(1, K.READ)
+    gateway.tick(20)
+    gateway.reply(gateway.find_sent(request))
+    gateway.tick(20)
+    assert_that((len(gateway.answers), gateway.closed_sessions), Equals((1, [1])))
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 from endivewick_core.gateway import events as ev
+from endivewick_core.gateway import planned_stop
 from endivewick_node import gateway_node
 from endivewick_node.clock import now_ms
 from gateway_process import HOSTS, KEY, Process
@@ -35,7 +36,7 @@
     client = process.connect_silent()
     process.node._poller.handle_all_ready()
     start_stop(process, GRACE_OF_BALANCER_MS)
-    is_drained = gateway_node.is_drained
+    is_drained = planned_stop.is_drained
 
     def decide_while_a_statement_arrives(state, now_ms):
         ends = is_drained(state, now_ms)
@@ -50,12 +51,18 @@
         events.append(type(event))
         return reduce(state, event)
 
-    monkeypatch.setattr(gateway_node, "is_drained", decide_while_a_statement_arrives)
+    monkeypatch.setattr(planned_stop, "is_drained", decide_while_a_statement_arrives)
     monkeypatch.setattr(gateway_node, "reduce", reduce_and_record)
     trio.run(process.node.run)
     assert_that(ev.SessionOpened in events, Equals(False))
 
 
+def turn(process):
+    """Do the timed work of a process, and handle its sockets."""
+    process.node._reduce(ev.Tick(now_ms()))
+    process.node._poller.handle_all_ready()
+
+
 def leave_unsent(process, client):
     """Let a session's answer wait for its client."""
     process.read(client)
@@ -73,11 +80,11 @@
     leave_unsent(process, client)
     node = process.node
     start_stop(process, GRACE_OF_BALANCER_MS)
-    node._reduce(ev.Tick(now_ms()))
-    node._poller.handle_all_ready()
+    turn(process)
     assert_that(node._end_if_drained(), Equals(False))
     received = process.read(client, end=b"never")
     assert_that(received.count(b"x"), Equals(LARGE_BYTES))
+    turn(process)
     assert_that((node._state.sessions, node._end_if_drained()), Equals(({}, True)))
     client.close()
 
@@ -88,7 +95,21 @@
     leave_unsent(process, client)
     node = process.node
     start_stop(process, GRACE_MS)
-    node._reduce(ev.Tick(now_ms()))
-    node._poller.handle_all_ready()
+    turn(process)
     assert_that(node._end_if_drained(), Equals(True))
     client.close()
+
+
+# A statement that waits behind an answer must be served, although its session looks idle.
+def test_a_session_with_an_unread_statement_is_not_closed(process):
+    client = process.connect(KEY)
+    leave_unsent(process, client)
+    client.sendall(b"QUERY r1 PUT a 1\r\n")
+    start_stop(process, GRACE_OF_BALANCER_MS)
+    turn(process)
+    received = 0
+    while received < LARGE_BYTES:
+        received += len(process.read(client, end=b"x"))
+    turn(process)
+    assert_that(len(process.node._state.requests), Equals(1))
+    client.close()
