Gateway: a planned stop closes a session right after an answer

What callers saw: a client that sends its next statement right after each answer was cut off in the middle of a statement, when the platform killed the gateway at the end of the grace time.

Cause: a planned stop closes the sessions that are idle when it looks, at ticks up to 100 ms apart. Such a session is busy at every look.

Once a planned stop may close a session, it now does so right after an answer, before the client can send the next statement. What has arrived by then is still served.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -6,7 +6,7 @@
 """
 
 from ..statements import TransactionState
-from .effects import Effect, FinishSession
+from .effects import AnswerStatement, Effect, FinishSession
 from .state import GatewayState, Session
 
 BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
@@ -21,6 +21,15 @@
     ]
 
 
+def finish_answered(state: GatewayState, now_ms: int, effects: list[Effect]) -> list[Effect]:
+    """Finish the sessions that ``effects`` answer, before their clients send the next statement."""
+    if state.draining_since_ms is None:
+        return []
+    answered = {item.session: None for item in effects if isinstance(item, AnswerStatement)}
+    sessions = [state.sessions[number] for number in answered if number in state.sessions]
+    return [FinishSession(item.number) for item in sessions if may_close(state, now_ms, item)]
+
+
 def may_close(state: GatewayState, now_ms: int, session: Session) -> bool:
     """Tell whether a planned stop may close a session now; nothing of it may be unanswered."""
     since_ms = state.draining_since_ms
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -53,6 +53,7 @@
     """Change ``state`` by one event and return the effects, in the order to carry out."""
     effects: list[Effect] = _HANDLERS[type(event)](state, event)
     effects += _follow_up(state, event.now_ms)
+    effects += planned_stop.finish_answered(state, event.now_ms, effects)
     return remote_sessions.forward_answers(state, effects)
 
 
