Gateway: the end of a planned stop answers or refuses every request

What callers saw: a request that came late in the grace time, or ran long, was cut off when the platform killed the gateway: its client couldn't know whether it had run.

Cause: a planned stop took new sessions and statements until its end, and let each request run for its whole statement timeout, also beyond that end. A holder did the same with statements of other gateways, which then waited for their timeout.

In the last sixth of the grace time new sessions and statements are now refused as not run, and transactions are told that they were rolled back. 200 ms before the end, what was sent and has no answer is answered as timed out, what was not sent as busy. All refusals are made before anything is sent upstream, so they are true.

Evidence: the tests failed before: statements of the last part were sent upstream, sessions taken, and a request sent at 4.9 s of 6 s had no answer at 5.8 s.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -2,14 +2,39 @@
 
 At first everything goes on, until the balancer has noticed that this gateway isn't ready. Then
 sessions are closed between statements, and from half of the grace time on between the statements of
-a transaction, too.
+a transaction, too. In its last sixth new work is refused as not run, since it might not be answered
+in time. Shortly before the end every request that is still without an answer gets one.
 """
 
-from ..statements import TransactionState
+from ..statements import Error, Fault, TransactionState
 from .effects import AnswerStatement, Effect, FinishSession
 from .state import GatewayState, Session
 
 BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
+REFUSING_PARTS = 6  # new work is refused in the last one of so many parts of the grace time
+ANSWERING_MS = 200  # for a tick, and for the last answers to be written
+RETRY_AFTER_MS = 300  # sent with refusals; a new connection leads to another gateway
+
+
+def refuses_work(state: GatewayState, now_ms: int) -> bool:
+    """Tell whether new sessions and statements are refused, since the process ends soon."""
+    if state.draining_since_ms is None:
+        return False
+    return now_ms >= ends_ms(state) - state.drain_grace_ms // REFUSING_PARTS
+
+
+def refusal(rolls_back: bool) -> Error:
+    """Return the error of new work; ``rolls_back`` is whether it ends a transaction."""
+    if rolls_back:
+        return Error(Fault.ABORTED, "this gateway stops; the transaction was rolled back")
+    return Error(Fault.BUSY, "this gateway stops; connect again", RETRY_AFTER_MS)
+
+
+def answers_until_ms(state: GatewayState) -> int | None:
+    """Return until when requests may run in a planned stop, or None if there is none."""
+    if state.draining_since_ms is None:
+        return None
+    return ends_ms(state) - min(ANSWERING_MS, state.drain_grace_ms // REFUSING_PARTS)
 
 
 def finish_idle(state: GatewayState, now_ms: int) -> list[Effect]:
--- a/packages/core/src/endivewick_core/gateway/reducer.py
+++ b/packages/core/src/endivewick_core/gateway/reducer.py
@@ -147,6 +147,9 @@
         (request.deadline_ms for request in state.requests.values()),
         default=state.control.next_poll_ms,
     )
+    stops_ms = planned_stop.answers_until_ms(state)
+    if stops_ms is not None:
+        due_ms = min(due_ms, stops_ms)
     wait_ms = min(due_ms, state.control.next_poll_ms) - now_ms
     watches = state.settings.uses_upstream_weights and state.requests
     return max(QUEUED_TICK_MS, min(wait_ms, WEIGHTED_TICK_MS if watches else IDLE_TICK_MS))
--- a/packages/core/src/endivewick_core/gateway/remote_sessions.py
+++ b/packages/core/src/endivewick_core/gateway/remote_sessions.py
@@ -3,7 +3,7 @@
 from ..messages import ForwardedEnd, ForwardedReply, ForwardedStatement
 from ..positions import Position
 from ..statements import Error, Fault, TransactionState
-from . import pool, routing
+from . import planned_stop, pool, routing
 from .effects import AnswerStatement, CloseSession, Effect, Send
 from .requests import open_request
 from .state import GatewayState, Session
@@ -22,8 +22,15 @@
         remove_session(state, known)
         effects += routing.abort_session(state, now_ms, known)
         known = None
+    error: Error | None = None
     if message.is_started and (known is None or known.connection is None):
         error = Error(Fault.ABORTED, "the transaction was rolled back")
+    elif planned_stop.refuses_work(state, now_ms):
+        error = planned_stop.refusal(rolls_back=message.is_started)
+        if known is not None:
+            remove_session(state, known)
+            effects += routing.abort_session(state, now_ms, known)
+    if error is not None:
         reply = _make_reply(state, message.boot, message.number, (), "", error, message.position)
         return [*effects, Send(message.origin, reply)]
     session = known or _open_remote_session(state, key)
--- a/packages/core/src/endivewick_core/gateway/results.py
+++ b/packages/core/src/endivewick_core/gateway/results.py
@@ -20,6 +20,7 @@
     connection_admission,
     forwarding,
     load_shedding,
+    planned_stop,
     pool,
     primary_leases,
     routing,
@@ -152,10 +153,14 @@
 
 
 def check_deadlines(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Fail the requests whose statement timeout has passed."""
+    """Fail the requests whose statement timeout has passed, at the end of a planned stop all."""
     effects: list[Effect] = []
+    stops_ms = planned_stop.answers_until_ms(state)
     for request in list(state.requests.values()):
-        if now_ms < _due_ms(state, request) or request.serial not in state.requests:
+        due_ms = _due_ms(state, request)
+        if stops_ms is not None:
+            due_ms = min(due_ms, stops_ms)
+        if now_ms < due_ms or request.serial not in state.requests:
             continue
         effects += _time_out(state, now_ms, request)
     return effects
@@ -349,7 +354,10 @@
         retry_after_ms = load_shedding.retry_after_ms(state, request, routing.RETRY_AFTER_MS)
         error = Error(Fault.BUSY, text, retry_after_ms)
         return routing.refuse(state, now_ms, request, error)
-    error = Error(Fault.TIMEOUT, f"no answer within {request.route.timeout_ms} ms")
+    text = f"no answer within {request.route.timeout_ms} ms"
+    if now_ms < request.deadline_ms:
+        text = f"no answer within {now_ms - request.received_ms} ms, and this gateway stops"
+    error = Error(Fault.TIMEOUT, text)
     if commit_confirmations.is_waiting(state, request):
         text = f"no lease shows that {request.upstream} was the primary at the commit"
         error = Error(Fault.OUTCOME_UNKNOWN, text)
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -48,6 +48,8 @@
     if state.configuration.version and route is None:
         return [RefuseSession(event.session, _unknown_workspace(event.workspace))]
     fault = tenants.startup_fault(state, session, route) if route is not None else None
+    if fault is None and planned_stop.refuses_work(state, event.now_ms):
+        fault = planned_stop.refusal(rolls_back=False)
     if fault is not None:
         inputs: dict[str, object] = {"statement": "startup", "text": fault.text}
         outcome = fault.fault.value
@@ -151,6 +153,8 @@
         effects = routing.end_transaction(state, now_ms, session)
         return answers.answer_local(session) + effects
     if statement.kind is StatementKind.BEGIN:
+        if planned_stop.refuses_work(state, now_ms):
+            return _refuse_at_stop(state, now_ms, session, statement)
         session.state = TransactionState.OPEN
         session.is_read_only = statement.is_read_only
         session.has_written = False
@@ -240,6 +244,8 @@
             effects = routing.end_transaction(state, now_ms, session)
         refusal = answers.refuse_local(session, statement.kind, statement.request_id, fault)
         return refusal + effects
+    if planned_stop.refuses_work(state, now_ms):
+        return _refuse_at_stop(state, now_ms, session, statement)
     route = _route(state, session)
     if route is None:
         fault = _unknown_workspace(session.workspace)
@@ -248,6 +254,19 @@
     return quotas.start_operation(state, now_ms, session, request)
 
 
+def _refuse_at_stop(
+    state: GatewayState, now_ms: int, session: Session, statement: Statement
+) -> list[Effect]:
+    """Refuse a statement that might not be answered before the process ends."""
+    is_open = session.state is TransactionState.OPEN
+    effects = routing.end_transaction(state, now_ms, session)
+    if is_open:
+        is_commit = statement.kind is StatementKind.COMMIT
+        session.state = TransactionState.IDLE if is_commit else TransactionState.FAILED
+    error = planned_stop.refusal(rolls_back=is_open)
+    return effects + answers.refuse_local(session, statement.kind, statement.request_id, error)
+
+
 def _upstream_fault(session: Session, statement: Statement) -> Error | None:
     if statement.kind is StatementKind.COMMIT and session.state is TransactionState.IDLE:
         return Error(Fault.BAD_REQUEST, "no transaction is open")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -443,3 +443,19 @@
     centre.deliver()
     assert_that(centre.ingress.answers[-1].proof, Equals("proof-10"))
     assert_that(is_drained(centre.holder.state, centre.holder.now_ms), Equals(True))
+
+
+# A statement at a holder that ends soon timed out, although nothing of it had to run.
+@pytest.mark.parametrize("is_started", [False, True])
+def test_a_holder_that_ends_soon_refuses_statements_as_not_run(centre, is_started):
+    centre.ingress.session(1, "strict")
+    if is_started:
+        begin_and_write(centre)
+    centre.holder.handle(ev.DrainRequested(centre.holder.now_ms, 6_000))
+    centre.holder.now_ms += 5_000
+    request = centre.ingress.send(1, K.COMMIT if is_started else K.WRITE)
+    centre.deliver()
+    assert_that(centre.holder.find_sent(request), Is(None))
+    answer = centre.ingress.answers[-1]
+    assert_that(answer.error.fault, Equals(Fault.ABORTED if is_started else Fault.BUSY))
+    assert_that(centre.holder.state.sessions, Equals({}))
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -1,6 +1,8 @@
 """Sessions of a gateway: values, prepared statements and transactions on pooled connections."""
 
+import pytest
 from endivewick_core.gateway import events as ev
+from endivewick_core.gateway.planned_stop import is_drained
 from endivewick_core.gateway.reducer import next_tick_ms
 from endivewick_core.positions import Position
 from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
@@ -257,3 +259,65 @@
     gateway.tick(20)
     gateway.reply(gateway.find_sent(request))
     assert_that((len(gateway.answers), gateway.closed_sessions), Equals((1, [1])))
+
+
+# A statement that can't be answered before the process ends was cut off instead of refused.
+@pytest.mark.parametrize("kind", [K.READ, K.WRITE, K.BEGIN])
+def test_the_last_part_of_a_planned_stop_refuses_statements_as_not_run(gateway, kind):
+    gateway.session(1, "strict")
+    gateway.unread.add(1)
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(5_000)
+    sent = len(gateway.sent)
+    gateway.unread.clear()
+    gateway.send(1, kind)
+    answer = gateway.answers[-1]
+    assert_that(answer.error.fault, Equals(Fault.BUSY))
+    assert_that(len(gateway.sent), Equals(sent))
+    assert_that(gateway.closed_sessions, Equals([1]))
+
+
+# A transaction whose COMMIT is refused must be rolled back, and its client told so.
+@pytest.mark.parametrize("kind", [K.WRITE, K.COMMIT])
+def test_the_last_part_of_a_planned_stop_rolls_back_transactions(gateway, kind):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    item = gateway.find_sent(gateway.send(1, K.WRITE))
+    gateway.reply(item)
+    gateway.unread.add(1)
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.now_ms += 5_000
+    request = gateway.send(1, kind)
+    assert_that(gateway.answers[-1].error.fault, Equals(Fault.ABORTED))
+    assert_that(gateway.find_sent(request), Is(None))
+    sent = [one.kind for one in gateway.sent if one.connection == item.connection]
+    assert_that(sent[0], Equals(K.ROLLBACK))
+
+
+# A client that connected to a gateway about to end was cut off without a word.
+def test_the_last_part_of_a_planned_stop_refuses_sessions(gateway):
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.now_ms += 5_000
+    gateway.session(1, "strict")
+    assert_that([item.error.fault for item in gateway.refused], Equals([Fault.BUSY]))
+
+
+# A request that runs until the process ends must get an answer, and only a true one.
+@pytest.mark.parametrize(("is_sent", "fault"), [(True, Fault.TIMEOUT), (False, Fault.BUSY)])
+def test_a_planned_stop_answers_every_request_before_its_end(gateway, is_sent, fault):
+    gateway.session(1, "strict")
+    gateway.session(2, "strict")
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.unread.update((1, 2))
+    gateway.tick(4_900)
+    gateway.send(1, K.WRITE)
+    gateway.send(2, K.WRITE)
+    gateway.tick(880)
+    assert_that(gateway.answers, Equals([]))
+    gateway.unread.clear()
+    waits_ms = next_tick_ms(gateway.state, gateway.now_ms)
+    gateway.tick(waits_ms)
+    faults = {item.session: item.error.fault for item in gateway.answers}
+    assert_that(faults[1 if is_sent else 2], Equals(fault))
+    assert_that(gateway.closed_sessions, Equals([1, 2]))
+    assert_that(is_drained(gateway.state, gateway.now_ms), Equals(True))
