Tests: planned stops of holders and of other gateways in simulated time

Nothing may be cut off, no stop may take longer than the grace time, and no answer may leave open whether a statement has run.

--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -33,6 +33,7 @@
 from endivewick_core.directory import UpstreamReport, UpstreamState
 from endivewick_core.gateway import effects as fx
 from endivewick_core.gateway import events as ev
+from endivewick_core.gateway import planned_stop
 from endivewick_core.gateway.reducer import reduce
 from endivewick_core.gateway.state import GatewaySettings, GatewayState
 from endivewick_core.messages import (
@@ -77,6 +78,7 @@
 ITEMS = 8  # few, so that sessions use the same items
 LIMIT = 21
 GATEWAYS_WITH_HOLDERS = 74  # as control counts them, so that connection holders are needed
+GRACE_MS = 6_000  # of a planned stop
 ANSWER_TIMEOUT_MS = 2_500  # a statement timeout, the longest freeze and half a second
 
 
@@ -175,6 +177,7 @@
         self.execution = Execution(self.database, self.recorder, count(1))
         self.configuration = configuration(limit=load.connection_limit)
         self.revoked_ms: dict[str, float] = {}
+        self.stopping: set[str] = set()  # gateways that control knows to be in a planned stop
         if has_tenants:
             tenants = {name: Tenant(name, 1, None, 0.0) for name in TENANTS}
             names = {f"key-{name}": name for name in TENANTS}
@@ -270,6 +273,7 @@
             for event in delayed:
                 self.deliver(address, event._replace(now_ms=int(self.now_ms)))
             self.deliver(address, ev.Tick(int(self.now_ms)))
+            self._check_stop(address, node)
         for client in self.clients:
             waits = client.current is not None and client.gateway in self.nodes
             if waits and self.now_ms - client.sent_ms > ANSWER_TIMEOUT_MS:
@@ -298,11 +302,19 @@
             self._next(self.by_number.get(effect.session), None)
         elif isinstance(effect, fx.AnswerStatement):
             self._handle_answer(self.by_number.get(effect.session), effect)
+        elif isinstance(effect, fx.FinishSession):
+            self.schedule(0.1, lambda: self._report_idle(address, effect.session))
         elif isinstance(effect, fx.CloseSession | fx.RefuseSession):
             client = self.by_number.get(effect.session)
             if client is not None:
+                self._check_cut(address, client)
                 self._disconnect(client)
 
+    def _report_idle(self, address: str, number: int) -> None:
+        client = self.by_number.get(number)
+        if client is not None and client.current is None:
+            self.deliver(address, ev.SessionIdle(int(self.now_ms), number))
+
     def _send(self, address: str, effect: fx.Send) -> None:
         if self.random.random() < self.message_loss:
             return
@@ -313,6 +325,10 @@
             return
         if effect.address in self.nodes:
             target = effect.address
+            if self.now_ms < self.nodes[target].starts_ms and target in self.stopping:
+                undelivered = ev.MessageUndelivered(int(self.now_ms), target, message)
+                self.schedule(0.1, partial(self._deliver_now, address, undelivered))
+                return
             # Messages between two processes may be lost, but are not reordered.
             path = (address, target)
             self.next_arrival_ms[path] = max(
@@ -359,7 +375,15 @@
             )
             for number, member in enumerate(self.database.members.values())
         ]
-        alive = [item for item in self.addresses if self.now_ms >= self.nodes[item].starts_ms]
+        if question.is_draining:
+            self.stopping.add(address)
+        else:
+            self.stopping.discard(address)
+        alive = [
+            item
+            for item in self.addresses
+            if self.now_ms >= self.nodes[item].starts_ms and item not in self.stopping
+        ]
         answer = DirectoryAnswer(
             question.sequence,
             "boot",
@@ -688,11 +712,39 @@
         node = self.nodes[self.random.choice(self.addresses)]
         node.frozen_until_ms = self.now_ms + self.random.uniform(100, 900)
 
+    def stop_gateway(self, address: str) -> None:
+        """Start a planned stop of a gateway; it starts again after its end."""
+        if self.now_ms >= self.nodes[address].starts_ms:
+            self.deliver(address, ev.DrainRequested(int(self.now_ms), GRACE_MS))
+
+    def _check_stop(self, address: str, node: Node) -> None:
+        """End a gateway whose planned stop is complete; it must cut off nothing."""
+        state = node.state
+        since_ms = state.draining_since_ms
+        if since_ms is None:
+            return
+        if self.now_ms > since_ms + GRACE_MS + 2 * TICK_MS:
+            text = f"the planned stop of {address} took {self.now_ms - since_ms:.0f} ms"
+            self.recorder.violations.append(Violation("stops", text, self.recorder.events[-1]))
+        elif not planned_stop.is_drained(state, int(self.now_ms)):
+            return
+        for client in self.clients:
+            if client.gateway == address and client.number:
+                self._check_cut(address, client)
+        self._end_gateway(address)
+
+    def _check_cut(self, address: str, client: Client) -> None:
+        is_stopping = self.nodes[address].state.draining_since_ms is not None
+        if client.current is not None and is_stopping:
+            text = f"{client.current} of {client.name} was cut off by the stop of {address}"
+            self.recorder.violations.append(Violation("stops", text, self.recorder.events[-1]))
+
     def kill_gateway(self) -> None:
         address = self.random.choice(self.addresses)
-        node = self.nodes[address]
-        if self.now_ms < node.starts_ms:
-            return
+        if self.now_ms >= self.nodes[address].starts_ms:
+            self._end_gateway(address)
+
+    def _end_gateway(self, address: str) -> None:
         self.nodes[address] = Node(self._new_state(address), starts_ms=self.now_ms + RESTART_MS)
         for link in list(self.links.values()):
             if link.gateway == address:
