Gateway: a statement that is refused for its route ends its transaction

What callers saw: after a change of the configuration that removed a route, a transaction went on although its COMMIT was answered with an error; once the route was back, the client's next writes were answered as done, and rolled back later.

Cause: a transaction whose first statement was not sent yet has no route of its own. The refusal for a missing route left it open, while every other error of a statement ends or fails it.

A refused COMMIT now ends the transaction, another refused statement fails it.

The test failed before.

--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -249,7 +249,7 @@
     route = _route(state, session)
     if route is None:
         fault = _unknown_workspace(session.workspace)
-        return answers.refuse_local(session, statement.kind, statement.request_id, fault)
+        return _refuse_and_roll_back(state, now_ms, session, statement, fault)
     request = open_request(state, now_ms, session, statement, route, route.timeout_ms)
     return quotas.start_operation(state, now_ms, session, request)
 
@@ -258,12 +258,18 @@
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
     """Refuse a statement that might not be answered before the process ends."""
-    is_open = session.state is TransactionState.OPEN
+    error = planned_stop.refusal(rolls_back=session.state is TransactionState.OPEN)
+    return _refuse_and_roll_back(state, now_ms, session, statement, error)
+
+
+def _refuse_and_roll_back(
+    state: GatewayState, now_ms: int, session: Session, statement: Statement, error: Error
+) -> list[Effect]:
+    """Refuse a statement; an open transaction is rolled back, and a COMMIT ends it."""
     effects = routing.end_transaction(state, now_ms, session)
-    if is_open:
+    if session.state is TransactionState.OPEN:
         is_commit = statement.kind is StatementKind.COMMIT
         session.state = TransactionState.IDLE if is_commit else TransactionState.FAILED
-    error = planned_stop.refusal(rolls_back=is_open)
     return effects + answers.refuse_local(session, statement.kind, statement.request_id, error)
 
 
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -321,3 +321,18 @@
     assert_that(faults[1 if is_sent else 2], Equals(fault))
     assert_that(gateway.closed_sessions, Equals([1, 2]))
     assert_that(is_drained(gateway.state, gateway.now_ms), Equals(True))
+
+
+# A transaction stayed open after its COMMIT was refused; the next writes were never committed.
+@pytest.mark.parametrize(
+    ("kind", "state"), [(K.COMMIT, TransactionState.IDLE), (K.WRITE, TransactionState.FAILED)]
+)
+def test_a_statement_of_a_removed_route_ends_its_transaction(gateway, kind, state):
+    gateway.session(1, "strict")
+    gateway.send(1, K.BEGIN)
+    without = configuration(2)
+    del without.routes["strict"]
+    gateway.handle(ev.ConfigurationReceived(gateway.now_ms, without))
+    gateway.send(1, kind)
+    answer = gateway.answers[-1]
+    assert_that((answer.error.fault, answer.state), Equals((Fault.UNKNOWN_WORKSPACE, state)))
