--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -426,6 +426,13 @@
     assert_that(control_options(settings).control.uses_upstream_weights, Equals(is_on))
 
 
+# A SIGHUP that finds such a number in the file must not end the process.
+@pytest.mark.parametrize("grace", ["inf", "nan", "-1"])
+def test_a_grace_time_that_is_no_time_is_a_fault(settings_file, grace):
+    with pytest.raises(SettingsInvalid):
+        load_settings(settings_file(SETTINGS.replace("grace-s = 6", f"grace-s = {grace}")))
+
+
 def test_all_faults_of_the_settings_are_listed_with_their_ids(settings_file):
     text = SETTINGS.replace('zone = "dc-a"', 'zone = "dc-z"').replace('"10.2.0.9:8782"', '"x"')
     with pytest.raises(SettingsInvalid) as caught:
