Settings: keep the process when the settings file can't be looked at

What users would see: a process ends where a part of the path of its settings file is not a folder, or not readable, at the moment of a check, as while a folder is replaced.

Cause: the watch expected only that the file is missing; any other error ended its task, and so the process.

--- a/packages/node/src/endivewick_node/settings_watch.py
+++ b/packages/node/src/endivewick_node/settings_watch.py
@@ -34,9 +34,9 @@
 
 
 def _file_version(path: Path) -> tuple[int, int, int] | None:
-    """Return values that change whenever the file does, or None while it is being replaced."""
+    """Return values that change whenever the file does, or None while it can't be looked at."""
     try:
         status = path.stat()
-    except FileNotFoundError:
+    except OSError:
         return None
     return (status.st_mtime_ns, status.st_size, status.st_ino)
