Failover: wait longer for a replica while gateways are silent, too

Callers lost acknowledged commits where a partition cut the primary, one replica and the gateways beside them off from control for 7 s.

The primary goes on to acknowledge through this replica until the leases of these gateways end. The replica on control's side has all that the other gateways tell of, so it counted as complete, and the one out of reach was passed over 5 s after the pauses: 7.1 s after the primary's last answer, which may be before the partition ends or connections are back.

A watermark now holds how many gateways polled control when it arrived. While fewer poll, and both the primary and a replica that has answered are out of reach, the replica is waited for 10 s. The partition ends in this time: the primary answers and is kept, or the replica and the gateways tell what they have. Any other failover is as fast as before; a service that loses two of three upstreams and some gateways at once gets its primary up to 5 s later, and refuses writes until then.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -12,7 +12,7 @@
 
 from ..directory import DirectoryEntry, UpstreamState
 from ..positions import ZERO, Position
-from . import departures, missing_copies
+from . import departures, directory, missing_copies
 from .missing_copies import MissingCopies
 from .service_state import Failover
 from .state import ControlState
@@ -22,6 +22,9 @@
 # For a new replica to report, where its first report gets no response and is repeated elsewhere.
 UNREPORTED_REPLICA_MS = 2_200
 UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
+# The same while gateways are silent that may have acknowledged more; longer than most partitions
+# last, and than it takes afterwards to connect to an upstream again.
+SILENT_GATEWAYS_MS = 10_000
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
 # The same, if they may all be unacknowledged; longer than most partitions and restarts.
@@ -79,6 +82,23 @@
     )
 
 
+def unreachable_wait_ms(state: ControlState, now_ms: int, attempt: Failover) -> int:
+    """Return how long replicas that are out of reach are waited for.
+
+    Gateways on the other side of a partition may have acknowledged commits under their last leases,
+    on a primary and a replica that are there as well, and can't tell of them before it ends.
+    """
+    if attempt.service not in state.directory_state.acknowledged:
+        return MISSING_COMMITS_TIMEOUT_MS
+    watermark = state.watch.watermarks.get(attempt.service)
+    gateways = directory.count_gateways(state, now_ms)
+    if watermark is None or gateways >= watermark.gateways:
+        return UNREACHABLE_REPLICA_MS
+    if missing_copies.find(state, attempt).may_hold_commits:
+        return SILENT_GATEWAYS_MS
+    return UNREACHABLE_REPLICA_MS
+
+
 def unreported_wait_ms(state: ControlState, attempt: Failover, copies: MissingCopies) -> int:
     """Return how long upstreams on record that have not reported are waited for, or 0.
 
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -292,13 +292,12 @@
 
     One that never answered control may be a mere report. It is waited for only shortly.
     """
-    waited_ms = now_ms - (attempt.pausing_since_ms or now_ms)
-    limit_ms = commit_coverage.UNREACHABLE_REPLICA_MS
-    if attempt.service not in state.directory_state.acknowledged:
-        limit_ms = commit_coverage.MISSING_COMMITS_TIMEOUT_MS
-    if not any(answered_upstreams.has_answered(state, entry) for entry in unpaused):
-        limit_ms = UNKNOWN_REPLICA_MS
-    return bool(unpaused) and waited_ms < limit_ms
+    if not unpaused:
+        return False
+    limit_ms = UNKNOWN_REPLICA_MS
+    if any(answered_upstreams.has_answered(state, entry) for entry in unpaused):
+        limit_ms = commit_coverage.unreachable_wait_ms(state, now_ms, attempt)
+    return now_ms - (attempt.pausing_since_ms or now_ms) < limit_ms
 
 
 def _check_unreported(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -52,12 +52,14 @@
 class PrimaryWatermark(NamedTuple):
     """The latest confirmed position of a service's primary, and when the probe for it was sent.
 
-    The position covers every commit that was acknowledged before ``probed_ms``.
+    The position covers every commit that was acknowledged before ``probed_ms``. ``gateways`` is how
+    many gateways polled control when it arrived.
     """
 
     upstream: str
     probed_ms: int
     position: Position
+    gateways: int = 0
 
 
 class Departure(NamedTuple):
--- a/packages/core/src/endivewick_core/control/watch.py
+++ b/packages/core/src/endivewick_core/control/watch.py
@@ -14,7 +14,7 @@
     ConnectionOpened,
     ConnectionReplied,
 )
-from . import departures, failover, primary_leases, probes, replica_pauses
+from . import departures, directory, failover, primary_leases, probes, replica_pauses
 from .effects import Effect, LogEvent
 from .service_state import PendingProbe, PrimaryWatermark, ProbeKind, WatchedConnection
 from .state import ControlState
@@ -136,7 +136,10 @@
         if reply.position.term < previous.position.term:
             return []
     state.watch.watermarks[service] = PrimaryWatermark(
-        connection.upstream, pending.sent_ms, reply.position
+        connection.upstream,
+        pending.sent_ms,
+        reply.position,
+        directory.count_gateways(state, now_ms),
     )
     departures.bound_departures(state, service, pending.sent_ms, reply.position)
     effects: list[Effect] = []
