Gateway: tell of forwarded commits at the gateway of the client, too

Control learns where gateways acknowledged commits from their polls, and promotes no upstream that lacks one of these. Only the holder of the connection told it, so a holder that ended within its poll interval of 250 ms after an answer took the knowledge along, though the client's gateway went on. Where few gateways hold connections, most of the knowledge was lost with them at a restart of control as well.

The gateway that passes a holder's answer on now remembers its position in the same way, and tells it with each poll.

test_the_position_of_a_commit_is_told_by_the_gateway_of_its_client_too failed before.

--- a/packages/core/src/endivewick_core/gateway/commit_confirmations.py
+++ b/packages/core/src/endivewick_core/gateway/commit_confirmations.py
@@ -4,13 +4,14 @@
 once a later lease shows which upstream was the primary at the time, or at the statement's timeout.
 """
 
+from ..positions import Position
 from ..primary_leases import confirms, known_leadership
 from ..statements import Error, Fault, UpstreamReply
 from . import answers
 from .effects import Effect, LogEvent
 from .primary_leases import covers_commit
 from .requests import apply_success, commits_writes
-from .state import GatewayState, Request, UnconfirmedCommit
+from .state import GatewayState, Request, Session, UnconfirmedCommit
 
 
 def await_confirmation(
@@ -44,14 +45,21 @@
 ) -> list[Effect]:
     """Answer a statement that succeeded; remember the position of a commit of writes."""
     session = state.sessions[request.session]
-    if reply.position is not None and commits_writes(session, request):
-        service = request.route.service
-        known = state.acknowledged.get(service, reply.position)
-        state.acknowledged[service] = max(known, reply.position)
+    remember_position(state, session, request, reply.position)
     apply_success(session, request, reply.position)
     return answers.succeed(state, now_ms, request, reply)
 
 
+def remember_position(
+    state: GatewayState, session: Session, request: Request, position: Position | None
+) -> None:
+    """Remember where a commit of writes is acknowledged, which control is told with each poll."""
+    if position is None or not commits_writes(session, request):
+        return
+    service = request.route.service
+    state.acknowledged[service] = max(state.acknowledged.get(service, position), position)
+
+
 def is_waiting(state: GatewayState, request: Request) -> bool:
     """Return whether a request's commit waits for its confirmation."""
     return any(commit.request is request for commit in state.unconfirmed_commits)
--- a/packages/core/src/endivewick_core/gateway/forwarded_requests.py
+++ b/packages/core/src/endivewick_core/gateway/forwarded_requests.py
@@ -8,7 +8,7 @@
 
 from ..messages import ForwardedEnd, ForwardedReply, ForwardedStatement
 from ..statements import Error, Fault, StatementKind, TransactionState, UpstreamReply
-from . import answers, holders, routing
+from . import answers, commit_confirmations, holders, routing
 from .effects import Effect, LogEvent, Send
 from .requests import apply_success, is_single_read
 from .state import GatewayState
@@ -100,6 +100,8 @@
         session.holder = ""
         error = Error(Fault(reply.fault), reply.text, reply.retry_after_ms)
         return answers.fail(state, now_ms, request, error, reply.position)
+    # The holder may end before it has told control.
+    commit_confirmations.remember_position(state, session, request, reply.position)
     apply_success(session, request, reply.position)
     if request.statement.kind is StatementKind.COMMIT:
         session.holder = ""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -109,6 +109,33 @@
     assert_that(centre.holder.find_sent(request).wait_for.offset, Equals(42))
 
 
+# Guards against a commit that nobody tells control of, as its holder ends right after its answer.
+@pytest.mark.parametrize("kinds", [(K.WRITE,), (K.BEGIN, K.WRITE, K.COMMIT)], ids=len)
+def test_the_position_of_a_commit_is_told_by_the_gateway_of_its_client_too(centre, kinds):
+    centre.ingress.session(1, "strict")
+    for kind in kinds:
+        request = centre.ingress.send(1, kind)
+        centre.deliver()
+        centre.holder.answer_own_statements()
+        item = centre.holder.find_sent(request)
+        if item is not None:
+            centre.holder.reply(item, number=42)
+            centre.deliver()
+    told = centre.ingress.state.acknowledged
+    assert_that(told[SERVICE].offset, Equals(42))
+    assert_that(told, Equals(centre.holder.state.acknowledged))
+
+
+# Guards against reads that hold up a failover until a replica has what they saw.
+def test_the_position_of_a_forwarded_read_is_not_told(centre):
+    centre.ingress.session(1, "strict")
+    request = centre.ingress.send(1, K.READ)
+    centre.deliver()
+    centre.holder.reply(centre.holder.find_sent(request), number=42)
+    centre.deliver()
+    assert_that(centre.ingress.state.acknowledged, Equals({}))
+
+
 def test_a_transaction_stays_at_its_holder(centre):
     centre.ingress.session(1, "strict")
     centre.ingress.send(1, K.BEGIN)
