Tests: loss of all power together with disks, in the membership search

The search of membership took away disks of running sites only. A site may lose two disks while all other machines lose power at the same moment.

The simulation now keeps what each process has made durable and starts processes from it with the code of the control process. At a loss of power each process ends in the middle of the effects of its next message.

--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -4,6 +4,9 @@
 takes away every set of disks that may still be lost, and checks that the others can elect a leader
 which has every committed entry, whatever is out of reach at the moment.
 
+At a loss of power every process ends in the middle of its next event: what it had made durable
+until then stays. A process that ends otherwise has executed all effects of its last event.
+
 A lost disk counts until its machine, or the one that replaces it, has been up and in reach of a
 majority for ``CATCH_UP_MS``: no process joins without one. A machine that is down or out of reach
 with its disk intact is no lost disk.
@@ -13,6 +16,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import combinations, count
 from pathlib import Path
 from random import Random
@@ -22,15 +26,20 @@
 from endivewick_bench.soak.wire import ProcessPlan
 from endivewick_core.control import effects as cx
 from endivewick_core.control import events as ce
+from endivewick_core.control import replication
 from endivewick_core.control.reducer import reduce
 from endivewick_core.control.state import (
     ControlState,
     Membership,
     Role,
+    encode_membership,
     majority,
     membership_at,
 )
-from endivewick_core.messages import Member
+from endivewick_core.messages import LogEntry, Member
+from endivewick_core.replicated_state import ReplicatedState
+from endivewick_node.control_node import restore_state
+from endivewick_node.storage import Stored, StoredSnapshot, StoredVote
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "platform"))
 from endivewick_platform import control_role, settings, standin_codec  # noqa: E402
@@ -56,6 +65,15 @@
         return control_role.control_options(settings.load_settings(path))
 
 
+@dataclass(eq=False)
+class Disk:
+    """What a process has made durable."""
+
+    vote: StoredVote | None = None
+    snapshot: StoredSnapshot | None = None
+    entries: list[LogEntry] = field(default_factory=list)
+
+
 @dataclass(eq=False)
 class Machine:
     """A machine with its process; machines on different values of ``side`` are split.
@@ -65,6 +83,7 @@
 
     address: str
     state: Any = None
+    disk: Disk = field(default_factory=Disk)
     is_up: bool = True
     side: int = 0
     boot: int = 0
@@ -87,9 +106,14 @@
 
 @dataclass
 class Site:
-    """The control machines of a site. The first three are the initial voters."""
+    """The control machines of a site. The first three are the initial voters.
+
+    ``history`` holds the committed entries. ``on_acknowledged`` is called once, at the next answer
+    that a configuration is in force.
+    """
 
     lost_disks: int
+    snapshot_entries: int | None = None
     machines: list[Machine] = field(default_factory=list)
     added: int = 0
     losses: list[LostDisk] = field(default_factory=list)
@@ -97,6 +121,10 @@
     fingerprints: set[Any] = field(default_factory=set)
     now_ms: int = FIRST_MS
     committed: tuple[int, int] = (0, 0)
+    history: dict[int, LogEntry] = field(default_factory=dict)
+    configurations_put: int = 0
+    acknowledged_version: int = 0
+    on_acknowledged: Callable[[], None] | None = None
     heap: list[Any] = field(default_factory=list)
     serial: Any = field(default_factory=count)
     random: Random = field(default_factory=lambda: Random(1))
@@ -104,6 +132,11 @@
     def __post_init__(self) -> None:
         """Read the settings."""
         self.options = control_options(self.lost_disks)
+        if self.snapshot_entries is not None:
+            control = self.options.control._replace(
+                snapshot_entries=self.snapshot_entries, entries_kept=self.snapshot_entries // 3
+            )
+            self.options = self.options._replace(control=control)
         self.seeds = self.options.control.seeds
 
     # Time and messages.
@@ -122,21 +155,56 @@
         if not machine.is_up or machine.boot != boot:
             return
         for effect in reduce(machine.state, event):
-            if isinstance(effect, cx.Send):
-                self._send(machine, effect)
-            if isinstance(effect, cx.StopProcess):
-                self._end(machine)
+            self._execute(machine, effect)
+        self._record_committed(machine.state)
         self._check()
 
+    def _execute(self, machine: Machine, effect: cx.Effect) -> None:
+        disk = machine.disk
+        if isinstance(effect, cx.Send):
+            self._send(machine, effect)
+        elif isinstance(effect, cx.SaveVote):
+            disk.vote = StoredVote(*effect)
+        elif isinstance(effect, cx.AppendEntries):
+            disk.entries += effect.entries
+        elif isinstance(effect, cx.TruncateLog):
+            disk.entries = [item for item in disk.entries if item.log_index < effect.from_index]
+        elif isinstance(effect, cx.SaveSnapshot):
+            disk.snapshot = StoredSnapshot(*effect)
+            later = machine.state.log.entries
+            disk.entries = [item for item in later if item.log_index > effect.last_index]
+        elif isinstance(effect, cx.StopProcess):
+            self._end(machine)
+        elif isinstance(effect, cx.AnswerOperator) and effect.status == 200:
+            self._record_answer(effect)
+
+    def _record_answer(self, effect: cx.AnswerOperator) -> None:
+        self.acknowledged_version = max(self.acknowledged_version, effect.number)
+        if self.on_acknowledged is not None:
+            action, self.on_acknowledged = self.on_acknowledged, None
+            self.after(0, action)
+
+    def _record_committed(self, state: ControlState) -> None:
+        """Record what a process applied, and a fault where another one applied something else."""
+        index = state.commit_index
+        while index > state.log.start_index:
+            entry = state.log.entry(index)
+            known = self.history.setdefault(index, entry)
+            if known != entry:
+                self.faults.append(f"index {index} was committed as {known} and as {entry}")
+            if known is not entry:
+                break
+            index -= 1
+
     def _send(self, sender: Machine, effect: cx.Send) -> None:
         for machine in self.machines:
             if machine.address != effect.address or machine.side != sender.side:
                 continue
-            self.after(self.random.randint(1, 12), self._delivery(machine, effect.message))
+            delivery = partial(self._deliver, machine, machine.boot, effect.message)
+            self.after(self.random.randint(1, 12), delivery)
 
-    def _delivery(self, machine: Machine, message: Any) -> Callable[[], None]:
-        boot = machine.boot
-        return lambda: self.handle(machine, boot, ce.MessageReceived(self.now_ms, message))
+    def _deliver(self, machine: Machine, boot: int, message: Any) -> None:
+        self.handle(machine, boot, ce.MessageReceived(self.now_ms, message))
 
     def _tick(self, machine: Machine, boot: int) -> None:
         if not machine.is_up or machine.boot != boot:
@@ -154,8 +222,12 @@
         machine.state = self._empty_state(machine, "0")
         if is_founder:
             voters = [Member(f"{name}#0", name, name) for name in self.seeds]
-            machine.state.snapshot_membership = Membership(voters, [])
+            membership = Membership(voters, [])
+            machine.state.snapshot_membership = membership
             machine.state.role = Role.FOLLOWER
+            machine.disk.snapshot = StoredSnapshot(
+                *(0, 0, encode_membership(membership), replication.encode_full(ReplicatedState()))
+            )
         self._start(machine)
         return machine
 
@@ -175,18 +247,54 @@
 
     def restart(self, machine: Machine) -> None:
         """Start the process again, with its disk if that isn't lost."""
-        known = machine.state
-        machine.state = self._empty_state(machine, known.me.member_id.partition("#")[2])
-        machine.state.term, machine.state.voted_for = known.term, known.voted_for
-        machine.state.log, machine.state.memberships = known.log, known.memberships
-        machine.state.snapshot_membership = known.snapshot_membership
-        machine.state.role = Role.EMPTY if known.role is Role.EMPTY else Role.FOLLOWER
+        self._read_disk(machine)
         self._start(machine)
 
+    def _read_disk(self, machine: Machine) -> None:
+        disk, member_id = machine.disk, machine.state.me.member_id
+        settings = self._empty_state(machine, "").settings
+        stored = Stored(member_id, disk.vote, disk.snapshot, list(disk.entries), 0)
+        machine.state = restore_state(settings, machine.address, machine.address, stored)
+
+    def lose_power(self, wiped: list[Machine]) -> None:
+        """End all processes at once, ``wiped`` without their disks; start them some time later."""
+        for machine in [item for item in self.machines if item.is_up and item not in wiped]:
+            self._end_in_an_event(machine)
+        for machine in self.machines:
+            machine.is_stopping, machine.then = False, None
+            if machine in wiped:
+                self.wipe(machine, self.random.randint(100, 2_000))
+                continue
+            self.kill(machine)
+            self._read_disk(machine)
+            self.after(self.random.randint(100, 900), partial(self.restart, machine))
+
+    def _end_in_an_event(self, machine: Machine) -> None:
+        """Execute some of the effects of the next message to a process, the last ones not."""
+        for _, _, action in sorted(self.heap):
+            if not isinstance(action, partial) or action.args[:2] != (machine, machine.boot):
+                continue
+            effects = reduce(machine.state, ce.MessageReceived(self.now_ms, action.args[2]))
+            for effect in effects[: self.random.randint(0, len(effects))]:
+                self._execute(machine, effect)
+            return
+
+    def put_configuration(self) -> None:
+        """Ask the leader, if there is one, to replace the configuration."""
+        leaders = [item for item in self.machines if item.is_up and item.state.leader_state]
+        if not leaders:
+            return
+        leader = max(leaders, key=lambda item: item.state.term)
+        self.configurations_put += 1
+        version = self.configurations_put
+        request = ce.PutConfigurationRequest(version, ["s"], b"document %d" % version)
+        event = ce.OperatorRequested(self.now_ms, version, request)
+        self.handle(leader, leader.boot, event)
+
     def wipe(self, machine: Machine, down_ms: int) -> None:
         """End a process, and start it again with an empty disk after ``down_ms``."""
         self.kill(machine)
-        machine.state = self._empty_state(machine, str(machine.boot))
+        machine.state, machine.disk = self._empty_state(machine, str(machine.boot)), Disk()
         self.losses = [item for item in self.losses if item.machine is not machine]
         self.losses.append(LostDisk(machine, machine, self.now_ms))
         self.after(down_ms, lambda: self._start(machine))
@@ -265,6 +373,21 @@
 
     # What is known of the site.
 
+    def missing_after(self) -> list[str]:
+        """Return which committed entry or acknowledged configuration the leader doesn't have."""
+        state = self.leader().state
+        missing = [
+            f"entry {index} of term {entry.term}"
+            for index, entry in self.history.items()
+            if index > state.log.start_index and state.log.term_at(index) != entry.term
+        ]
+        if max(self.history) > state.commit_index:
+            missing.append(f"the commit index of {max(self.history)}: it is {state.commit_index}")
+        version = state.replicated_state.configuration.version
+        if version < self.acknowledged_version:
+            missing.append(f"configuration {self.acknowledged_version}: it has {version}")
+        return missing
+
     def leader(self) -> Machine:
         """Return the leader of the newest term, after the election if there is none."""
         for _ in range(RECOVERY_MS // TICK_MS):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,9 +7,10 @@
 from endivewick_core.control.state import Role
 from membership_simulation import CATCH_UP_MS, RECOVERY_MS, Site
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, GreaterThan
 
 WALKS = 30
+POWER_WALKS = 6
 
 
 @pytest.fixture(
@@ -248,3 +249,108 @@
         site.run(random.choice([20, 200, 1_000, 3_000]))
     site.run(10_000)
     check(site, record_property)
+
+
+def put_configurations(site, random, every_ms):
+    """Put a new configuration every ``every_ms`` on average, while there is a leader."""
+
+    def put():
+        site.put_configuration()
+        site.after(random.randint(1, 2 * every_ms), put)
+
+    put()
+
+
+def stop_in_turn(site, random):
+    """Stop all processes as planned, each once the one before it has started again."""
+    waiting = list(site.machines)
+    random.shuffle(waiting)
+    down_ms, wait_ms = random.choice([100, 700]), random.choice([0, 300, 2_000])
+
+    def stop_next():
+        while waiting:
+            machine = waiting.pop()
+            if machine in site.machines and machine.is_up and not machine.is_stopping:
+                site.stop(machine, partial(site.after, down_ms, partial(go_on, machine)))
+                return
+
+    def go_on(machine):
+        site.restart(machine)
+        site.after(wait_ms, stop_next)
+
+    stop_next()
+
+
+def last_disturbance(site, random):
+    """Begin what is under way when the power is lost, and let some of it happen."""
+    kind = random.randrange(5)
+    if kind == 0:
+        stop_in_turn(site, random)
+        site.run(random.randint(0, 12_000))
+    elif kind == 1:
+        leader = site.leader()
+        if not leader.is_stopping:
+            site.stop(leader, lambda: site.after(300, lambda: site.restart(leader)))
+        site.run(random.randint(0, 2_500))
+    elif kind == 2:
+        leader = site.leader()
+        site.kill(leader)
+        site.after(300, lambda: site.restart(leader))
+        site.run(random.randint(300, 2_500))
+    elif kind == 3:
+        disturb(site, random)
+        site.run(random.randint(0, 1_000))
+    else:
+        site.run(random.randint(0, 200))
+
+
+def lose_power_and_disks(site, random):
+    """Take all disks that may be lost, and the power of all machines, at one moment."""
+    count = max(0, min(site.disks_to_lose(), len(site.machines)))
+    counted = [item.machine for item in site.losses if item.machine in site.machines]
+    others = [item for item in site.machines if item not in counted]
+    wiped = random.sample(others, min(count, len(others)))
+    wiped += [item for item in counted if random.random() < 0.5]
+    site.lose_power(wiped)
+
+
+def power_walk(seed):
+    """Disturb a site that ends with a loss of all power and of disks; return it."""
+    random = Random(seed)
+    lost_disks, others = random.choice([(2, 2), (2, 3), (2, 3), (1, 1)])
+    snapshot_entries = random.choice([None, None, 30, 6])
+    site = Site(lost_disks, snapshot_entries, random=random)
+    site.start(others)
+    put_configurations(site, random, random.choice([50, 200, 1_000]))
+    for _ in range(random.randint(0, 6)):
+        disturb(site, random)
+        site.run(random.choice([20, 200, 1_000, 3_000]))
+    last_disturbance(site, random)
+    if random.random() < 0.5:
+        acknowledged = []
+        site.on_acknowledged = partial(acknowledged.append, True)
+        while not acknowledged:
+            site.run(1)
+    lose_power_and_disks(site, random)
+    return site
+
+
+def recover(site):
+    """Run until a configuration that was put after the loss of power is acknowledged."""
+    site.heal()
+    known = site.configurations_put
+    deadline_ms = site.now_ms + RECOVERY_MS
+    while site.acknowledged_version <= known and site.now_ms < deadline_ms:
+        site.run(20)
+    assert_that(site.acknowledged_version, GreaterThan(known))
+
+
+# Guards against a loss of all power, together with disks, after which no leader can be elected or
+# something acknowledged is gone.
+@pytest.mark.parametrize("seed", range(POWER_WALKS))
+def test_nothing_acknowledged_is_lost_with_the_power(seed, record_property):
+    site = power_walk(seed)
+    recover(site)
+    record_property("states", len(site.fingerprints))
+    assert_that(site.missing_after(), Equals([]))
+    assert_that(site.faults, Equals([]))
