Failover: wait for silent gateways after a replica's departure, too

Callers lost the last acknowledged commits where a leaving replica that had them departed just after a partition of the primary and its gateways began.

A departed replica isn't waited for, and only the gateways that acknowledged through it know of these commits. Cut off, they can't tell, so a replica that lags by less than their last report counted as complete, and was promoted 2.1 s after the primary's last answer. The primary, back within 7 s, has them.

While fewer gateways poll control than at the primary's last answer, and the primary is out of reach, a departed upstream now counts as a second copy that can't be read, unless a later answer of the primary shows that a replica has all that it had. The wait of 10 s is then the same as for a replica that is out of reach. Other failovers are as fast as before.

--- a/packages/core/src/endivewick_core/control/commit_coverage.py
+++ b/packages/core/src/endivewick_core/control/commit_coverage.py
@@ -22,8 +22,8 @@
 # For a new replica to report, where its first report gets no response and is repeated elsewhere.
 UNREPORTED_REPLICA_MS = 2_200
 UNREACHABLE_REPLICA_MS = 5_000  # for a replica's position, if another one has every commit
-# The same while gateways are silent that may have acknowledged more; longer than most partitions
-# last, and than it takes afterwards to connect to an upstream again.
+# For gateways that are silent and may have acknowledged more; longer than most partitions last, and
+# than it takes afterwards to connect to an upstream again.
 SILENT_GATEWAYS_MS = 10_000
 # For an upstream that has the missing commits to return, before they are given up.
 MISSING_COMMITS_TIMEOUT_MS = 30_000
@@ -82,21 +82,43 @@
     )
 
 
-def unreachable_wait_ms(state: ControlState, now_ms: int, attempt: Failover) -> int:
-    """Return how long replicas that are out of reach are waited for.
+def unreachable_wait_ms(state: ControlState, attempt: Failover) -> int:
+    """Return how long replicas that are out of reach are waited for."""
+    if attempt.service in state.directory_state.acknowledged:
+        return UNREACHABLE_REPLICA_MS
+    return MISSING_COMMITS_TIMEOUT_MS
+
+
+def silent_gateways_wait_ms(state: ControlState, now_ms: int, attempt: Failover) -> int:
+    """Return how long to wait for gateways that don't tell which commits they acknowledged, or 0.
 
-    Gateways on the other side of a partition may have acknowledged commits under their last leases,
-    on a primary and a replica that are there as well, and can't tell of them before it ends.
+    Gateways on the other side of a partition go on until their leases end. The primary is there as
+    well, and so is the replica that had these commits, or it has departed.
     """
-    if attempt.service not in state.directory_state.acknowledged:
-        return MISSING_COMMITS_TIMEOUT_MS
     watermark = state.watch.watermarks.get(attempt.service)
-    gateways = directory.count_gateways(state, now_ms)
-    if watermark is None or gateways >= watermark.gateways:
-        return UNREACHABLE_REPLICA_MS
-    if missing_copies.find(state, attempt).may_hold_commits:
+    if watermark is None or directory.count_gateways(state, now_ms) >= watermark.gateways:
+        return 0
+    copies = missing_copies.find(state, attempt)
+    if copies.may_hold_commits:
         return SILENT_GATEWAYS_MS
-    return UNREACHABLE_REPLICA_MS
+    # The record doesn't tell of a replica that departed just before the primary was out of reach.
+    has_second_copy = attempt.previous in copies.unreachable and _has_departed_beyond(
+        state, attempt
+    )
+    return SILENT_GATEWAYS_MS if has_second_copy else 0
+
+
+def _has_departed_beyond(state: ControlState, attempt: Failover) -> bool:
+    """Return whether a departed upstream may have had commits that no replica was seen to have."""
+    for entry in state.directory_state.directory.entries.values():
+        report = entry.report
+        if report.service != attempt.service or report.state is not UpstreamState.GONE:
+            continue
+        if report.upstream == attempt.previous:
+            continue
+        if departures.may_exceed(state, entry, attempt.received):
+            return True
+    return False
 
 
 def unreported_wait_ms(state: ControlState, attempt: Failover, copies: MissingCopies) -> int:
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -282,6 +282,7 @@
     answered = [entry for entry in replicas if entry not in unpaused]
     waits = _waits_for_unpaused(state, now_ms, attempt, unpaused)
     waits = waits or _waits_for_unreported(now_ms, attempt)
+    waits = waits or _waits_for_silent_gateways(state, now_ms, attempt)
     return [] if waits and not _has_end_of_primary(attempt, answered) else answered
 
 
@@ -296,10 +297,18 @@
         return False
     limit_ms = UNKNOWN_REPLICA_MS
     if any(answered_upstreams.has_answered(state, entry) for entry in unpaused):
-        limit_ms = commit_coverage.unreachable_wait_ms(state, now_ms, attempt)
+        limit_ms = commit_coverage.unreachable_wait_ms(state, attempt)
     return now_ms - (attempt.pausing_since_ms or now_ms) < limit_ms
 
 
+def _waits_for_silent_gateways(state: ControlState, now_ms: int, attempt: Failover) -> bool:
+    """Return whether to wait for gateways that may have acknowledged commits out of reach."""
+    waited_ms = now_ms - (attempt.pausing_since_ms or now_ms)
+    if waited_ms >= commit_coverage.SILENT_GATEWAYS_MS:
+        return False
+    return waited_ms < commit_coverage.silent_gateways_wait_ms(state, now_ms, attempt)
+
+
 def _check_unreported(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
     """Find the upstreams on record that have not reported, and log when a wait for them changes.
 
--- a/tests/service_walk.py
+++ b/tests/service_walk.py
@@ -30,6 +30,11 @@
 LONGEST_DEAF_MS = 6_500  # a replica that receives nothing
 CALM_MS = 3_000  # between two faults of one upstream
 LATE_ORDER_MS = (2_000, 12_000)
+WEIGHTS = (6, 4, 1, 3, 3, 2, 2, 4, 3, 2, 2, 1, 2, 1)  # of the events of take_step
+# The same with few replicas that receive, and a primary that is often gone.
+TENSE_WEIGHTS = (14, 6, 1, 4, 5, 2, 2, 6, 3, 0, 1, 0, 1, 0)
+LONGEST_STEP_MS = 2_500
+LONGEST_TENSE_STEP_MS = 900
 
 
 class Loss(NamedTuple):
@@ -65,6 +70,8 @@
     started: int = 0
     gone: set[str] = field(default_factory=set)
     accepted: list[str] = field(default_factory=list)
+    weights: tuple[int, ...] = WEIGHTS
+    longest_step_ms: int = LONGEST_STEP_MS
 
     # Links.
 
@@ -298,6 +305,8 @@
         service = WalkingService(state, upstreams, is_fenced=is_fenced, random=drawn)
         service.told_after_ms = drawn.choice((100, 250, 380))
         service.skips = drawn.choice((0.0, 0.2, 0.5))
+        if drawn.random() < 0.5:
+            service.weights, service.longest_step_ms = TENSE_WEIGHTS, LONGEST_TENSE_STEP_MS
         return service
 
     service = leading_control(PRIMARY_LEASE_MS, is_fenced, LEASE_MARGIN_MS, driver, Instance)
@@ -328,7 +337,7 @@
             "late_order",
             "power",
         ),
-        (6, 4, 1, 3, 3, 2, 2, 4, 3, 2, 2, 1, 2, 1),
+        service.weights,
     )[0]
     fault_ms = drawn.randrange(200, LONGEST_FAULT_MS + 1, 20)
     if kind == "deaf" and replicas:
@@ -374,12 +383,12 @@
         service.courses = [course]
 
 
-def walk(seed, is_fenced=True, steps=14):
+def walk(seed, is_fenced=True, steps=16):
     """Take steps until a commit is lost; return the service."""
     service = walking_service(seed, is_fenced)
     for _ in range(steps):
         take_step(service)
-        service.run(service.random.randrange(20, 2_500, 20))
+        service.run(service.random.randrange(20, service.longest_step_ms, 20))
         if service.losses:
             return service
     service.run(12_000)
--- a/tests/test_service_walk.py
+++ b/tests/test_service_walk.py
@@ -37,6 +37,21 @@
     assert_that(service.lost, Equals([]))
 
 
+# Guards against the promotion of a replica that lags by the last commits before a partition, where
+# the replica with these commits departs and the gateways that acknowledged them can't tell.
+def test_a_departure_and_a_partition_of_the_primary_and_gateways_lose_nothing(partitioned):
+    service = partitioned
+    service.leave(service.upstreams["u-third"])
+    service.run(1_000)
+    service.deafen_for(service.upstreams["u-second"], 1_000)
+    service.run(200)
+    service.partition_for(["u-primary"], GATEWAYS, LONGEST_FAULT_MS)
+    service.run(200)
+    service.depart(service.upstreams["u-third"])
+    service.run(16_000)
+    assert_that(service.lost, Equals([]))
+
+
 # Guards against a longer wait where every gateway has told what it acknowledged.
 def test_a_primary_and_a_replica_that_are_lost_alone_are_passed_over_as_before(partitioned):
     service = partitioned
