--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -50,7 +50,9 @@
 class LogRecord(NamedTuple):
     """One record of the log: a truncation, then entries to append.
 
-    The entries from index ``truncate_from`` on are removed first, none if it is 0.
+    The entries from index ``truncate_from`` on are removed first, none if it is 0. The entries of a
+    record also replace those of the same indexes: a snapshot is saved with all entries in memory,
+    and the last of them may be appended after it.
     """
 
     truncate_from: int
@@ -81,6 +83,11 @@
     return f"data_folder: a write or sync failed: {error.strerror}; check the disk"
 
 
+def _truncate(entries: list[LogEntry], from_index: int) -> None:
+    while entries and entries[-1].log_index >= from_index:
+        entries.pop()
+
+
 def _entries_after(snapshot: StoredSnapshot, entries: list[LogEntry]) -> list[LogEntry]:
     """Return the entries that follow a snapshot, none if its last entry replaced one of the log.
 
@@ -194,7 +201,9 @@
                 break
             record = msgspec.msgpack.decode(payload, type=LogRecord)
             if record.truncate_from:
-                entries = [item for item in entries if item.log_index < record.truncate_from]
+                _truncate(entries, record.truncate_from)
+            if record.entries:
+                _truncate(entries, record.entries[0].log_index)
             entries += record.entries
             offset = end
         cut_bytes = len(data) - offset
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,8 +4,10 @@
 import shutil
 
 import pytest
-from endivewick_core.control.effects import SaveSnapshot, TruncateLog
-from endivewick_core.control.events import MessageReceived
+from endivewick_core.commands import SetUpstream
+from endivewick_core.control import replication
+from endivewick_core.control.effects import AppendEntries, SaveSnapshot, TruncateLog
+from endivewick_core.control.events import MessageReceived, Tick
 from endivewick_core.control.reducer import reduce
 from endivewick_core.control.state import (
     ControlSettings,
@@ -79,6 +81,30 @@
     assert_that(stored.entries, Equals(entries(4, 6)))
 
 
+# Guards against an entry that is loaded twice, which shifts the indexes of all that follow it.
+def test_entry_in_memory_at_a_snapshot_and_appended_after_it_is_loaded_once(tmp_path):
+    me = Member("control-1#x", "control-1", "control-1")
+    settings = ControlSettings({"control-1": ""}, {}, snapshot_entries=2, entries_kept=1)
+    state = ControlState(settings, me, Role.FOLLOWER)
+    state.snapshot_membership = Membership([me], [])
+    storage = Storage(tmp_path)
+    storage.load("control-1")
+    effects = reduce(state, Tick(5_000, 0.0))
+    for number in (1, 2, 3):
+        effects += replication.propose_now(state, 5_000, SetUpstream(str(number), "u", 0, "up"))
+    for effect in effects:
+        if isinstance(effect, AppendEntries):
+            storage.append(0, effect.entries)
+        if isinstance(effect, SaveSnapshot):
+            last_index = effect.last_index
+            later = [item for item in state.log.entries if item.log_index > last_index]
+            storage.save_snapshot(StoredSnapshot(*effect), later)
+    storage.append(0, entries(5, 6))
+    storage.close()
+    held = [item.log_index for item in load(tmp_path).entries]
+    assert_that(held, Equals([4, 5, 6]))
+
+
 def test_crash_between_snapshot_and_log_loses_nothing(folder_with_state):
     log = (folder_with_state / LOG_FILE).read_bytes()
     storage = Storage(folder_with_state)
