Storage: start after a loss of power that tore a write in the middle

After a loss of power a control process could refuse to start, with "log is corrupt", and counted as one more lost disk.

The blocks of a write that wasn't synced may reach the disk in any order. Only writes without their end were removed; with an earlier block missing, which reads as zeros, the last record was taken for corrupt synced data.

The last record is now also removed if it doesn't match its checksum and one of its sectors holds only zeros. If the sector with its length is missing, it must not be followed by an intact record. A synced record with a lost sector is still refused where others follow it. As the last record it can't be told from a write that wasn't synced, as before with its end.

The test that a change of any byte is refused is as it was.

--- a/packages/node/src/endivewick_node/storage.py
+++ b/packages/node/src/endivewick_node/storage.py
@@ -3,9 +3,9 @@
 Each record is ``length, inverted length, checksum, payload``, and entries appended together share
 one. Nothing is reported as stored before ``fdatasync`` has returned. On loading, the log is synced,
 since a process that was killed may have written its last record and not synced it. An incomplete
-last write is removed: a record that extends beyond the end of the file, or a last record that ends
-in zeros and doesn't match its checksum. Any other record with a wrong length or checksum means that
-synced data is corrupt, and the process refuses to start.
+last write is removed: a record that extends beyond the end of the file, or a last record that
+doesn't match its checksum and ends in zeros or has a sector of zeros. Any other record with a wrong
+length or checksum means that synced data is corrupt, and the process refuses to start.
 """
 
 import fcntl
@@ -23,6 +23,7 @@
 
 _HEADER = struct.Struct("<IIQ")
 _LENGTH_MASK = 0xFFFFFFFF
+_SECTOR_BYTES = 512  # the smallest unit that a disk writes as a whole
 IDENTITY_FILE = "identity"
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
@@ -83,6 +84,28 @@
     return f"data_folder: a write or sync failed: {error.strerror}; check the disk"
 
 
+def _has_empty_sector(data: bytes, start: int, end: int) -> bool:
+    """Return whether a sector that begins before ``end`` holds only zeros from ``start`` on."""
+    while start < end:
+        sector_end = start - start % _SECTOR_BYTES + _SECTOR_BYTES
+        if not any(data[start:sector_end]):
+            return True
+        start = sector_end
+    return False
+
+
+def _has_record(data: bytes, start: int) -> bool:
+    """Return whether an intact record begins at ``start`` or anywhere after it."""
+    for offset in range(start, len(data) - _HEADER.size):
+        length, inverted, checksum = _HEADER.unpack_from(data, offset)
+        if length ^ _LENGTH_MASK != inverted:
+            continue
+        payload = data[offset + _HEADER.size : offset + _HEADER.size + length]
+        if len(payload) == length and xxhash.xxh3_64_intdigest(payload) == checksum:
+            return True
+    return False
+
+
 def _truncate(entries: list[LogEntry], from_index: int) -> None:
     while entries and entries[-1].log_index >= from_index:
         entries.pop()
@@ -225,13 +248,16 @@
         if length ^ _LENGTH_MASK != inverted:
             if not any(data[offset + 1 :]) or not any(data[offset + _HEADER.size - 8 :]):
                 return None, offset
+            if _has_empty_sector(data, offset, start) and not _has_record(data, start):
+                return None, offset
             raise StorageCorrupt(self._corruption_message(f"{name} is corrupt at byte {offset}"))
         payload = data[start : start + length]
         if len(payload) < length:
             return None, offset
         if xxhash.xxh3_64_intdigest(payload) != checksum:
-            # After a loss of power, the rest of a write that was never synced may read as zeros.
-            if start + length == len(data) and not payload[-1]:
+            # After a loss of power, parts of a write that was never synced may read as zeros.
+            is_last = start + length == len(data)
+            if is_last and (not payload[-1] or _has_empty_sector(data, offset, len(data))):
                 return None, offset
             raise StorageCorrupt(self._corruption_message(f"{name} is corrupt at byte {offset}"))
         return payload, start + length
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -2,6 +2,8 @@
 
 import os
 import shutil
+from itertools import combinations
+from random import Random
 
 import pytest
 from endivewick_core.commands import SetUpstream
@@ -276,6 +278,55 @@
     assert_that(load(folder_with_state).entries, Equals(entries(1, 5)))
 
 
+def torn(synced, complete, block_bytes, lost):
+    """Return the content of a file whose last write is without some of its blocks."""
+    data = bytearray(complete)
+    for number in lost:
+        first = max(len(synced), number * block_bytes)
+        end = min(len(data), (number + 1) * block_bytes)
+        data[first:end] = bytes(max(0, end - first))
+    return bytes(data)
+
+
+# Guards against a process that refuses to start after a loss of power, as if its disk were lost:
+# the blocks of a write that wasn't synced reach the disk in any order.
+@pytest.mark.parametrize("block_bytes", [512, 4_096])
+@pytest.mark.parametrize("padding_bytes", [0, 300, 330, 340, 350, 360, 371])
+def test_write_without_any_of_its_blocks_is_removed(folder_with_state, block_bytes, padding_bytes):
+    storage = Storage(folder_with_state)
+    storage.load("control-1")
+    storage.append(0, [LogEntry(1, 6, bytes(range(1, 256)) * 2 + b"x" * padding_bytes)])
+    path = folder_with_state / LOG_FILE
+    synced = path.read_bytes()
+    random = Random(padding_bytes)
+    storage.append(0, [LogEntry(1, 7, random.randbytes(3 * block_bytes))])
+    storage.close()
+    complete = path.read_bytes()
+    blocks = range(len(synced) // block_bytes, (len(complete) - 1) // block_bytes + 1)
+    for count in range(1, len(blocks) + 1):
+        for lost in combinations(blocks, count):
+            path.write_bytes(torn(synced, complete, block_bytes, lost))
+            indexes = [item.log_index for item in load(folder_with_state).entries]
+            assert_that((lost, indexes), Equals((lost, [1, 2, 3, 4, 5, 6])))
+
+
+# Guards against synced records that are removed since a block before them is lost.
+def test_lost_block_of_a_synced_record_is_refused(folder_with_state):
+    storage = Storage(folder_with_state)
+    storage.load("control-1")
+    path = folder_with_state / LOG_FILE
+    synced = path.read_bytes()
+    storage.append(0, [LogEntry(1, 6, Random(1).randbytes(1_500))])
+    complete = path.read_bytes()
+    storage.append(0, entries(7, 7))
+    storage.close()
+    rest = path.read_bytes()[len(complete) :]
+    for lost in range(3):
+        path.write_bytes(torn(synced, complete, 512, [lost]) + rest)
+        with pytest.raises(StorageCorrupt):
+            load(folder_with_state)
+
+
 def test_corruption_of_any_byte_is_refused_with_a_remedy(folder_with_state):
     """A corrupt length must not be taken for an incomplete write and removed."""
     path = folder_with_state / LOG_FILE
