Gateway: a message that can't be sent doesn't hold up the end of a planned stop

What callers would see: a gateway that is killed, although its planned stop had nothing left to do.

Cause: the wait for messages to other gateways had no end of its own; one that was queued shortly before the end of the grace time was waited for up to a second beyond it.

At the end of the grace time the stop waits for unanswered requests only.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -76,11 +76,11 @@
     """Tell whether a planned stop may end the process.
 
     At the end of the grace time it doesn't wait for sessions whose clients send only a part of a
-    statement or don't read their answers.
+    statement or don't read their answers, nor for gateways that can't be reached.
     """
     since_ms = state.draining_since_ms
-    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS:
-        return False
-    if state.requests or state.unsent_messages:
+    if since_ms is None or now_ms - since_ms < BALANCER_GRACE_MS or state.requests:
         return False
-    return not state.sessions or now_ms >= ends_ms(state)
+    if now_ms >= ends_ms(state):
+        return True
+    return not state.sessions and not state.unsent_messages
