Failover: log who was passed over, and count promotions that may lose commits

A caller's acknowledged commit that is gone after a failover could not be traced to one cause: `failover_ordered` had the positions of the replicas that answered, but not why another upstream was not chosen, nor who had told of the acknowledged position and when. A target that lacks commits, a replica that was not heard and a position that reached the leader too late looked alike.

The lines of failovers now tell for each upstream whether it has answered before, whether it is connected, and in `passed_over` why it isn't the target; they have the target's position, whether it is complete, and the waits before it was chosen. `acknowledged` comes with the gateway or control process that first told of it and its age. `promotion_below_acknowledged` and `promotion_with_unheard` are counted by their names at the metrics address, and written once an order, not for its repeats. No decision depends on them.

--- a/packages/core/src/endivewick_core/control/directory.py
+++ b/packages/core/src/endivewick_core/control/directory.py
@@ -37,7 +37,7 @@
 )
 from .effects import AcknowledgeReport, Effect, LogEvent, RefuseReport, Send
 from .events import ReportReceived, UpstreamRemoved
-from .service_state import Peer, PendingReport
+from .service_state import AcknowledgedSource, Peer, PendingReport
 from .state import ControlState, Role, peers
 
 SHARE_INTERVAL_MS = 1_000  # between repeats of the recent reports to the other control processes
@@ -94,7 +94,8 @@
         share.demand,
         share.upstream_counts,
     )
-    _merge_acknowledged(state.directory_state.acknowledged, share.acknowledged)
+    source = AcknowledgedSource(share.sender.address, False, now_ms)
+    _record_acknowledged(state, source, share.acknowledged)
     effects: list[Effect] = []
     departed: list[HeardReport] = []
     directory, services = state.directory_state.directory, _known_services(state)
@@ -141,7 +142,8 @@
     directory_state.wanted[request.gateway] = request.wanted
     connection_demand.record(state, now_ms, request.gateway, request.demand)
     upstream_weights.record(state, now_ms, request)
-    _merge_acknowledged(directory_state.acknowledged, request.acknowledged)
+    source = AcknowledgedSource(request.gateway, True, now_ms)
+    _record_acknowledged(state, source, request.acknowledged)
     _merge_acknowledged(directory_state.own_acknowledged, request.acknowledged)
     for upstream in request.refused_by:
         directory_state.connection_refused_ms[upstream] = now_ms
@@ -339,6 +341,18 @@
     )
 
 
+def _record_acknowledged(
+    state: ControlState, source: AcknowledgedSource, positions: dict[str, Position]
+) -> None:
+    """Record where commits were acknowledged, with the source of each position that is new."""
+    directory_state = state.directory_state
+    for service, position in positions.items():
+        known = directory_state.acknowledged.get(service)
+        if known is None or position > known:
+            directory_state.acknowledged_from[service] = source
+    _merge_acknowledged(directory_state.acknowledged, positions)
+
+
 def _merge_acknowledged(known: dict[str, Position], positions: dict[str, Position]) -> None:
     for service, position in positions.items():
         known[service] = max(known.get(service, position), position)
--- a/packages/core/src/endivewick_core/control/failover.py
+++ b/packages/core/src/endivewick_core/control/failover.py
@@ -33,7 +33,7 @@
 )
 from .effects import Effect, OrderFailover
 from .events import FailoverAnswered, FailoverOutcome
-from .failover_log import failover_event, upstream_wait_ended
+from .failover_log import failover_event, promotion_risks, upstream_wait_ended
 from .service_state import Failover, ProbeKind, Stage
 from .state import ControlState, Role
 
@@ -460,12 +460,17 @@
 
 
 def _send_order(state: ControlState, now_ms: int, attempt: Failover) -> list[Effect]:
+    # An order that is repeated with the same token is one promotion.
+    is_first = attempt.stage is not Stage.ORDERED
     attempt.stage = Stage.ORDERED
     attempt.target_born_ms = state.directory_state.directory.entries[attempt.target].report.born_ms
     attempt.ordered_ms = now_ms
     attempt.order_in_flight = True
     order = OrderFailover(attempt.service, attempt.target, state.me.name, attempt.token)
-    return [order, failover_event(state, now_ms, attempt, "info", "failover_ordered")]
+    log_events: list[Effect] = [failover_event(state, now_ms, attempt, "info", "failover_ordered")]
+    if is_first:
+        log_events += promotion_risks(state, now_ms, attempt)
+    return [order, *log_events]
 
 
 def _restart(state: ControlState, now_ms: int, attempt: Failover, reason: str) -> list[Effect]:
--- a/packages/core/src/endivewick_core/control/service_state.py
+++ b/packages/core/src/endivewick_core/control/service_state.py
@@ -261,6 +261,14 @@
     update_due_ms: int = 0
 
 
+class AcknowledgedSource(NamedTuple):
+    """Which gateway or control process first told of a position, and when."""
+
+    address: str
+    is_gateway: bool
+    received_ms: int
+
+
 @dataclass(slots=True)
 class DirectoryState:
     """The directory of upstreams, and what is shared with other control processes and gateways.
@@ -271,7 +279,8 @@
     primary is failing or being replaced. ``connection_refused_ms`` is when an upstream last refused
     a connection to a gateway. ``gateway_contact_ms``, ``gateway_centres``, ``writes_failing`` and
     ``wanted`` hold what each gateway reported in its last poll, and when. ``acknowledged`` is the
-    highest position at which any gateway is known to have acknowledged a commit, by service.
+    highest position at which any gateway is known to have acknowledged a commit, by service, and
+    ``acknowledged_from`` is where it came from, for the log only.
     ``own_acknowledged`` is that of the gateways that poll this process; ``acknowledged_due_ms`` is
     the time before which it is not shared again. ``weights`` are the weights of upstreams.
     ``demand`` is each gateway's demand for
@@ -294,6 +303,7 @@
     writes_failing: dict[str, list[str]] = field(default_factory=dict)
     wanted: dict[str, dict[str, int]] = field(default_factory=dict)
     acknowledged: dict[str, Position] = field(default_factory=dict)
+    acknowledged_from: dict[str, AcknowledgedSource] = field(default_factory=dict)
     own_acknowledged: dict[str, Position] = field(default_factory=dict)
     acknowledged_shared: dict[str, Position] = field(default_factory=dict)
     acknowledged_due_ms: int = 0
