Gateway: the lines of a planned stop say what was cut off

A caller whose connection ended without an answer when a gateway stopped could not be told from one whose process was killed: `stopped` said that all sessions had ended, and nothing of statements that had arrived, of answers that were not written and of connections that were not accepted.

`stopped` is now written after the last turn, when nothing is read any more, and says what is left: sessions, statements without an answer and their ids, statements of other gateways, and the bytes on the sockets in both directions. `stop_unfinished` says the same once, 300 ms before the platform kills the process, which writes no `stopped`. `session_cut_off` is written for each open transaction that the stop ends. Sessions, statements and answers that are cut off are counted as events. When and how a gateway stops is not changed.

The tests of sessions, sockets, forwarding and malformed input pass with it.

--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -132,7 +132,8 @@
     session = state.sessions.get(event.session)
     if session is None or not planned_stop.may_close(state, event.now_ms, session):
         return []
-    return _close_session(state, event.now_ms, session)
+    log_events = _note_cut_off(state, event.now_ms, session)
+    return log_events + _close_session(state, event.now_ms, session)
 
 
 def _run_statement(
@@ -303,6 +304,23 @@
     return session.route
 
 
+def _note_cut_off(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
+    """Return the log event of a session that a planned stop closes in an open transaction."""
+    if session.state is not TransactionState.OPEN:
+        return []
+    draining_since_ms = state.draining_since_ms
+    inputs: dict[str, object] = {
+        "session": session.number,
+        "statements_run": session.statements_run,
+        "has_written": session.has_written,
+        "holder": session.holder,
+        "idle_ms": now_ms - session.last_active_ms,
+        "draining_ms": now_ms - draining_since_ms if draining_since_ms is not None else None,
+        "grace_ms": state.drain_grace_ms,
+    }
+    return [LogEvent("warning", "session_cut_off", "", session.workspace, inputs, "closed")]
+
+
 def _close_session(state: GatewayState, now_ms: int, session: Session) -> list[Effect]:
     del state.sessions[session.number]
     return [CloseSession(session.number), *routing.abort_session(state, now_ms, session)]
--- a/packages/node/src/endivewick_node/gateway_node.py
+++ b/packages/node/src/endivewick_node/gateway_node.py
@@ -11,7 +11,7 @@
 from endivewick_core.documents import decompress
 from endivewick_core.exceptions import UNKNOWN_PATH, Failure, failure_body
 from endivewick_core.gateway import effects as fx
-from endivewick_core.gateway import planned_stop, sessions
+from endivewick_core.gateway import leftovers, planned_stop, sessions
 from endivewick_core.gateway.control_link import is_ready
 from endivewick_core.gateway.events import (
     ConfigurationReceived,
@@ -60,6 +60,8 @@
 GAUGE_INTERVAL_MS = 1_000  # gauges change slowly
 # How long a planned stop waits at its end for messages that are on their way to slow links.
 LAST_FRAMES_MS = 500
+# Before the end of the grace time, so that a line is written before the platform's SIGKILL.
+UNFINISHED_STOP_MARGIN_MS = 300
 # Events of one session, upstream connection or process; see ``event_failures``.
 PEER_EVENTS = (
     SessionOpened,
@@ -126,6 +128,7 @@
             self._metrics, options.metrics_address, self._poller, budget
         )
         self._stopped = trio.Event()
+        self._is_unfinished_logged = False
         self._statements_waiting = trio.Event()
 
     async def run(self) -> None:
@@ -140,6 +143,8 @@
             nursery.start_soon(self._export_gauges)
             await self._stopped.wait()
             nursery.cancel_scope.cancel()
+        # Here nothing is read any more: the line also has what arrived after the last look.
+        self._log_stopped()
         # The last answers to other gateways may have been queued in the same turn.
         self._transport.close(LAST_FRAMES_MS)
 
@@ -194,6 +199,7 @@
             self._reduce(Tick(now_ms()))
             if self._end_if_drained():
                 return
+            self._check_unfinished_stop()
             wait_ms = next_tick_ms(self._state, now_ms())
             if has_waiting(self._state):
                 await trio.sleep(wait_ms / 1000)
@@ -215,10 +221,42 @@
             return False
         self._poller.stop()
         self._transport.stop()
-        log("info", "stopped", "planned stop: all sessions have ended")
         self._stopped.set()
         return True
 
+    def _describe_left(self) -> dict[str, object]:
+        """Return what the process has not finished, and how long its planned stop has lasted."""
+        state, at_ms = self._state, now_ms()
+        since_ms = state.draining_since_ms
+        return {
+            **leftovers.find(state)._asdict(),
+            **self._sessions.find_unfinished()._asdict(),
+            "draining_ms": at_ms - since_ms if since_ms is not None else None,
+            "grace_ms": state.drain_grace_ms,
+        }
+
+    def _log_stopped(self) -> None:
+        """Log and count what the end of the process cuts off."""
+        left = leftovers.find(self._state)
+        self._metrics.count_event("session_cut_off", left.sessions)
+        self._metrics.count_event("statement_cut_off", left.statements + left.other_statements)
+        unwritten = self._sessions.find_unfinished().unwritten_answers
+        self._metrics.count_event("answer_cut_off", unwritten)
+        text = "planned stop: all sessions have ended"
+        log_rate_limited("info", "stopped", text, inputs=self._describe_left())
+
+    def _check_unfinished_stop(self) -> None:
+        """Log once what is left shortly before the platform kills the process."""
+        since_ms = self._state.draining_since_ms
+        if since_ms is None or self._stopped.is_set() or self._is_unfinished_logged:
+            return
+        if now_ms() - since_ms < self._state.drain_grace_ms - UNFINISHED_STOP_MARGIN_MS:
+            return
+        self._is_unfinished_logged = True
+        self._metrics.count_event("stop_unfinished")
+        text = "planned stop: sessions are left at the end of the grace time"
+        log_rate_limited("warning", "stop_unfinished", text, inputs=self._describe_left())
+
     async def _export_gauges(self) -> None:
         while True:
             await trio.sleep(GAUGE_INTERVAL_MS / 1000)
--- a/packages/node/src/endivewick_node/prometheus_metrics.py
+++ b/packages/node/src/endivewick_node/prometheus_metrics.py
@@ -65,9 +65,9 @@
         self._statements.labels(workspace, effect.kind, effect.outcome).inc()
         self._latency.labels(workspace, effect.kind).observe(effect.took_ms / 1000)
 
-    def count_event(self, name: str) -> None:
-        """Count an event."""
-        self._events.labels(name).inc()
+    def count_event(self, name: str, amount: int = 1) -> None:
+        """Count an event, or ``amount`` of them."""
+        self._events.labels(name).inc(amount)
 
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
--- a/packages/node/src/endivewick_node/session_server.py
+++ b/packages/node/src/endivewick_node/session_server.py
@@ -67,6 +67,24 @@
     held_bytes: int
 
 
+class UnfinishedConnections(NamedTuple):
+    """The clients' connections, and the bytes on them that were not passed on.
+
+    ``unwritten_answers`` is the number of connections with bytes of answers that the kernel has not
+    taken, ``unwritten_bytes`` their sum. ``unconfirmed_bytes`` were given to the kernel, and the
+    clients have not confirmed them. ``unread_connections`` have ``unread_bytes`` that clients sent
+    and no statement was read from. ``unaccepted`` connections wait at the listening socket.
+    """
+
+    connections: int
+    unwritten_answers: int
+    unwritten_bytes: int
+    unconfirmed_bytes: int
+    unread_connections: int
+    unread_bytes: int
+    unaccepted: int
+
+
 class SessionServer:
     """The listening socket and the client connections."""
 
@@ -116,6 +134,21 @@
         """Return whether answers wait until the kernel accepts them."""
         return any(client.writer.has_unsent for client in self._connections.values())
 
+    def find_unfinished(self) -> UnfinishedConnections:
+        """Return what is left on the connections, also on those that are being closed."""
+        clients = list(self._connections.values())
+        unwritten = [item.writer.unsent_bytes for item in clients if item.writer.has_unsent]
+        unread = [item.read.held_bytes + sockets.count_unread(item.stream) for item in clients]
+        return UnfinishedConnections(
+            len(clients),
+            len(unwritten),
+            sum(unwritten),
+            sum(sockets.count_unconfirmed(item.stream) for item in clients),
+            sum(1 for item in unread if item),
+            sum(unread),
+            sockets.count_unaccepted(self._listener),
+        )
+
     def accept_session(self, number: int) -> None:
         """Notify a client that its session is open."""
         self._write(number, self._wire.encode_accepted())
--- a/packages/node/src/endivewick_node/sockets.py
+++ b/packages/node/src/endivewick_node/sockets.py
@@ -6,9 +6,13 @@
 """
 
 import errno
+import fcntl
 import select
 import socket
 import ssl
+import struct
+import sys
+import termios
 from collections.abc import Callable
 
 import trio
@@ -25,6 +29,10 @@
 BROKEN = select.EPOLLHUP | select.EPOLLERR
 EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
+# The start of the kernel's tcp_info. For a listening socket, its fifth number is the length of the
+# queue of connections that are not accepted.
+UNACCEPTED = struct.Struct("=8x16xI")
+
 EventCallback = Callable[[int], None]
 
 
@@ -181,6 +189,33 @@
         return -1
 
 
+def count_unread(connection: socket.socket) -> int:
+    """Return how many received bytes the kernel holds for a connection; 0 on an error."""
+    return _ask_kernel(connection, termios.FIONREAD)
+
+
+def count_unconfirmed(connection: socket.socket) -> int:
+    """Return how many written bytes the peer has not confirmed yet; 0 on an error."""
+    return _ask_kernel(connection, termios.TIOCOUTQ)
+
+
+def count_unaccepted(listener: socket.socket) -> int:
+    """Return how many connections wait to be accepted; 0 on an error."""
+    try:
+        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACCEPTED.size)
+        return int(UNACCEPTED.unpack(info)[0])
+    except (OSError, struct.error):
+        return 0
+
+
+def _ask_kernel(connection: socket.socket, request: int) -> int:
+    try:
+        answer = fcntl.ioctl(connection.fileno(), request, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
 class Writer:
     """Writes to one socket; buffers what it doesn't accept until it is writable.
 
