Gateway: a planned stop waits for the first statement of a new session

What callers saw: where fewer than half of a data centre's gateways are ready, the balancer sends new sessions to gateways in a planned stop, too. Their connections were closed before the first statement had arrived.

Cause: a session that has just opened is idle, and the next tick, at most 100 ms later, closes it.

A new session is now kept open for 300 ms, or until the answer to its first statement. In the last sixth of the grace time none is waited for.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -13,6 +13,7 @@
 BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
 REFUSING_PARTS = 6  # new work is refused in the last one of so many parts of the grace time
 ANSWERING_MS = 200  # for a tick, and for the last answers to be written
+FIRST_STATEMENT_MS = 300  # how long a new session is kept open for its first statement
 RETRY_AFTER_MS = 300  # sent with refusals; a new connection leads to another gateway
 
 
@@ -62,6 +63,9 @@
         return False
     if session.current is not None or session.waiting or session.origin is not None:
         return False
+    is_awaited = session.is_new and now_ms - session.last_active_ms < FIRST_STATEMENT_MS
+    if is_awaited and not refuses_work(state, now_ms):
+        return False
     may_close_transactions = now_ms - since_ms >= state.drain_grace_ms // 2
     return session.state is TransactionState.IDLE or may_close_transactions
 
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -140,6 +140,7 @@
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
     session.last_active_ms = now_ms
+    session.is_new = False
     if statement.kind in AUTHENTICATED_KINDS or not session.tenant:
         fault = tenants.statement_fault(state, session)
         if fault is not None:
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -119,7 +119,7 @@
     gateway: that gateway's address and boot, and its number for the session.
     ``origin_request_serial`` is that gateway's number for the current statement, and
     ``configuration_version`` the newest configuration that it had. ``stored_bytes`` is the size of
-    the names and texts in ``values`` and ``prepared``.
+    the names and texts in ``values`` and ``prepared``. ``is_new`` is set until its first statement.
 
     ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
@@ -141,6 +141,7 @@
     waiting: deque[Statement] = field(default_factory=deque)
     stored_bytes: int = 0
     last_active_ms: int = 0
+    is_new: bool = True
     holder: str = ""
     origin: tuple[str, str, int] | None = None
     origin_request_serial: int = 0
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -336,3 +336,17 @@
     gateway.send(1, kind)
     answer = gateway.answers[-1]
     assert_that((answer.error.fault, answer.state), Equals((Fault.UNKNOWN_WORKSPACE, state)))
+
+
+# The balancer sends sessions to stopping gateways, too, where too few others are ready.
+def test_a_planned_stop_waits_for_the_first_statement_of_a_new_session(gateway):
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(2_600)
+    gateway.session(1, "strict")
+    gateway.session(2, "strict")
+    gateway.tick(100)
+    assert_that(gateway.closed_sessions, Equals([]))
+    gateway.send(1, K.SET, name="tenant", argument="t1")
+    assert_that(gateway.closed_sessions, Equals([1]))
+    gateway.tick(200)
+    assert_that(gateway.closed_sessions, Equals([1, 2]))
