Control: a leader that stops as planned answers its pending changes

What operators saw: a change of the configuration that a leader had read got no answer where the leader stopped: its connection ended. They had to find out by themselves whether to send it again, and the other processes noticed the end of the leadership only after the election time-out.

Cause: a leader without a learner in reach, or at the end of its grace time, ends at once. Only a leader with a successor ended its leadership first, which answers what is pending.

Every leader now ends its leadership before the process ends: pending changes are answered as unknown, and the other voters are told to elect.

The new test fails without the change: no answer among the effects of the stop.

--- a/packages/core/src/endivewick_core/control/planned_stop.py
+++ b/packages/core/src/endivewick_core/control/planned_stop.py
@@ -38,7 +38,10 @@
         text = "stopping without a successor: it took too long" if is_overdue else "stopping"
         announcement = [] if is_voter(state) else _announce(state)
         inputs = election_log.describe_stop(state, now_ms)
-        return [*announcement, LogEvent("info", "stop_ready", text, inputs), StopProcess()]
+        # Operators' changes that are not committed get an answer, and the others elect at once.
+        ended = _end_leadership(state, now_ms) if state.leader_state is not None else []
+        log_event = LogEvent("info", "stop_ready", text, inputs)
+        return [*ended, *announcement, log_event, StopProcess()]
     if state.leader_state is not None:
         stop.may_stop = _may_stop(state, now_ms, state.me.member_id)
         if stop.may_stop or not voter_changes.has_possible_successor(state, now_ms):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,9 @@
 from random import Random
 
 import pytest
+from endivewick_core.control import effects as cx
+from endivewick_core.control import events as ce
+from endivewick_core.control.reducer import reduce
 from endivewick_core.control.state import Role
 from membership_simulation import CATCH_UP_MS, RECOVERY_MS, Site
 from testtools.assertions import assert_that
@@ -206,6 +209,20 @@
     check(site, record_property)
 
 
+# Guards against an operator's change that gets no answer when its leader stops as planned.
+def test_a_leader_that_stops_answers_the_changes_that_are_not_committed(small_site):
+    site = small_site
+    state = site.leader().state
+    now_ms = site.now_ms
+    request = ce.PutConfigurationRequest(1, ["s"], b"document")
+    reduce(state, ce.OperatorRequested(now_ms, 7, request))
+    effects = reduce(state, ce.StopRequested(now_ms, now_ms + 1_000))
+    kinds = [type(item) for item in effects]
+    assert_that(kinds[-1], Equals(cx.StopProcess))
+    (answer,) = [item for item in effects if isinstance(item, cx.AnswerOperator)]
+    assert_that((answer.number, answer.status >= 500), Equals((7, True)))
+
+
 def disturb(site, random):
     """Disturb the site once, without more lost disks than may be lost at once."""
     up = [item for item in site.machines if item.is_up and not item.is_stopping]
