Gateway: the second half of a planned stop begins no transaction

What callers saw: a transaction that began at a stopping gateway from half of the grace time on was accepted, and its session closed right after an answer, so that none came to its end and a COMMIT on its way had no answer. A session was also closed after the answer to its first SET or PREPARE.

A BEGIN is now refused as busy from half of the grace time on, which is true. An open transaction goes on until its client pauses for 250 ms, and the last sixth rolls it back with an answer. A new session stays open until 300 ms after its last SET or PREPARE.

The tests of BEGIN, of the transaction that goes on, and of SET fail without the change.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -1,9 +1,10 @@
 """The times of a gateway's planned stop.
 
 At first everything goes on, until the balancer has noticed that this gateway isn't ready. Then
-sessions are closed between statements, and from half of the grace time on between the statements of
-a transaction, too. In its last sixth new work is refused as not run, since it might not be answered
-in time. Shortly before the end every request that is still without an answer gets one.
+sessions are closed between operations. From half of the grace time on no transaction begins, and
+open ones are closed where their clients pause. In its last sixth new work is refused as not run,
+since it might not be answered in time. Shortly before the end every request that is still without
+an answer gets one.
 """
 
 from ..statements import Error, Fault, TransactionState
@@ -14,6 +15,7 @@
 REFUSING_PARTS = 6  # new work is refused in the last one of so many parts of the grace time
 ANSWERING_MS = 200  # for a tick, and for the last answers to be written
 FIRST_STATEMENT_MS = 300  # how long a new session is kept open for its first statement
+TRANSACTION_PAUSE_MS = 250  # after such a pause an open transaction is closed
 RETRY_AFTER_MS = 300  # sent with refusals; a new connection leads to another gateway
 
 
@@ -21,7 +23,13 @@
     """Tell whether new sessions and statements are refused, since the process ends soon."""
     if state.draining_since_ms is None:
         return False
-    return now_ms >= ends_ms(state) - state.drain_grace_ms // REFUSING_PARTS
+    return now_ms >= _grace_ends_ms(state) - state.drain_grace_ms // REFUSING_PARTS
+
+
+def refuses_transactions(state: GatewayState, now_ms: int) -> bool:
+    """Tell whether new transactions are refused, since they might not come to their end."""
+    since_ms = state.draining_since_ms
+    return since_ms is not None and now_ms - since_ms >= state.drain_grace_ms // 2
 
 
 def refusal(rolls_back: bool) -> Error:
@@ -35,7 +43,7 @@
     """Return until when requests may run in a planned stop, or None if there is none."""
     if state.draining_since_ms is None:
         return None
-    return ends_ms(state) - min(ANSWERING_MS, state.drain_grace_ms // REFUSING_PARTS)
+    return _grace_ends_ms(state) - min(ANSWERING_MS, state.drain_grace_ms // REFUSING_PARTS)
 
 
 def finish_idle(state: GatewayState, now_ms: int) -> list[Effect]:
@@ -66,12 +74,18 @@
     is_awaited = session.is_new and now_ms - session.last_active_ms < FIRST_STATEMENT_MS
     if is_awaited and not refuses_work(state, now_ms):
         return False
-    may_close_transactions = now_ms - since_ms >= state.drain_grace_ms // 2
-    return session.state is TransactionState.IDLE or may_close_transactions
+    if session.state is TransactionState.IDLE:
+        return True
+    pauses = now_ms - session.last_active_ms >= TRANSACTION_PAUSE_MS
+    return pauses and refuses_transactions(state, now_ms)
 
 
 def ends_ms(state: GatewayState) -> int:
-    """Return when a planned stop that has started must have ended the process."""
+    """Return when a planned stop that has started ends the process, whatever is left."""
+    return _grace_ends_ms(state)
+
+
+def _grace_ends_ms(state: GatewayState) -> int:
     assert state.draining_since_ms is not None
     return state.draining_since_ms + state.drain_grace_ms
 
--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -33,6 +33,9 @@
     {StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE, StatementKind.COMMIT}
 )
 
+# Statements that only prepare a session for its first operation.
+SETUP_KINDS = frozenset({StatementKind.SET, StatementKind.PREPARE, StatementKind.DEALLOCATE})
+
 # Statements before which the key is checked: the first of an operation, and all that go upstream.
 AUTHENTICATED_KINDS = UPSTREAM_KINDS | {StatementKind.BEGIN}
 
@@ -140,7 +143,7 @@
     state: GatewayState, now_ms: int, session: Session, statement: Statement
 ) -> list[Effect]:
     session.last_active_ms = now_ms
-    session.is_new = False
+    session.is_new = session.is_new and statement.kind in SETUP_KINDS
     if statement.kind in AUTHENTICATED_KINDS or not session.tenant:
         fault = tenants.statement_fault(state, session)
         if fault is not None:
@@ -155,7 +158,7 @@
         effects = routing.end_transaction(state, now_ms, session)
         return answers.answer_local(session) + effects
     if statement.kind is StatementKind.BEGIN:
-        if planned_stop.refuses_work(state, now_ms):
+        if planned_stop.refuses_transactions(state, now_ms):
             return _refuse_at_stop(state, now_ms, session, statement)
         session.state = TransactionState.OPEN
         session.is_read_only = statement.is_read_only
--- a/packages/core/src/endivewick_core/gateway/state.py
+++ b/packages/core/src/endivewick_core/gateway/state.py
@@ -119,7 +119,8 @@
     gateway: that gateway's address and boot, and its number for the session.
     ``origin_request_serial`` is that gateway's number for the current statement, and
     ``configuration_version`` the newest configuration that it had. ``stored_bytes`` is the size of
-    the names and texts in ``values`` and ``prepared``. ``is_new`` is set until its first statement.
+    the names and texts in ``values`` and ``prepared``. ``is_new`` is set until its first
+    operation.
 
     ``key`` is what the client presented, and ``tenant`` the tenant that the session runs as.
     """
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -347,6 +347,36 @@
     gateway.tick(100)
     assert_that(gateway.closed_sessions, Equals([]))
     gateway.send(1, K.SET, name="tenant", argument="t1")
-    assert_that(gateway.closed_sessions, Equals([1]))
     gateway.tick(200)
-    assert_that(gateway.closed_sessions, Equals([1, 2]))
+    assert_that(gateway.closed_sessions, Equals([2]))
+    gateway.send(1, K.ROLLBACK)
+    assert_that(gateway.closed_sessions, Equals([2, 1]))
+
+
+# Guards against a transaction that is begun and can't come to its end before its session is closed.
+def test_the_second_half_of_a_planned_stop_begins_no_transaction(gateway):
+    gateway.session(1, "strict")
+    gateway.unread.add(1)
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(3_100)
+    gateway.unread.clear()
+    gateway.send(1, K.BEGIN)
+    answer = gateway.answers[-1]
+    assert_that((answer.error.fault, answer.state), Equals((Fault.BUSY, TransactionState.IDLE)))
+    assert_that(gateway.closed_sessions, Equals([1]))
+
+
+# Guards against a transaction that is cut off between two statements of a client that goes on.
+def test_a_planned_stop_lets_a_transaction_go_on_until_its_client_pauses(gateway):
+    gateway.session(1, "strict")
+    gateway.session(2, "strict")
+    gateway.send(1, K.BEGIN)
+    gateway.send(2, K.BEGIN)
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    for _ in range(32):
+        gateway.tick(100)
+        gateway.reply(gateway.find_sent(gateway.send(1, K.READ)))
+    assert_that(gateway.closed_sessions, Equals([2]))
+    gateway.reply(gateway.find_sent(gateway.send(1, K.COMMIT)))
+    assert_that(gateway.answers[-1].error, Is(None))
+    assert_that(gateway.closed_sessions, Equals([2, 1]))
