Gateway: refuse what waits for the first configuration before a planned stop ends

What callers saw: a statement that a gateway without a configuration had read got no answer where the gateway stopped within 1.5 s.

Cause: these statements are no requests yet, so that neither the refusal nor the last answers of a planned stop concern them.

In the last sixth of the grace time all of them are refused as not run.

The new test fails without the change: no answer.

--- a/packages/core/src/endivewick_core/gateway/sessions.py
+++ b/packages/core/src/endivewick_core/gateway/sessions.py
@@ -112,21 +112,22 @@
 
 
 def check_unconfigured(state: GatewayState, now_ms: int) -> list[Effect]:
-    """Refuse the statements that have waited too long for the first configuration."""
+    """Refuse the statements that have waited too long for the first configuration.
+
+    At the end of a planned stop all are refused, since it may not arrive in time.
+    """
     if state.configuration.version:
         return []
+    is_ending = planned_stop.refuses_work(state, now_ms)
     effects: list[Effect] = []
     for session in state.sessions.values():
-        if (
-            not session.waiting
-            or now_ms - session.last_active_ms < state.settings.configuration_wait_ms
-        ):
-            continue
-        statement = session.waiting.popleft()
-        error = Error(
-            Fault.BUSY, "this gateway has not received a configuration yet", routing.RETRY_AFTER_MS
-        )
-        effects += answers.refuse_local(session, statement.kind, statement.request_id, error)
+        is_overdue = now_ms - session.last_active_ms >= state.settings.configuration_wait_ms
+        due_count = len(session.waiting) if is_ending else min(is_overdue, len(session.waiting))
+        for _ in range(due_count):
+            statement = session.waiting.popleft()
+            text = "this gateway has not received a configuration yet"
+            error = Error(Fault.BUSY, text, routing.RETRY_AFTER_MS)
+            effects += answers.refuse_local(session, statement.kind, statement.request_id, error)
     return effects
 
 
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -4,6 +4,7 @@
 from endivewick_core.gateway import events as ev
 from endivewick_core.gateway.planned_stop import is_drained
 from endivewick_core.gateway.reducer import next_tick_ms
+from endivewick_core.gateway.state import GatewayState
 from endivewick_core.positions import Position
 from endivewick_core.statements import Error, Fault, StatementKind, TransactionState
 from endivewick_core.watermarks import Watermark
@@ -380,3 +381,17 @@
     gateway.reply(gateway.find_sent(gateway.send(1, K.COMMIT)))
     assert_that(gateway.answers[-1].error, Is(None))
     assert_that(gateway.closed_sessions, Equals([2, 1]))
+
+
+# Guards against a process that ends with statements which wait for the first configuration.
+def test_a_planned_stop_refuses_statements_that_wait_for_the_first_configuration(gateway):
+    gateway.state.configuration = GatewayState(gateway.state.settings).configuration
+    gateway.handle(ev.DrainRequested(gateway.now_ms, 6_000))
+    gateway.tick(4_980)
+    gateway.session(1, "strict")
+    gateway.send(1, K.WRITE)
+    gateway.send(1, K.WRITE)
+    assert_that(gateway.answers, Equals([]))
+    gateway.tick(40)
+    faults = [item.error.fault for item in gateway.answers]
+    assert_that(faults, Equals([Fault.BUSY, Fault.BUSY]))
