Gateway: end a planned stop before the platform kills the process

A stop that uses its whole grace time was always killed, without its last log line: its time counts from the handling of the signal, some milliseconds after the signal itself, and ended with the platform's.

It now ends 100 ms earlier.

--- a/packages/core/src/endivewick_core/gateway/planned_stop.py
+++ b/packages/core/src/endivewick_core/gateway/planned_stop.py
@@ -14,6 +14,7 @@
 BALANCER_GRACE_MS = 2_500  # two failed health checks of the balancer, 1 s apart, and its delay
 REFUSING_PARTS = 6  # new work is refused in the last one of so many parts of the grace time
 ANSWERING_MS = 200  # for a tick, and for the last answers to be written
+ENDING_MS = 100  # between the last moment at which the process ends and the platform's SIGKILL
 FIRST_STATEMENT_MS = 300  # how long a new session is kept open for its first statement
 TRANSACTION_PAUSE_MS = 250  # after such a pause an open transaction is closed
 RETRY_AFTER_MS = 300  # sent with refusals; a new connection leads to another gateway
@@ -82,7 +83,7 @@
 
 def ends_ms(state: GatewayState) -> int:
     """Return when a planned stop that has started ends the process, whatever is left."""
-    return _grace_ends_ms(state)
+    return _grace_ends_ms(state) - min(ENDING_MS, state.drain_grace_ms // REFUSING_PARTS)
 
 
 def _grace_ends_ms(state: GatewayState) -> int:
