Tests: let a learner have the whole log before it is cut off

The test brings about a membership that only the leader has: it cuts the leader off once a voter's lost identity is removed, before its learner is added.

It now waits until the learner has the whole log. Its checks are as before.

--- a/tests/test_control_search.py
+++ b/tests/test_control_search.py
@@ -100,7 +100,13 @@
         return len(driver.processes[name].state.membership.voters)
 
     driver.restart(lost, wipe=True)
-    while not (voters(leader) == voters(stays) == 2):
+
+    def learner_has_whole_log():
+        state = driver.processes[leader].state
+        (learner,) = state.membership.learners
+        return state.leader_state.progress[learner.member_id].match_index >= state.log.last_index
+
+    while not (voters(leader) == voters(stays) == 2 and learner_has_whole_log()):
         driver.run(1)
     driver.cut(leader, stays, both=False)
     driver.cut(leader, lost, both=False)
